--- a/packages/jayfrontd/src/cell/cell-writer.ts
+++ b/packages/jayfrontd/src/cell/cell-writer.ts
@@ -1,9 +1,8 @@
 import type { CellRow, RosterEntry } from "@jayfront/world";
-import { sleep } from "@jayfront/world";
+import { createWakeUp, sleep } from "@jayfront/world";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 
 import { jitter } from "../util/jitter.js";
-import { createWakeUp } from "../util/wake-up.js";
 import type { CellContext } from "./cell-context.js";
 import type { VersionedCellRow } from "./cell-store.js";
 import { commitOnce, tableKeys } from "./cell-store.js";
--- a/packages/jayfrontd/src/cell/held-cell.ts
+++ b/packages/jayfrontd/src/cell/held-cell.ts
@@ -11,15 +11,13 @@
     Worker,
     WorkerId,
 } from "@jayfront/world";
-import { sleep } from "@jayfront/world";
+import { createStopSignal, createWakeUp, sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 
 import type { Metrics } from "../metrics.js";
 import type { Settings } from "../settings.js";
 import { jitter } from "../util/jitter.js";
-import { createStopSignal } from "../util/stop-signal.js";
-import { createWakeUp } from "../util/wake-up.js";
 import type { CellContext } from "./cell-context.js";
 import type { VersionedCellRow } from "./cell-store.js";
 import { createCellWriter } from "./cell-writer.js";
--- a/packages/jayfrontd/src/host.ts
+++ b/packages/jayfrontd/src/host.ts
@@ -3,7 +3,7 @@
 
 import type { Platform } from "@jayfront/platform";
 import type { CellId, Environment, Host, JobId } from "@jayfront/world";
-import { cellOfWorker, failureDomainId, hostId, sleep } from "@jayfront/world";
+import { cellOfWorker, createStopSignal, failureDomainId, hostId, sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 
@@ -26,7 +26,6 @@
 import { createRequestRouter } from "./request/request-router.js";
 import type { Settings } from "./settings.js";
 import { equalSecrets } from "./util/equal-secrets.js";
-import { createStopSignal } from "./util/stop-signal.js";
 
 /** An entry host: everything of jayfrontd but the sockets. */
 export interface EntryHost {
--- a/packages/jayfrontd/src/index.ts
+++ b/packages/jayfrontd/src/index.ts
@@ -50,5 +50,3 @@
 export * from "./util/limit-body.js";
 export * from "./util/read-body.js";
 export * from "./util/replayable-body.js";
-export * from "./util/stop-signal.js";
-export * from "./util/wake-up.js";
--- a/packages/jayfrontd/src/peer/ws-peer-server.ts
+++ b/packages/jayfrontd/src/peer/ws-peer-server.ts
@@ -8,14 +8,15 @@
 import { equalSecrets } from "../util/equal-secrets.js";
 import type { FrameCodec } from "./frame-codec.js";
 import { createFrameCodec, helloCode } from "./frame-codec.js";
-import type { PeerHandler } from "./peer-message.js";
-import { peerMessage } from "./peer-message.js";
 
 /** Options of {@link attachPeerServer}. */
-export interface PeerServerOptions {
+export interface PeerServerOptions<Message> {
     readonly server: Server;
     readonly peerKey: string;
-    readonly handle: PeerHandler;
+    /** Reads a frame's body; undefined where it is no message of this release. */
+    readonly parse: (body: unknown) => Message | undefined;
+    /** Answers a message; `onClose` calls back once when the connection that it came on has closed. */
+    readonly handle: (message: Message, onClose: (callback: () => void) => void) => Promise<unknown>;
     readonly logger: Logger;
 }
 
@@ -41,7 +42,9 @@
 };
 
 /** Serves peers' control messages on the WebSocket door of `server`. */
-export const attachPeerServer = ({ server, peerKey, handle, logger }: PeerServerOptions): WebSocketServer => {
+export const attachPeerServer = <Message>(
+    { server, peerKey, parse, handle, logger }: PeerServerOptions<Message>,
+): WebSocketServer => {
     const sockets = new WebSocketServer({ server, path: "/peer", maxPayload: largestFrame });
     const refuse = (socket: WebSocket, reason: string): void => {
         logger.warn({ reason }, "a peer connection was closed");
@@ -53,12 +56,14 @@
             refuse(socket, "a frame is not authentic, repeated or malformed");
             return;
         }
-        const message = peerMessage.safeParse(frame.body);
-        if (!message.success) {
+        const message = parse(frame.body);
+        if (message === undefined) {
             refuse(socket, "a message is not known; run the same release on all entry hosts");
             return;
         }
-        const body = await handle(message.data);
+        const body = await handle(message, callback => {
+            socket.once("close", callback);
+        });
         if (socket.readyState === socket.OPEN) {
             socket.send(codec.seal({ id: frame.id, kind: "reply", body }));
         }
--- a/packages/jayfrontd/src/request/request-router.ts
+++ b/packages/jayfrontd/src/request/request-router.ts
@@ -3,7 +3,7 @@
 import type { RetryBudget } from "@jayfront/policy";
 import { createByteBudget, createRetryBudget } from "@jayfront/policy";
 import type { CellId, Environment, Host, ServiceId } from "@jayfront/world";
-import { cellId } from "@jayfront/world";
+import { cellId, createStopSignal } from "@jayfront/world";
 import type { Logger } from "pino";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 
@@ -19,7 +19,6 @@
 import type { Settings } from "../settings.js";
 import { countBody } from "../util/count-body.js";
 import { createReplayableBody } from "../util/replayable-body.js";
-import { createStopSignal } from "../util/stop-signal.js";
 import { createOnceServer } from "./once-server.js";
 import type { Passage, Service } from "./passage.js";
 import { resultOf, singleHeader } from "./passage.js";
--- a/packages/jayfrontd/src/run-host.ts
+++ b/packages/jayfrontd/src/run-host.ts
@@ -17,6 +17,7 @@
 import { createMetrics } from "./metrics.js";
 import type { Metrics } from "./metrics.js";
 import { createWsNetwork } from "./peer/create-ws-network.js";
+import { peerMessage } from "./peer/peer-message.js";
 import { createRequestSignature, signatureHeader } from "./peer/request-signature.js";
 import { attachPeerServer } from "./peer/ws-peer-server.js";
 import type { Settings } from "./settings.js";
@@ -99,6 +100,7 @@
     const sockets = attachPeerServer({
         server: peerDoor,
         peerKey: settings.security.peerKey,
+        parse: body => peerMessage.safeParse(body).data,
         handle: host.handlePeer,
         logger,
     });
--- /dev/null
+++ b/packages/workflow/src/cell/cell-lease.ts
@@ -0,0 +1,92 @@
+import type { CellId } from "@jayfront/world";
+import type { Logger } from "pino";
+
+import type { StateStore, StoredRow, Transaction } from "../port/state-store.js";
+import { tables } from "./tables.js";
+
+/** Who holds a cell, as its row says. */
+export interface CellHolder {
+    /** Rises with each holder; workers refuse orders of a lower one. */
+    readonly epoch: number;
+    readonly host: string;
+}
+
+/** Proof that this host holds a cell, renewed by reads and conditional writes of the cell's row. */
+export interface CellLease {
+    readonly cell: CellId;
+    readonly epoch: number;
+    /** Condition that every write on behalf of the cell carries. */
+    readonly check: Transaction["checks"][number];
+    /** Renews by a read; true where the row still names this holder. */
+    readonly renew: () => Promise<boolean>;
+    /** Tells listeners that a call whose success proves the lease is about to be sent; returns what to do on success. */
+    readonly noteSent: () => () => void;
+    /** Milliseconds of the steady clock at the sending of the last call that proved the lease. */
+    readonly provenAt: () => number;
+    readonly isLost: () => boolean;
+    /** Gives the cell up: another holder has been seen. */
+    readonly lose: (reason: string) => void;
+}
+
+/** Options of {@link createCellLease}. */
+export interface CellLeaseOptions {
+    readonly cell: CellId;
+    readonly epoch: number;
+    /** The row that names this holder. */
+    readonly row: Pick<StoredRow, "version">;
+    readonly store: StateStore;
+    readonly logger: Logger;
+    /** Milliseconds on the steady clock at which the call that took the cell was sent. */
+    readonly takenAt: number;
+    /** Called before each call that can prove the lease; what it returns is called once the call has proved it. */
+    readonly onSending: () => () => void;
+    readonly onLost: (reason: string) => void;
+}
+
+/** Creates the lease of a cell that was just taken. */
+export const createCellLease = (options: CellLeaseOptions): CellLease => {
+    const { cell, epoch, row, store, logger, onSending, onLost } = options;
+    const key = tables.holder(cell);
+    let provenAt = options.takenAt;
+    let isLost = false;
+
+    const lose = (reason: string): void => {
+        if (!isLost) {
+            isLost = true;
+            logger.warn({ cell, epoch, reason, provenAgo: Math.round(performance.now() - provenAt) }, "cell lost");
+            onLost(reason);
+        }
+    };
+    const noteSent = (): () => void => {
+        const sentAt = performance.now();
+        const onProven = onSending();
+        return () => {
+            if (!isLost) {
+                provenAt = Math.max(provenAt, sentAt);
+                onProven();
+            }
+        };
+    };
+    return {
+        cell,
+        epoch,
+        check: { ...key, version: row.version },
+        noteSent,
+        lose,
+        renew: async () => {
+            const proven = noteSent();
+            const read = await store.read(key.table, key.partition, key.key);
+            if (read.isErr) {
+                return false;
+            }
+            if (read.value.rows[0]?.version !== row.version) {
+                lose("the cell's row names another holder");
+                return false;
+            }
+            proven();
+            return true;
+        },
+        provenAt: () => provenAt,
+        isLost: () => isLost,
+    };
+};
--- /dev/null
+++ b/packages/workflow/src/cell/load-cell.ts
@@ -0,0 +1,51 @@
+import type { CellId } from "@jayfront/world";
+import { Result } from "true-myth";
+
+import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
+import { createWorkflowLedger } from "../ledger/workflow-ledger.js";
+import { workflowProgress } from "../ledger/workflow-progress.js";
+import type { WorkerEntry } from "../model/worker-entry.js";
+import type { Workflow } from "../model/workflow.js";
+import type { StateStore, StoreError } from "../port/state-store.js";
+import { tables } from "./tables.js";
+
+/** What an earlier holder of a cell has left in the store. */
+export interface LoadedCell {
+    readonly ledgers: readonly { readonly ledger: WorkflowLedger; readonly progressVersion: number; }[];
+    readonly roster: readonly WorkerEntry[];
+    readonly rosterVersion: number;
+}
+
+/** Reads a cell's roster and all of its workflows that have not ended. */
+export const loadCell = async (store: StateStore, cell: CellId): Promise<Result<LoadedCell, StoreError>> => {
+    const rosterKey = tables.roster(cell);
+    const [workflows, progress, roster] = await Promise.all([
+        store.read("workflows", cell),
+        store.read("progress", cell),
+        store.read(rosterKey.table, rosterKey.partition, rosterKey.key),
+    ]);
+    if (workflows.isErr) {
+        return Result.err(workflows.error);
+    }
+    if (progress.isErr) {
+        return Result.err(progress.error);
+    }
+    if (roster.isErr) {
+        return Result.err(roster.error);
+    }
+    const progressRows = new Map(progress.value.rows.map(row => [row.key, row]));
+    return Result.ok({
+        ledgers: workflows.value.rows.map(row => {
+            const stored = progressRows.get(row.key);
+            return {
+                ledger: createWorkflowLedger(
+                    JSON.parse(row.value) as Workflow,
+                    stored === undefined ? undefined : workflowProgress.parse(JSON.parse(stored.value)),
+                ),
+                progressVersion: stored?.version ?? 0,
+            };
+        }),
+        roster: JSON.parse(roster.value.rows[0]?.value ?? "[]") as WorkerEntry[],
+        rosterVersion: roster.value.rows[0]?.version ?? 0,
+    });
+};
--- /dev/null
+++ b/packages/workflow/src/cell/run-keeper.ts
@@ -0,0 +1,358 @@
+import type { JobId, WorkerId } from "@jayfront/world";
+import { sleep } from "@jayfront/world";
+import type { Logger } from "pino";
+import { match } from "ts-pattern";
+
+import type { Stage, WorkflowLedger } from "../ledger/workflow-ledger.js";
+import { parseTaskName } from "../model/parse-task-name.js";
+import type { TaskName } from "../model/task-name.js";
+import { taskName } from "../model/task-name.js";
+import type { EndedRow, OrderError, RunningRow, WorkerReport } from "../port/worker-gateway.js";
+import type { CellWriter } from "./cell-writer.js";
+import type { EndQueue } from "./end-queue.js";
+import { createEndQueue } from "./end-queue.js";
+import type { Run } from "./run.js";
+import type { RunBook } from "./run-book.js";
+import type { WorkerSession } from "./worker-session.js";
+
+/** What happened to a run, for those that learn from it. */
+export interface RunEnd {
+    readonly run: Run;
+    readonly outcome: EndedRow["outcome"] | "lost" | "not-started";
+    readonly error?: OrderError["kind"];
+}
+
+/** Starts, stops and settles the runs of a cell. */
+export interface RunKeeper {
+    /** Orders a start; the run is in the book before this returns. */
+    readonly start: (ledger: WorkflowLedger, stage: Stage, index: number, session: WorkerSession, number?: number) => void;
+    /** Number for the next run of a task. */
+    readonly nextNumber: (task: TaskName) => number;
+    readonly stop: (run: Run, reason: string) => void;
+    readonly stopWorkflow: (job: JobId, reason: string) => void;
+    readonly takeReport: (session: WorkerSession, report: WorkerReport, sentAt: number, isFirst: boolean) => void;
+    /** Nothing that ran on the worker goes on. */
+    readonly clearWorker: (session: WorkerSession, reason: "reborn" | "lapsed") => void;
+}
+
+/** Options of {@link createRunKeeper}. */
+export interface RunKeeperOptions {
+    readonly epoch: number;
+    readonly book: RunBook;
+    readonly writer: CellWriter;
+    readonly logger: Logger;
+    readonly ledgerOf: (job: JobId) => WorkflowLedger | undefined;
+    readonly sessionOf: (worker: WorkerId) => WorkerSession | undefined;
+    /** A run has come; its worker's account takes it in. */
+    readonly onAdded: (run: Run) => void;
+    /** A run has gone; its worker's account gives its room back. */
+    readonly onRemoved: (end: RunEnd) => void;
+    /** Something may be startable now. */
+    readonly onChange: () => void;
+    /** Approval that a start on the worker needs, where the queue takes advice. */
+    readonly ticketOf: (run: Run) => string | undefined;
+}
+
+/** Run numbers that one holder may give a task; a later holder's numbers are higher without being stored. */
+const numbersPerEpoch = 4_096;
+/** Milliseconds between attempts to settle a start without answer. */
+const settleInterval = 300;
+
+/** Creates the keeper of an empty book. */
+export const createRunKeeper = (options: RunKeeperOptions): RunKeeper => {
+    const { epoch, book, writer, logger, ledgerOf, sessionOf, onAdded, onRemoved, onChange, ticketOf } = options;
+    /** Highest number of a task's run that has ended, or can't count any more. */
+    const closedNumbers = new Map<TaskName, number>();
+    const lastNumbers = new Map<TaskName, number>();
+
+    const endQueues = new Map<WorkerId, { readonly bornAt: number; readonly queue: EndQueue; }>();
+
+    const endQueueOf = (session: WorkerSession, bornAt: number): EndQueue => {
+        const known = endQueues.get(session.id);
+        if (known?.bornAt === bornAt) {
+            return known.queue;
+        }
+        const queue = createEndQueue(number => {
+            // A write of an earlier life's ends must not make the present life forget its own.
+            if (endQueues.get(session.id)?.queue === queue) {
+                session.recordEnds(number);
+            }
+        });
+        endQueues.set(session.id, { bornAt, queue });
+        return queue;
+    };
+    const nextNumber = (task: TaskName): number => {
+        const first = (epoch - 1) * numbersPerEpoch + 1;
+        return Math.max(first, (lastNumbers.get(task) ?? 0) + 1, (closedNumbers.get(task) ?? 0) + 1);
+    };
+    const closeNumber = (task: TaskName, number: number): void => {
+        closedNumbers.set(task, Math.max(number, closedNumbers.get(task) ?? 0));
+    };
+    /** Takes a run out of the book; its task waits again unless it is done or runs elsewhere. */
+    const removeRun = (end: RunEnd): void => {
+        const { run } = end;
+        book.remove(run);
+        closeNumber(run.task, run.number);
+        if (book.ofTask(run.task).length === 0) {
+            run.ledger.noteIdle(run.position);
+        }
+        onRemoved(end);
+        onChange();
+    };
+    const addRun = (run: Run): void => {
+        book.add(run);
+        lastNumbers.set(run.task, Math.max(run.number, lastNumbers.get(run.task) ?? 0));
+        run.ledger.noteStart(run.position);
+        onAdded(run);
+    };
+    /** Makes sure that a start without answer can't take place any more. */
+    const settle = async (run: Run): Promise<void> => {
+        run.phase = "unsettled";
+        while (book.find(run.worker, run.task, run.number) === run && run.phase === "unsettled") {
+            const session = sessionOf(run.worker);
+            if (session === undefined || await session.stop(run.task, run.number)) {
+                // The next look tells whether it had started; without a trace it never will.
+                run.answeredAt = performance.now();
+                run.phase = "stopping";
+                run.stopReason ??= "start without answer";
+                return;
+            }
+            await sleep(settleInterval);
+        }
+    };
+    const send = async (run: Run, session: WorkerSession): Promise<void> => {
+        const { ledger, position, step } = run;
+        const checkpoint = step.isCheckpointing ? run.checkpoint : "";
+        const ticket = ticketOf(run);
+        const result = await session.start({
+            task: run.task,
+            run: run.number,
+            payload: ledger.workflow.payload,
+            checkpoint,
+            ...(ticket === undefined ? {} : { ticket }),
+        });
+        if (book.find(run.worker, run.task, run.number) !== run) {
+            return;
+        }
+        run.answeredAt = performance.now();
+        const details = { job: position.job, task: run.task, run: run.number, worker: run.worker };
+        if (result.isOk) {
+            if (run.phase === "starting") {
+                run.phase = "running";
+                run.startedAt = run.answeredAt;
+            }
+            else {
+                // The stop may have reached an earlier life of the worker.
+                void session.stop(run.task, run.number);
+            }
+            return;
+        }
+        const { kind, message } = result.error;
+        logger.info({ ...details, error: kind, message }, "start not done");
+        if (kind === "unknown") {
+            void settle(run);
+            return;
+        }
+        removeRun({ run, outcome: "not-started", error: kind });
+    };
+    const start: RunKeeper["start"] = (ledger, stage, index, session, number) => {
+        const position = { job: ledger.workflow.id, occurrence: stage.occurrence, step: stage.number, index };
+        const task = taskName(position);
+        const now = performance.now();
+        const run: Run = {
+            task,
+            position,
+            number: number ?? nextNumber(task),
+            worker: session.id,
+            ledger,
+            step: stage.step,
+            orderedAt: now,
+            phase: "starting",
+            answeredAt: Infinity,
+            startedAt: now,
+            percent: 0,
+            percentChangedAt: now,
+            measure: 0,
+            checkpoint: stage.record.checkpoints.get(index) ?? "",
+            pace: 100,
+            stopReason: undefined,
+        };
+        addRun(run);
+        void send(run, session);
+    };
+    const stop = (run: Run, reason: string): void => {
+        if (run.phase === "unsettled" || run.stopReason !== undefined) {
+            return;
+        }
+        run.stopReason = reason;
+        run.phase = "stopping";
+        const { job } = run.position;
+        logger.info({ job, task: run.task, run: run.number, worker: run.worker, reason }, "stop ordered");
+        void sessionOf(run.worker)?.stop(run.task, run.number).then(wasAnswered => {
+            if (wasAnswered) {
+                run.answeredAt = performance.now();
+            }
+        });
+    };
+    /** Books a reported end in its ledger; the caller stores it. */
+    const applyEnd = (ledger: WorkflowLedger, row: EndedRow, position: Run["position"]): void => {
+        if (row.checkpoint !== "" && ledger.stage(position)?.step.isCheckpointing === true) {
+            ledger.noteCheckpoint(position, row.checkpoint);
+        }
+        match(row.outcome)
+            .with("done", () => {
+                ledger.noteDone(position);
+            })
+            .with("failed", () => {
+                ledger.noteFailure(position);
+            })
+            .with("stopped", "lapsed", "broken", "alone", () => undefined)
+            .exhaustive();
+    };
+    const takeEnd = (session: WorkerSession, row: EndedRow): WorkflowLedger | undefined => {
+        const position = parseTaskName(row.task);
+        const ledger = position === undefined ? undefined : ledgerOf(position.job);
+        const run = book.find(session.id, row.task, row.run);
+        const isClosed = row.run <= (closedNumbers.get(row.task) ?? 0) && run === undefined;
+        if (position === undefined || ledger === undefined || isClosed) {
+            return undefined;
+        }
+        const wasSettled = ledger.isSettled();
+        if (!wasSettled && !ledger.isDone(position)) {
+            applyEnd(ledger, row, position);
+        }
+        logger.info({
+            job: position.job,
+            task: row.task,
+            run: row.run,
+            worker: session.id,
+            outcome: row.outcome,
+            isKnown: run !== undefined,
+            ranFor: run === undefined ? undefined : Math.round(performance.now() - run.startedAt),
+            reason: run?.stopReason,
+            state: ledger.state(),
+        }, "run ended");
+        closeNumber(row.task, row.run);
+        if (run !== undefined) {
+            removeRun({ run, outcome: row.outcome });
+        }
+        if (ledger.isDone(position)) {
+            book.ofTask(row.task).forEach(other => {
+                stop(other, "another copy is done");
+            });
+        }
+        if (ledger.isSettled() && !wasSettled) {
+            stopWorkflow(position.job, `the workflow is ${ledger.state()}`);
+        }
+        return ledger;
+    };
+    const takeEnds = (session: WorkerSession, report: WorkerReport): void => {
+        const queue = endQueueOf(session, report.bornAt);
+        const fresh = report.ended.filter(row => queue.isNew(row.number));
+        if (fresh.length === 0) {
+            return;
+        }
+        const changed = new Set<WorkflowLedger>();
+        for (const row of fresh) {
+            const ledger = takeEnd(session, row);
+            if (ledger?.isDirty() === true) {
+                changed.add(ledger);
+            }
+        }
+        const onWritten = queue.add(Math.max(...fresh.map(row => row.number)), changed.size);
+        changed.forEach(ledger => {
+            writer.request(ledger, onWritten);
+        });
+    };
+    const adopt = (session: WorkerSession, row: RunningRow): void => {
+        const position = parseTaskName(row.task);
+        const ledger = position === undefined ? undefined : ledgerOf(position.job);
+        const stage = position === undefined ? undefined : ledger?.stage(position);
+        const isWanted = position !== undefined
+            && ledger !== undefined
+            && stage !== undefined
+            && !ledger.isSettled()
+            && !ledger.isDone(position)
+            && row.run > (closedNumbers.get(row.task) ?? 0)
+            && (stage.step.isSpeculative || book.ofTask(row.task).length === 0);
+        logger.info({ job: position?.job, task: row.task, run: row.run, worker: session.id, isWanted }, "run found");
+        if (!isWanted) {
+            void session.stop(row.task, row.run);
+            return;
+        }
+        const now = performance.now();
+        addRun({
+            task: row.task,
+            position,
+            number: row.run,
+            worker: session.id,
+            ledger,
+            step: stage.step,
+            orderedAt: now,
+            phase: "running",
+            answeredAt: -Infinity,
+            startedAt: now,
+            percent: row.percent,
+            percentChangedAt: now,
+            measure: row.measure,
+            checkpoint: row.checkpoint,
+            pace: 100,
+            stopReason: undefined,
+        });
+    };
+    const updateRun = (run: Run, row: RunningRow, now: number): void => {
+        if (row.percent !== run.percent) {
+            run.percentChangedAt = now;
+        }
+        run.percent = row.percent;
+        run.measure = row.measure;
+        if (row.checkpoint !== "" && row.checkpoint !== run.checkpoint) {
+            run.checkpoint = row.checkpoint;
+            run.ledger.noteCheckpoint(run.position, row.checkpoint);
+        }
+    };
+    const takeReport: RunKeeper["takeReport"] = (session, report, sentAt, isFirst) => {
+        const now = performance.now();
+        takeEnds(session, report);
+        const listed = new Set<Run>();
+        for (const row of report.running) {
+            const run = book.find(session.id, row.task, row.run);
+            if (run !== undefined) {
+                listed.add(run);
+                updateRun(run, row, now);
+            }
+            else if (isFirst) {
+                adopt(session, row);
+                book.ofTask(row.task).forEach(adopted => listed.add(adopted));
+            }
+            else {
+                void session.stop(row.task, row.run);
+            }
+        }
+        for (const run of [...book.ofWorker(session.id)]) {
+            const isTold = run.phase !== "unsettled" && run.answeredAt < sentAt;
+            if (!listed.has(run) && isTold) {
+                const { job } = run.position;
+                logger.warn({ job, task: run.task, run: run.number, worker: session.id }, "run without trace");
+                removeRun({ run, outcome: "lost" });
+            }
+        }
+    };
+    const clearWorker: RunKeeper["clearWorker"] = (session, reason) => {
+        for (const run of [...book.ofWorker(session.id)]) {
+            // An order under way may still reach the worker's next life.
+            const isUnderWay = reason === "reborn" && (run.phase === "unsettled" || run.answeredAt === Infinity);
+            if (isUnderWay) {
+                continue;
+            }
+            logger.info({ job: run.position.job, task: run.task, run: run.number, worker: session.id, reason }, "run lost");
+            removeRun({ run, outcome: "lost" });
+        }
+    };
+    const stopWorkflow = (job: JobId, reason: string): void => {
+        book.ofWorkflow(job).forEach(run => {
+            stop(run, reason);
+        });
+    };
+    return { start, nextNumber, stop, stopWorkflow, takeReport, clearWorker };
+};
--- /dev/null
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -0,0 +1,215 @@
+import type { SizeEstimate, WorkerHealth } from "@jayfront/policy";
+import type { Logger } from "pino";
+
+import type { Stage, WorkflowLedger } from "../ledger/workflow-ledger.js";
+import type { Queue } from "../model/queue.js";
+import type { Step } from "../model/step.js";
+import type { TaskName } from "../model/task-name.js";
+import { taskName } from "../model/task-name.js";
+import { chooseWorker } from "../policy/choose-worker.js";
+import { criticalPath } from "../policy/critical-path.js";
+import { remainingPath } from "../policy/remaining-path.js";
+import type { Urgency } from "../policy/urgency.js";
+import { compareUrgency } from "../policy/urgency.js";
+import type { CellWorker, CellWorkers } from "./cell-workers.js";
+import { mayStartOn } from "./cell-workers.js";
+import type { RunBook } from "./run-book.js";
+import type { RunKeeper } from "./run-keeper.js";
+
+/** Decides which waiting tasks start where. */
+export interface StageScheduler {
+    /** Starts all that can start now. */
+    readonly pass: () => void;
+    /** Milliseconds that a task of the step is expected to run. */
+    readonly runTime: (queue: Queue, step: Step, number: number) => number;
+}
+
+/** Options of {@link createStageScheduler}. */
+export interface StageSchedulerOptions {
+    readonly ledgers: () => Iterable<WorkflowLedger>;
+    readonly workers: CellWorkers;
+    readonly book: RunBook;
+    readonly keeper: RunKeeper;
+    readonly runTimes: SizeEstimate;
+    readonly health: WorkerHealth;
+    readonly logger: Logger;
+    /** The queue as the configuration in force has it. */
+    readonly queueOf: (ledger: WorkflowLedger) => Queue;
+    /** Whether a run of the task may still go on somewhere unseen. */
+    readonly isHeldBack: (ledger: WorkflowLedger) => boolean;
+    /** Whether the task failed on the worker before. */
+    readonly hasFailedOn: (task: TaskName, worker: CellWorker) => boolean;
+}
+
+interface Candidate {
+    readonly ledger: WorkflowLedger;
+    readonly stage: Stage;
+    readonly queue: Queue;
+    readonly urgency: Urgency;
+}
+
+/** A workflow that takes longer than this multiple of its objective is of no use any more; from the users' rules. */
+const uselessFactor = 3;
+
+/** Creates the scheduler of a cell. */
+export const createStageScheduler = (options: StageSchedulerOptions): StageScheduler => {
+    const { ledgers, workers, book, keeper, runTimes, health, logger, queueOf, isHeldBack, hasFailedOn } = options;
+
+    const runTime = (queue: Queue, step: Step, number: number): number => {
+        const kind = `${queue.name}/${String(number)}/${String(step.isGang)}`;
+        // Estimates are off by a factor that a queue's submitters share; it is learned as a ratio.
+        return step.expectedRunTime * runTimes.predict(kind, queue.name, 1);
+    };
+    const urgencyOf = (ledger: WorkflowLedger, stage: Stage, queue: Queue): Urgency => {
+        const { steps, acceptedAt, schedule } = ledger.workflow;
+        const time = (step: Step, number: number): number => runTime(queue, step, number);
+        const dueAt = schedule === undefined ? acceptedAt : schedule.firstDue + stage.occurrence * schedule.interval;
+        const objective = queue.slackFactor * criticalPath(steps, time) + queue.latencyTarget;
+        const spare = dueAt - Date.now() - remainingPath(steps, stage.number, time);
+        return {
+            priority: queue.priority,
+            laxity: spare + objective,
+            lateLaxity: spare + objective * uselessFactor,
+        };
+    };
+    const candidates = (): Candidate[] => {
+        const now = Date.now();
+        const steadyNow = performance.now();
+        const found: Candidate[] = [];
+        for (const ledger of ledgers()) {
+            if (ledger.isSettled() || isHeldBack(ledger)) {
+                continue;
+            }
+            const queue = queueOf(ledger);
+            for (const stage of ledger.openStages(now, steadyNow)) {
+                if (stage.record.waiting.size > 0) {
+                    found.push({ ledger, stage, queue, urgency: urgencyOf(ledger, stage, queue) });
+                }
+            }
+        }
+        return found.sort((left, right) => compareUrgency(left.urgency, right.urgency));
+    };
+    const tasksOfStageOn = (worker: CellWorker, { ledger, stage }: Candidate): number => {
+        let count = 0;
+        for (const run of book.ofWorker(worker.session.id)) {
+            const { job, occurrence, step } = run.position;
+            count += job === ledger.workflow.id && occurrence === stage.occurrence && step === stage.number ? 1 : 0;
+        }
+        return count;
+    };
+    const choose = (candidate: Candidate, index: number, rack?: string): CellWorker | undefined => {
+        const { ledger, stage, queue } = candidate;
+        const { step } = stage;
+        const task = taskName({
+            job: ledger.workflow.id,
+            occurrence: stage.occurrence,
+            step: stage.number,
+            index,
+        });
+        const fitting = [...workers.values()].filter(worker =>
+            mayStartOn(worker, queue.service, step)
+            && (rack === undefined || worker.session.entry().rack === rack)
+            && health.allowance(worker.session.id) > 0
+            && (step.perWorkerLimit === undefined || tasksOfStageOn(worker, candidate) < step.perWorkerLimit)
+        );
+        const best = chooseWorker(
+            step,
+            fitting.map(worker => {
+                const runs = [...book.ofWorker(worker.session.id)];
+                return {
+                    id: worker.session.id,
+                    rack: worker.session.entry().rack,
+                    freeCpu: worker.room.freeCpu(),
+                    spareCpu: worker.room.spareCpu(),
+                    capacityCpu: worker.room.capacity().cpu,
+                    servingTasks: runs.filter(run => run.step.tailTarget !== undefined).length,
+                    spareTasks: runs.filter(run => run.step.usesSpareCpu).length,
+                    failedBefore: hasFailedOn(task, worker),
+                };
+            }),
+        );
+        return best === undefined ? undefined : workers.get(best.id);
+    };
+    const startOne = (candidate: Candidate, index: number, worker: CellWorker, number?: number): void => {
+        health.recordStart(worker.session.id);
+        const { ledger, stage, urgency } = candidate;
+        logger.info({
+            job: ledger.workflow.id,
+            step: stage.number,
+            index,
+            worker: worker.session.id,
+            waited: Math.round(performance.now() - (stage.record.readySince ?? 0)),
+            laxity: Math.round(urgency.laxity),
+            freeCpu: worker.room.freeCpu(),
+            spareCpu: worker.room.spareCpu(),
+        }, "start ordered");
+        keeper.start(ledger, stage, index, worker.session, number);
+    };
+    /** Workers for all members at once, or none. */
+    const planGang = (candidate: Candidate, rack?: string): CellWorker[] | undefined => {
+        const { step, record } = candidate.stage;
+        const plan: CellWorker[] = [];
+        for (const index of record.waiting) {
+            const worker = choose(candidate, index, rack);
+            if (worker === undefined) {
+                break;
+            }
+            worker.room.add(step);
+            plan.push(worker);
+        }
+        plan.forEach(worker => {
+            worker.room.remove(step);
+        });
+        return plan.length === record.waiting.size ? plan : undefined;
+    };
+    const racks = (): string[] => [...new Set([...workers.values()].map(worker => worker.session.entry().rack))];
+    const startGang = (candidate: Candidate): void => {
+        const { ledger, stage } = candidate;
+        const { step, record } = stage;
+        if (record.waiting.size < step.count) {
+            return;
+        }
+        const oneRack = step.needsOneRack
+            ? racks().map(rack => planGang(candidate, rack)).find(plan => plan !== undefined)
+            : undefined;
+        const plan = oneRack ?? planGang(candidate);
+        if (plan === undefined) {
+            return;
+        }
+        const indices = [...record.waiting];
+        const numbers = indices.map(index =>
+            keeper.nextNumber(
+                taskName({ job: ledger.workflow.id, occurrence: stage.occurrence, step: stage.number, index }),
+            )
+        );
+        const number = Math.max(...numbers);
+        indices.forEach((index, place) => {
+            const worker = plan[place];
+            if (worker !== undefined) {
+                startOne(candidate, index, worker, number);
+            }
+        });
+    };
+    const startTasks = (candidate: Candidate): void => {
+        for (const index of [...candidate.stage.record.waiting]) {
+            const worker = choose(candidate, index);
+            if (worker === undefined) {
+                return;
+            }
+            startOne(candidate, index, worker);
+        }
+    };
+    return {
+        runTime,
+        pass: () => {
+            for (const candidate of candidates()) {
+                if (candidate.stage.step.isGang) {
+                    startGang(candidate);
+                }
+                else {
+                    startTasks(candidate);
+                }
+            }
+        },
+    };
+};
--- /dev/null
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -0,0 +1,263 @@
+import type { WorkerId } from "@jayfront/world";
+import { createWakeUp, sleep } from "@jayfront/world";
+import type { Logger } from "pino";
+import type { Result } from "true-myth";
+
+import type { TaskName } from "../model/task-name.js";
+import type { WorkerEntry } from "../model/worker-entry.js";
+import type { OrderError, StartOrder, WorkerGateway, WorkerReport } from "../port/worker-gateway.js";
+import type { CellTiming } from "./cell-timing.js";
+import { leaseLength } from "./cell-timing.js";
+import type { LeaseHorizon } from "./lease-horizon.js";
+import { createLeaseHorizon } from "./lease-horizon.js";
+import { createWorkerClock } from "./worker-clock.js";
+
+/**
+ * What this holder knows of a worker: `unknown` until it has answered under this epoch, `known` while all that it
+ * runs is accounted for, `silent` since it stopped answering, `lapsed` once nothing can run there any more.
+ */
+export type Contact = "unknown" | "known" | "silent" | "lapsed";
+
+/** The task of a cell's holder that looks after one worker. */
+export interface WorkerSession {
+    readonly id: WorkerId;
+    readonly entry: () => WorkerEntry;
+    /** Whether the platform lists the worker now. */
+    readonly isListed: () => boolean;
+    readonly setEntry: (entry: WorkerEntry | undefined) => void;
+    readonly contact: () => Contact;
+    /** Deadline for starts on the worker's clock; undefined where it may not start anything. */
+    readonly deadline: () => number | undefined;
+    readonly start: (order: Omit<StartOrder, "epoch" | "deadline">) => Promise<Result<number, OrderError>>;
+    /** Orders a stop until the worker has answered or can't run the task any more; true where it answered. */
+    readonly stop: (task: TaskName, run: number) => Promise<boolean>;
+    readonly throttle: (task: TaskName, run: number, percent: number) => Promise<boolean>;
+    /** All ends up to `number` are stored; the worker may forget them. */
+    readonly recordEnds: (number: number) => void;
+    /** See {@link createWorkerClock}. */
+    readonly noteProofSent: () => () => void;
+    /** Sends a new deadline where the one that the worker has runs out soon. */
+    readonly extend: () => Promise<void>;
+    /** Looks soon instead of at the next turn. */
+    readonly lookSoon: () => void;
+    readonly run: (signal: AbortSignal) => Promise<void>;
+}
+
+/** What a session tells its cell. */
+export interface SessionEvents {
+    /** `sentAt`: time of the steady clock at which the look was sent. `isFirst`: the first one under this epoch and life. */
+    readonly onReport: (session: WorkerSession, report: WorkerReport, sentAt: number, isFirst: boolean) => void;
+    /** Nothing that ran there goes on: the worker has started anew, or its leases have run out. */
+    readonly onCleared: (session: WorkerSession, reason: "reborn" | "lapsed") => void;
+    /** The worker obeys a higher epoch. */
+    readonly onFenced: (session: WorkerSession) => void;
+    readonly onContact: (session: WorkerSession) => void;
+}
+
+/** Options of {@link createWorkerSession}. */
+export interface WorkerSessionOptions {
+    readonly entry: WorkerEntry;
+    readonly epoch: number;
+    readonly gateway: WorkerGateway;
+    readonly timing: CellTiming;
+    readonly logger: Logger;
+    readonly events: SessionEvents;
+    /** Whether something runs or is about to run on the worker. */
+    readonly isBusy: () => boolean;
+    /** Milliseconds on the steady clock until which an earlier holder's leases may last. */
+    readonly inheritedUntil: number;
+}
+
+/** Milliseconds that a worker may wait for an end before it answers a look; longer would hide a silent connection. */
+const lookWait = 1_000;
+/** Milliseconds after a look in which further ends gather, so that a look finds several. */
+const gatherTime = 25;
+/** Milliseconds between looks at a worker that runs nothing; keeps its clock's reading fresh. */
+const idleInterval = 2_000;
+/** Milliseconds between attempts to reach a worker that does not answer. */
+const silentInterval = 400;
+/** Milliseconds to wait for ends to be stored before the next look, which would only list them again. */
+const recordWait = 500;
+/** Milliseconds between attempts at a stop without answer. */
+const stopInterval = 300;
+/** Remaining share of a lease below which it is extended. */
+const extensionShare = 0.6;
+/** Milliseconds added to a lapsed lease before its tasks run elsewhere; covers the time to read the answer. */
+const lapseMargin = 100;
+
+/** Creates the session of a worker; `run` starts it. */
+export const createWorkerSession = (options: WorkerSessionOptions): WorkerSession => {
+    const { epoch, gateway, timing, logger, events, isBusy } = options;
+    const lease = leaseLength(timing);
+    const clock = createWorkerClock(lease, timing.clockDrift);
+    const wake = createWakeUp();
+    let horizon: LeaseHorizon = createLeaseHorizon({ ...timing, drift: timing.clockDrift, initial: options.inheritedUntil });
+    let entry = options.entry;
+    let isListed = true;
+    let contact: Contact = "unknown";
+    let bornAt: number | undefined;
+    let recordedEnd = 0;
+    let listedEnd = 0;
+    /** Deadline that the worker is known to have. */
+    let grantedDeadline = 0;
+    let failures = 0;
+
+    const setContact = (next: Contact, details: object): void => {
+        if (next !== contact) {
+            logger.info({ worker: entry.id, epoch, from: contact, to: next, ...details }, "worker contact changed");
+            contact = next;
+            events.onContact(session);
+        }
+    };
+    const clear = (reason: "reborn" | "lapsed"): void => {
+        clock.reset();
+        recordedEnd = 0;
+        listedEnd = 0;
+        grantedDeadline = 0;
+        bornAt = undefined;
+        horizon = createLeaseHorizon({ ...timing, drift: timing.clockDrift, initial: 0 });
+        events.onCleared(session, reason);
+    };
+    const noteBirth = (born: number): void => {
+        if (bornAt !== undefined && bornAt !== born) {
+            setContact("unknown", { reason: "the worker has started anew", bornAt, born });
+            clear("reborn");
+        }
+    };
+    const noteFailure = (error: OrderError): void => {
+        if (error.kind === "fenced") {
+            events.onFenced(session);
+            return;
+        }
+        failures += 1;
+        if (failures >= 2 && contact === "known") {
+            setContact("silent", { error: error.kind, leasedFor: Math.round(horizon.until() - performance.now()) });
+        }
+        const isOver = performance.now() > horizon.until() + lapseMargin;
+        if (isOver && (contact === "silent" || contact === "unknown")) {
+            setContact("lapsed", { error: error.kind, reason: "no answer until its leases ran out" });
+            clear("lapsed");
+        }
+    };
+    const takeReport = (report: WorkerReport, sentAt: number): void => {
+        noteBirth(report.bornAt);
+        bornAt = report.bornAt;
+        failures = 0;
+        clock.note(report.clock);
+        listedEnd = Math.max(listedEnd, ...report.ended.map(row => row.number));
+        const isFirst = contact === "unknown" || contact === "lapsed";
+        // The report is taken in before anybody can start tasks on the strength of the contact.
+        events.onReport(session, report, sentAt, isFirst);
+        setContact("known", { running: report.running.length, ended: report.ended.length });
+    };
+    const look = async (wait: number, deadline?: number): Promise<boolean> => {
+        const sentAt = performance.now();
+        const answered = deadline === undefined ? undefined : horizon.noteSent(clock.timeUntil(deadline));
+        const report = await gateway.look(entry, {
+            epoch,
+            recordedEnd,
+            ...(wait > 0 ? { wait } : {}),
+            ...(deadline === undefined ? {} : { deadline }),
+        });
+        if (report.isErr) {
+            noteFailure(report.error);
+            return false;
+        }
+        answered?.();
+        if (deadline !== undefined) {
+            grantedDeadline = Math.max(grantedDeadline, deadline);
+        }
+        takeReport(report.value, sentAt);
+        return true;
+    };
+    const pause = async (wasAnswered: boolean, signal: AbortSignal): Promise<void> => {
+        if (!wasAnswered) {
+            await sleep(silentInterval, signal);
+        }
+        else if (listedEnd > recordedEnd) {
+            await wake.wait(recordWait, signal);
+        }
+        else if (isBusy()) {
+            await sleep(gatherTime, signal);
+        }
+        else {
+            await wake.wait(idleInterval, signal);
+        }
+    };
+    const session: WorkerSession = {
+        id: entry.id,
+        entry: () => entry,
+        isListed: () => isListed,
+        contact: () => contact,
+        noteProofSent: clock.noteProofSent,
+        lookSoon: wake.notify,
+        setEntry: next => {
+            isListed = next !== undefined;
+            if (next !== undefined) {
+                entry = next;
+                noteBirth(next.bornAt);
+            }
+        },
+        deadline: () => {
+            const deadline = clock.deadline();
+            // A start close to its deadline would arrive late.
+            return contact === "known" && deadline !== undefined && clock.timeUntil(deadline) > lease * (1 - extensionShare)
+                ? deadline
+                : undefined;
+        },
+        start: async order => {
+            const deadline = clock.deadline() ?? 0;
+            const answered = horizon.noteSent(clock.timeUntil(deadline));
+            const result = await gateway.start(entry, { ...order, epoch, deadline });
+            if (result.isOk || result.error.kind !== "unknown") {
+                answered();
+            }
+            if (result.isOk) {
+                clock.note(result.value);
+                grantedDeadline = Math.max(grantedDeadline, deadline);
+                wake.notify();
+            }
+            else if (result.error.kind === "fenced") {
+                events.onFenced(session);
+            }
+            return result;
+        },
+        stop: async (task, run) => {
+            const life = bornAt;
+            while (contact !== "lapsed" && bornAt === life) {
+                const result = await gateway.stop(entry, { task, run, epoch });
+                if (result.isOk) {
+                    wake.notify();
+                    return true;
+                }
+                if (result.error.kind === "fenced") {
+                    events.onFenced(session);
+                    return false;
+                }
+                await sleep(stopInterval);
+            }
+            return false;
+        },
+        throttle: async (task, run, percent) => (await gateway.throttle(entry, { task, run, epoch, percent })).isOk,
+        recordEnds: number => {
+            recordedEnd = Math.max(recordedEnd, number);
+            wake.notify();
+        },
+        extend: async () => {
+            const deadline = clock.deadline();
+            const isShort = clock.timeUntil(grantedDeadline) < lease * extensionShare;
+            if (contact === "known" && isBusy() && deadline !== undefined && deadline > grantedDeadline && isShort) {
+                await look(0, deadline);
+            }
+        },
+        run: async signal => {
+            while (!signal.aborted) {
+                const canWait = contact === "known" && failures === 0 && isBusy() && listedEnd <= recordedEnd;
+                const wasAnswered = await look(canWait ? lookWait : 0);
+                await pause(wasAnswered, signal);
+            }
+            gateway.forget(entry);
+        },
+    };
+    return session;
+};
--- /dev/null
+++ b/packages/workflow/src/entry/cell-keeper.ts
@@ -0,0 +1,222 @@
+import type { CellId, FailureDomainId } from "@jayfront/world";
+import { cellId, sleep } from "@jayfront/world";
+import type { Logger } from "pino";
+
+import type { CellRow } from "../cell/take-cell.js";
+import { readCellRow, takeCell } from "../cell/take-cell.js";
+import type { WorkflowCell } from "../cell/workflow-cell.js";
+import type { EntryHostRecord, HostRegistry } from "../peer/host-registry.js";
+import type { WorkflowNetwork } from "../peer/workflow-network.js";
+import type { StateStore } from "../port/state-store.js";
+import type { WorkflowMetrics } from "../workflow-metrics.js";
+import type { CellClaims } from "./cell-claims.js";
+import { claimTimeout } from "./cell-claims.js";
+import type { HostCandidate } from "./rank-hosts.js";
+import { rankHosts } from "./rank-hosts.js";
+
+/** Decides which cells this host holds: takes those without holder and gives up those that others serve better. */
+export interface CellKeeper {
+    readonly held: (cell: CellId) => WorkflowCell | undefined;
+    readonly all: () => readonly WorkflowCell[];
+    /** Takes a cell that its holder offers; true once the row names this host. */
+    readonly acceptOffer: (cell: CellId, epoch: number) => Promise<boolean>;
+    /** A peer claims cells; those held here under a lower epoch are given up. */
+    readonly noteClaims: (host: EntryHostRecord) => void;
+    readonly run: (signal: AbortSignal) => Promise<void>;
+    /** Hands all cells to other hosts, where there are any. */
+    readonly handOverAll: () => Promise<void>;
+}
+
+/** Options of {@link createCellKeeper}. */
+export interface CellKeeperOptions {
+    readonly self: EntryHostRecord;
+    readonly failureDomains: readonly FailureDomainId[];
+    readonly store: StateStore;
+    readonly network: WorkflowNetwork;
+    readonly registry: HostRegistry;
+    readonly claims: CellClaims;
+    readonly metrics: WorkflowMetrics;
+    readonly logger: Logger;
+    /** Steady ms of the last answer of the store. */
+    readonly storeHeardAt: () => number;
+    readonly openCell: (cell: CellId, row: CellRow, takenAt: number, onLost: (reason: string) => void) => WorkflowCell;
+    /** Called when the set of held cells has changed. */
+    readonly onChange: () => void;
+}
+
+/** Milliseconds between reviews; a fraction of the time in which a dead holder is noticed. */
+const reviewInterval = 150;
+/** Milliseconds that each later host in the order waits longer, so that one after the other tries. */
+const rankDelay = 350;
+/** Milliseconds without proof of a lease after which its holder asks whether a peer still reaches the store. */
+const doubtfulLease = 1_800;
+/** Milliseconds since its last answer from the store within which a peer counts as reaching it. */
+const storeContactAge = 1_500;
+/** Milliseconds between two offers of one cell. */
+const offerInterval = 700;
+
+/** Creates a keeper that holds no cell. */
+export const createCellKeeper = (options: CellKeeperOptions): CellKeeper => {
+    const { self, failureDomains, store, network, registry, claims, metrics, logger, openCell, onChange } = options;
+    const startedAt = performance.now();
+    const cells = new Map<CellId, WorkflowCell>();
+    const taking = new Set<CellId>();
+    const offeredAt = new Map<CellId, number>();
+    /** Versions of rows in which this host has seen other holders, with the time at which it first saw them. */
+    const seenRows = new Map<CellId, { readonly version: number; readonly at: number; }>();
+    let isStopping = false;
+
+    const isTaken = (cell: CellId): boolean => cells.has(cell) || claims.fresh(cell) !== undefined;
+    const take = async (cell: CellId, row: CellRow, reason: string): Promise<boolean> => {
+        const takenAt = performance.now();
+        const taken = await takeCell(store, cell, row, self.id);
+        if (taken.isErr) {
+            logger.info({ cell, reason, error: taken.error.kind }, "cell not taken");
+            return false;
+        }
+        const previous = row.holder?.host;
+        const epoch = taken.value.holder?.epoch;
+        logger.info({ cell, epoch, previous, reason, silentFor: silence(cell) }, "cell taken");
+        metrics.cellChanges.inc({ change: "taken" });
+        const opened = openCell(cell, taken.value, takenAt, () => {
+            if (cells.get(cell) === opened) {
+                cells.delete(cell);
+                metrics.cellChanges.inc({ change: "lost" });
+                onChange();
+            }
+        });
+        cells.set(cell, opened);
+        onChange();
+        return true;
+    };
+    const silence = (cell: CellId): number =>
+        Math.round(performance.now() - (claims.heardAt(cell) ?? startedAt));
+    /** Time without holder after which this host takes the cell. */
+    const patience = (cell: CellId, domain: FailureDomainId): number => {
+        const heldBy = new Map<string, number>();
+        claims.allFresh().forEach(({ host }) => heldBy.set(host.id, (heldBy.get(host.id) ?? 0) + 1));
+        const hosts: HostCandidate[] = [self, ...registry.peers()].map(host => ({
+            id: host.id,
+            failureDomain: host.failureDomain,
+            heldCells: host.id === self.id ? cells.size : heldBy.get(host.id) ?? 0,
+        }));
+        return claimTimeout + rankHosts(cell, domain, hosts).indexOf(self.id) * rankDelay;
+    };
+    const reviewFree = async (cell: CellId, domain: FailureDomainId): Promise<void> => {
+        const isFirstLook = !seenRows.has(cell) && claims.heardAt(cell) === undefined;
+        if (!isFirstLook && silence(cell) < patience(cell, domain)) {
+            return;
+        }
+        const row = await readCellRow(store, cell);
+        if (row.isErr || isTaken(cell)) {
+            return;
+        }
+        const { holder, version } = row.value;
+        const seen = seenRows.get(cell);
+        if (seen?.version !== version) {
+            seenRows.set(cell, { version, at: performance.now() });
+        }
+        // A holder's own next life, and a host of a domain whose cell nobody ever held, need not wait for silence.
+        const isOwn = holder?.host === self.id || holder === undefined && domain === self.failureDomain;
+        const isFreshRow = seen === undefined || seen.version !== version
+            || performance.now() - seen.at < patience(cell, domain);
+        if (isOwn || !isFreshRow) {
+            await take(cell, row.value, isOwn ? "held before" : "holder silent");
+        }
+    };
+    const reachesStore = async (host: EntryHostRecord): Promise<boolean> => {
+        const answer = await network.call(host, "store-contact", {});
+        return answer.isOk && answer.value < storeContactAge;
+    };
+    const offer = async (held: WorkflowCell, reason: string): Promise<boolean> => {
+        const domain = failureDomains.find(candidate => cellId(candidate, 0) === held.cell) ?? self.failureDomain;
+        const peers = registry.peers();
+        const order = rankHosts(held.cell, domain, peers.map(peer => ({ ...peer, heldCells: 0 })));
+        const answers = await Promise.all(peers.map(async peer => ({ peer, isAble: await reachesStore(peer) })));
+        const able = answers.filter(({ isAble }) => isAble).map(({ peer }) => peer)
+            .sort((left, right) => order.indexOf(left.id) - order.indexOf(right.id));
+        for (const peer of able.slice(0, 2)) {
+            const answer = await network.call(peer, "take-over", { cell: held.cell, epoch: held.epoch });
+            if (answer.isOk && answer.value) {
+                logger.info({ cell: held.cell, epoch: held.epoch, to: peer.id, reason }, "cell handed over");
+                metrics.cellChanges.inc({ change: "handed-over" });
+                drop(held);
+                return true;
+            }
+        }
+        return false;
+    };
+    const drop = (held: WorkflowCell): void => {
+        held.stop();
+        if (cells.get(held.cell) === held) {
+            cells.delete(held.cell);
+            onChange();
+        }
+    };
+    const reviewHeld = async (held: WorkflowCell): Promise<void> => {
+        const claim = claims.fresh(held.cell);
+        if (held.isLost() || claim !== undefined && claim.summary.epoch > held.epoch) {
+            drop(held);
+            return;
+        }
+        const isDue = performance.now() - (offeredAt.get(held.cell) ?? -Infinity) > offerInterval;
+        if (held.provenAgo() > doubtfulLease && isDue) {
+            offeredAt.set(held.cell, performance.now());
+            await offer(held, "the store does not answer this host");
+        }
+    };
+    const reviewOnce = async (domain: FailureDomainId): Promise<void> => {
+        const cell = cellId(domain, 0);
+        if (taking.has(cell)) {
+            return;
+        }
+        taking.add(cell);
+        try {
+            const held = cells.get(cell);
+            if (held !== undefined) {
+                await reviewHeld(held);
+            }
+            else if (!isStopping && claims.fresh(cell) === undefined) {
+                await reviewFree(cell, domain);
+            }
+        }
+        finally {
+            taking.delete(cell);
+        }
+    };
+    return {
+        held: cell => cells.get(cell),
+        all: () => [...cells.values()],
+        noteClaims: host => {
+            for (const held of cells.values()) {
+                const claim = claims.fresh(held.cell);
+                if (claim !== undefined && claim.host.id === host.id && claim.summary.epoch > held.epoch) {
+                    drop(held);
+                }
+            }
+        },
+        acceptOffer: async (cell, epoch) => {
+            if (isStopping || taking.has(cell)) {
+                return false;
+            }
+            taking.add(cell);
+            try {
+                const row = await readCellRow(store, cell);
+                return row.isOk && row.value.holder?.epoch === epoch && await take(cell, row.value, "offered");
+            }
+            finally {
+                taking.delete(cell);
+            }
+        },
+        run: async signal => {
+            while (!signal.aborted) {
+                failureDomains.forEach(domain => void reviewOnce(domain));
+                await sleep(reviewInterval, signal);
+            }
+        },
+        handOverAll: async () => {
+            isStopping = true;
+            await Promise.all([...cells.values()].map(held => offer(held, "this host stops")));
+        },
+    };
+};
--- /dev/null
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -0,0 +1,206 @@
+import type { CellId, FailureDomainId } from "@jayfront/world";
+import { cellId, createStopSignal, sleep } from "@jayfront/world";
+import type { Logger } from "pino";
+
+import type { CellTiming } from "../cell/cell-timing.js";
+import { createWorkflowCell } from "../cell/workflow-cell.js";
+import type { Configuration } from "../model/configuration.js";
+import type { EntryHostRecord } from "../peer/host-registry.js";
+import { createHostRegistry } from "../peer/host-registry.js";
+import type { WorkflowMessage, WorkflowMessageKind, WorkflowMessages, WorkflowReplies } from "../peer/workflow-message.js";
+import type { WorkflowNetwork } from "../peer/workflow-network.js";
+import type { ConfigurationSource } from "../port/configuration-source.js";
+import type { StateStore } from "../port/state-store.js";
+import type { WorkerDirectory } from "../port/worker-directory.js";
+import type { WorkerGateway } from "../port/worker-gateway.js";
+import type { WorkflowMetrics } from "../workflow-metrics.js";
+import { cancelIn } from "./cancel-in.js";
+import { createCellClaims } from "./cell-claims.js";
+import { createCellKeeper } from "./cell-keeper.js";
+import { createConfigurationWatch } from "./configuration-watch.js";
+import type { WorkflowDesk } from "./workflow-desk.js";
+import { createWorkflowDesk } from "./workflow-desk.js";
+
+/** An entry host that serves workflows: everything but the sockets. */
+export interface WorkflowHost {
+    readonly desk: WorkflowDesk;
+    readonly configuration: () => Configuration | undefined;
+    /** Whether new callers should be sent here. */
+    readonly isReady: () => boolean;
+    /** Answers a peer's message; the peer has been authenticated. */
+    readonly handlePeer: (message: WorkflowMessage, onClose: (callback: () => void) => void) => Promise<unknown>;
+    readonly start: () => void;
+    /** Readiness off, cells handed over; requests in flight go on. */
+    readonly drain: () => Promise<void>;
+    readonly stop: () => void;
+}
+
+/** Options of {@link createWorkflowHost}. */
+export interface WorkflowHostOptions {
+    readonly self: EntryHostRecord;
+    /** Regions by failure domain. */
+    readonly regions: Readonly<Record<string, string>>;
+    readonly timing: CellTiming;
+    readonly store: StateStore;
+    readonly gateway: WorkerGateway;
+    readonly directory: WorkerDirectory;
+    readonly configurationSource: ConfigurationSource;
+    readonly network: WorkflowNetwork;
+    readonly metrics: WorkflowMetrics;
+    readonly logger: Logger;
+    /** Steady ms of the last answer of the store. */
+    readonly storeHeardAt: () => number;
+}
+
+/** Milliseconds between heartbeats of holders; three fit into the time after which a holder counts as down. */
+const heartbeatInterval = 400;
+
+type Handlers = {
+    [Kind in WorkflowMessageKind]: (
+        body: WorkflowMessages[Kind],
+        onClose: (callback: () => void) => void,
+    ) => Promise<WorkflowReplies[Kind]> | WorkflowReplies[Kind];
+};
+
+/** Creates a host that is not started. */
+export const createWorkflowHost = (options: WorkflowHostOptions): WorkflowHost => {
+    const { self, regions, timing, store, gateway, directory, network, metrics, logger, storeHeardAt } = options;
+    const failureDomains = Object.keys(regions) as FailureDomainId[];
+    const stop = createStopSignal();
+    const claims = createCellClaims();
+    let isDraining = false;
+
+    const watch = createConfigurationWatch({
+        source: options.configurationSource,
+        network,
+        logger,
+        onChange: configuration => {
+            metrics.configurationVersion.set(configuration.version);
+            sendHeartbeats();
+        },
+    });
+    const registry = createHostRegistry({
+        self,
+        store,
+        logger,
+        onFound: host => {
+            void network.call(host, "hello", { host: self });
+            sendHeartbeats();
+        },
+    });
+    const domainOf = (cell: CellId): FailureDomainId | undefined =>
+        failureDomains.find(domain => cellId(domain, 0) === cell);
+    const keeper = createCellKeeper({
+        self,
+        failureDomains,
+        store,
+        network,
+        registry,
+        claims,
+        metrics,
+        logger,
+        storeHeardAt,
+        openCell: (cell, row, takenAt, onLost) =>
+            createWorkflowCell({
+                cell,
+                row,
+                takenAt,
+                store,
+                gateway,
+                directory,
+                configuration: watch.current,
+                isOwn: worker => worker.failureDomain === domainOf(cell),
+                timing,
+                logger,
+                metrics,
+                onLost,
+                onActive: () => {
+                    sendHeartbeats();
+                },
+            }),
+        onChange: () => {
+            sendHeartbeats();
+        },
+    });
+    /** Tells all entry hosts which cells this host holds. */
+    const sendHeartbeats = (): void => {
+        const cells = keeper.all().map(cell => cell.summary());
+        if (cells.length === 0) {
+            return;
+        }
+        claims.note(self, cells);
+        const heartbeat = { host: self, configurationVersion: watch.current()?.version ?? 0, cells };
+        registry.peers().forEach(peer => void network.call(peer, "cell-heartbeat", heartbeat));
+    };
+    const runHeartbeats = async (): Promise<void> => {
+        while (!stop.signal.aborted) {
+            sendHeartbeats();
+            await sleep(heartbeatInterval, stop.signal);
+        }
+    };
+    /** Peers whose connections are watched, by incarnation. */
+    const watched = new Set<string>();
+    const handlers: Handlers = {
+        hello: ({ host }) => {
+            registry.note(host);
+            return true;
+        },
+        "cell-heartbeat": ({ host, configurationVersion, cells }, onClose) => {
+            if (!watched.has(host.incarnation)) {
+                watched.add(host.incarnation);
+                onClose(() => {
+                    watched.delete(host.incarnation);
+                    claims.doubt(host);
+                });
+            }
+            registry.note(host);
+            claims.note(host, cells);
+            keeper.noteClaims(host);
+            watch.noteVersion(host, configurationVersion);
+            return true;
+        },
+        submit: ({ cell, workflow }) => keeper.held(cell)?.submit(workflow) ?? "not-holder",
+        state: ({ cell, id }) => {
+            const held = keeper.held(cell);
+            return held?.isActive() === true ? held.state(id) ?? "not-known" : "not-holder";
+        },
+        cancel: ({ cell, id }) => {
+            const held = keeper.held(cell);
+            return held === undefined ? "not-holder" : cancelIn(held, id);
+        },
+        "take-over": ({ cell, epoch }) => keeper.acceptOffer(cell, epoch),
+        "store-contact": () => performance.now() - storeHeardAt(),
+        "configuration-wanted": () => watch.current(),
+    };
+    return {
+        desk: createWorkflowDesk({
+            failureDomains,
+            store,
+            network,
+            claims,
+            held: keeper.held,
+            isNear: cell => regions[domainOf(cell) ?? ""] === regions[self.failureDomain],
+            logger,
+        }),
+        configuration: watch.current,
+        isReady: () => !isDraining && watch.current() !== undefined && claims.allFresh().length > 0,
+        handlePeer: async ({ kind, body }, onClose) => await handlers[kind](body as never, onClose),
+        start: () => {
+            void watch.run(stop.signal);
+            void registry.run(stop.signal);
+            void keeper.run(stop.signal);
+            void runHeartbeats();
+        },
+        drain: async () => {
+            isDraining = true;
+            await keeper.handOverAll();
+        },
+        stop: () => {
+            stop.abort();
+            keeper.all().forEach(cell => {
+                cell.stop();
+            });
+            network.close();
+        },
+    };
+};
--- /dev/null
+++ b/packages/workflow/src/ledger/step-record.ts
@@ -0,0 +1,21 @@
+/** What is known of the tasks of one step in one occurrence. */
+export interface StepRecord {
+    readonly done: Set<number>;
+    /** Runs that ended `failed`, by index. */
+    readonly failures: Map<number, number>;
+    /** Newest checkpoint by index. */
+    readonly checkpoints: Map<number, string>;
+    /** Tasks that have neither a run nor an end. */
+    readonly waiting: Set<number>;
+    /** Time at which the step's tasks could first start, in ms of the steady clock; undefined before. */
+    readySince: number | undefined;
+}
+
+/** Creates the record of a step of `count` tasks, none of which has run. */
+export const createStepRecord = (count: number): StepRecord => ({
+    done: new Set(),
+    failures: new Map(),
+    checkpoints: new Map(),
+    waiting: new Set(Array(count).keys()),
+    readySince: undefined,
+});
--- /dev/null
+++ b/packages/workflow/src/peer/workflow-message.ts
@@ -0,0 +1,68 @@
+import type { CellId, JobId } from "@jayfront/world";
+
+import type { Submission } from "../cell/workflow-cell.js";
+import type { CellSummary } from "../cell/cell-summary.js";
+import type { Configuration } from "../model/configuration.js";
+import type { Workflow, WorkflowState } from "../model/workflow.js";
+import type { EntryHostRecord } from "./host-registry.js";
+
+/** What one entry host says to another, by kind. */
+export interface WorkflowMessages {
+    /** Sent once at start, so that holders send heartbeats to this host at once. */
+    readonly hello: { readonly host: EntryHostRecord; };
+    /** Sent by holders of cells to all entry hosts. */
+    readonly "cell-heartbeat": {
+        readonly host: EntryHostRecord;
+        readonly configurationVersion: number;
+        readonly cells: readonly CellSummary[];
+    };
+    readonly submit: { readonly cell: CellId; readonly workflow: Workflow; };
+    readonly state: { readonly cell: CellId; readonly id: JobId; };
+    readonly cancel: { readonly cell: CellId; readonly id: JobId; };
+    /** The holder asks the receiver to take a cell over. */
+    readonly "take-over": { readonly cell: CellId; readonly epoch: number; };
+    /** Asks how long ago the receiver last had an answer of the store. */
+    readonly "store-contact": object;
+    readonly "configuration-wanted": object;
+}
+
+/** Answers by kind of message; `not-holder` where the receiver does not hold the cell. */
+export interface WorkflowReplies {
+    readonly hello: true;
+    readonly "cell-heartbeat": true;
+    readonly submit: Submission | "not-holder";
+    readonly state: WorkflowState | "not-known" | "not-holder";
+    readonly cancel: "cancelled" | "unknown" | "not-known" | "not-holder";
+    readonly "take-over": boolean;
+    /** Milliseconds. */
+    readonly "store-contact": number;
+    readonly "configuration-wanted": Configuration | undefined;
+}
+
+/** Kind of a message. */
+export type WorkflowMessageKind = keyof WorkflowMessages;
+
+/** A message as it travels. */
+export interface WorkflowMessage<Kind extends WorkflowMessageKind = WorkflowMessageKind> {
+    readonly kind: Kind;
+    readonly body: WorkflowMessages[Kind];
+}
+
+const kinds: Record<WorkflowMessageKind, true> = {
+    hello: true,
+    "cell-heartbeat": true,
+    submit: true,
+    state: true,
+    cancel: true,
+    "take-over": true,
+    "store-contact": true,
+    "configuration-wanted": true,
+};
+
+/** Reads a message; its sender has been authenticated and runs the same release. */
+export const parseWorkflowMessage = (value: unknown): WorkflowMessage | undefined => {
+    const message = value as Partial<WorkflowMessage> | undefined;
+    return typeof message?.kind === "string" && message.kind in kinds && typeof message.body === "object"
+        ? message as WorkflowMessage
+        : undefined;
+};
--- /dev/null
+++ b/packages/workflow/src/policy/choose-cell.ts
@@ -0,0 +1,47 @@
+import type { CellId } from "@jayfront/world";
+
+import type { Step } from "../model/step.js";
+
+/** A cell that could take a workflow, as the entry host knows it. */
+export interface CellCandidate {
+    readonly cell: CellId;
+    readonly capacityCpu: number;
+    readonly usedCpu: number;
+    /** Waiting and running work in thousandths of cores times ms, by priority. */
+    readonly backlog: readonly number[];
+    readonly racks: readonly string[];
+    /** Thousandths of cores that this host has sent there since the figures were taken. */
+    readonly sentCpu: number;
+    /** Whether the cell is in the region of the entry host. */
+    readonly isNear: boolean;
+}
+
+/** Milliseconds of waiting work that weigh as much as a cell whose processors are all taken. */
+const backlogScale = 4_000;
+/** Weight of a cell in another region, in shares of its capacity; its answers cross a slow, narrow link. */
+const remoteWeight = 0.03;
+/** Weight of a cell without the racks that hold a workflow's data; larger than any difference in load. */
+const rackWeight = 10;
+
+/** Thousandths of cores that the workflow's widest step asks for. */
+export const widestDemand = (steps: readonly Step[]): number => Math.max(0, ...steps.map(step => step.count * step.cpu));
+
+const loadOf = (candidate: CellCandidate, priority: number): number => {
+    const capacity = Math.max(1, candidate.capacityCpu);
+    const waiting = candidate.backlog.slice(0, priority + 1).reduce((sum, work) => sum + work, 0);
+    return (candidate.usedCpu + candidate.sentCpu) / capacity + waiting / capacity / backlogScale;
+};
+
+/** Cells in the order in which a workflow should be offered to them. */
+export const rankCells = (
+    steps: readonly Step[],
+    priority: number,
+    candidates: readonly CellCandidate[],
+): readonly CellId[] => {
+    const wanted = steps.flatMap(step => step.preferredRack === undefined ? [] : [step.preferredRack]);
+    const cost = (candidate: CellCandidate): number =>
+        loadOf(candidate, priority)
+        + (candidate.isNear ? 0 : remoteWeight)
+        + wanted.filter(rack => !candidate.racks.includes(rack)).length * rackWeight;
+    return [...candidates].sort((left, right) => cost(left) - cost(right)).map(candidate => candidate.cell);
+};
--- /dev/null
+++ b/packages/workflow/src/workflow-metrics.ts
@@ -0,0 +1,90 @@
+import type { Registry } from "prom-client";
+import { Counter, Gauge, Histogram } from "prom-client";
+
+/** Metrics of workflows; label values come from the configuration and fixed lists. */
+export interface WorkflowMetrics {
+    readonly registry: Registry;
+    /** Seconds from a caller's request to its answer, by queue, kind of request and status. */
+    readonly requestSeconds: Histogram<"queue" | "request" | "status">;
+    /** Seconds from a workflow's acceptance to its end, by queue and state. */
+    readonly workflowSeconds: Histogram<"queue" | "state">;
+    /** Runs of tasks that ended or were not started, by queue and outcome. */
+    readonly runEnds: Counter<"queue" | "outcome">;
+    /** Calls to the store by operation and outcome. */
+    readonly storeCalls: Counter<"operation" | "outcome">;
+    /** Calls to workers by order and outcome. */
+    readonly workerCalls: Counter<"order" | "outcome">;
+    /** Changes of the pace of tasks on spare processor time. */
+    readonly throttles: Counter<"direction">;
+    /** Cells taken and lost. */
+    readonly cellChanges: Counter<"change">;
+    /** Log lines that were dropped since they came faster than they could be written. */
+    readonly droppedLogLines: Counter;
+    /** Version of the configuration in force. */
+    readonly configurationVersion: Gauge;
+}
+
+const requestBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4];
+const workflowBuckets = [0.25, 0.5, 1, 2, 4, 8, 16, 32, 64, 300];
+
+/** Registers all metrics at zero. */
+export const createWorkflowMetrics = (registry: Registry): WorkflowMetrics => {
+    const registers = [registry];
+    return {
+        registry,
+        requestSeconds: new Histogram({
+            name: "jayfront_caller_request_seconds",
+            help: "Seconds from a caller's request to its answer",
+            labelNames: ["queue", "request", "status"],
+            buckets: requestBuckets,
+            registers,
+        }),
+        workflowSeconds: new Histogram({
+            name: "jayfront_workflow_seconds",
+            help: "Seconds from a workflow's acceptance to its end",
+            labelNames: ["queue", "state"],
+            buckets: workflowBuckets,
+            registers,
+        }),
+        runEnds: new Counter({
+            name: "jayfront_run_ends_total",
+            help: "Runs of tasks that ended or were not started",
+            labelNames: ["queue", "outcome"],
+            registers,
+        }),
+        storeCalls: new Counter({
+            name: "jayfront_store_calls_total",
+            help: "Calls to the store",
+            labelNames: ["operation", "outcome"],
+            registers,
+        }),
+        workerCalls: new Counter({
+            name: "jayfront_worker_calls_total",
+            help: "Calls to workers",
+            labelNames: ["order", "outcome"],
+            registers,
+        }),
+        throttles: new Counter({
+            name: "jayfront_pace_changes_total",
+            help: "Changes of the pace of tasks on spare processor time",
+            labelNames: ["direction"],
+            registers,
+        }),
+        cellChanges: new Counter({
+            name: "jayfront_workflow_cell_changes_total",
+            help: "Cells taken and lost",
+            labelNames: ["change"],
+            registers,
+        }),
+        droppedLogLines: new Counter({
+            name: "jayfront_dropped_log_lines_total",
+            help: "Log lines dropped since they came faster than they could be written",
+            registers,
+        }),
+        configurationVersion: new Gauge({
+            name: "jayfront_configuration_version",
+            help: "Version of the configuration in force",
+            registers,
+        }),
+    };
+};
