Hold small sites in one cell; learn which images disturb which, and place and pace by it

Ruled out: lack of processor time. Change: cell plan in the store (one cell up to 100 workers); lasting tasks first; pressure model by pairs of images; spare-time tasks only where floors allow, serving tasks of one image together; paces planned from the model.

--- a/packages/workflow/src/cell/cell-writer.ts
+++ b/packages/workflow/src/cell/cell-writer.ts
@@ -66,7 +66,9 @@
         }
     };
     /** Rows by which a workflow's progress is stored; of one that has ended, only how it ended is kept. */
-    const changesOf = ({ workflow, state, isSettled, progress }: WorkflowLedger): Pick<Transaction, "writes" | "removals"> =>
+    const changesOf = (
+        { workflow, state, isSettled, progress }: WorkflowLedger,
+    ): Pick<Transaction, "writes" | "removals"> =>
         isSettled()
             ? {
                 writes: [{
--- /dev/null
+++ b/packages/workflow/src/cell/neighbour-watch.ts
@@ -0,0 +1,105 @@
+import type { WorkerId } from "@jayfront/world";
+import type { Logger } from "pino";
+
+import type { Step } from "../model/step.js";
+import type { ServingNeed, SpareTask } from "../policy/pace-plan.js";
+import { planPaces } from "../policy/pace-plan.js";
+import type { PressureModel, ServingSample } from "../policy/pressure-model.js";
+import { servingSlack } from "../policy/serving-slack.js";
+import type { CellWorker } from "./cell-workers.js";
+import type { Run } from "./run.js";
+
+/** Watches how the tasks of a worker disturb each other, and slows those down that disturb too much. */
+export interface NeighbourWatch {
+    /** Takes in a worker's report. */
+    readonly review: (worker: CellWorker, runs: readonly Run[]) => void;
+    /** Slack of the worker's serving tasks once a task of the step is added; see `servingSlack`. */
+    readonly slackWith: (worker: CellWorker, runs: readonly Run[], step: Step) => number;
+}
+
+/** Options of {@link createNeighbourWatch}. */
+export interface NeighbourWatchOptions {
+    readonly model: PressureModel;
+    readonly throttle: (run: Run, percent: number) => void;
+    readonly logger: Logger;
+}
+
+/** Milliseconds between two reviews of a worker; its figures cover the last half second. */
+const reviewInterval = 450;
+/** Smallest change of a pace in percent that is worth an order. */
+const leastChange = 12;
+/** Percent below which a task is halted: its work would not pay for the disturbance. */
+const leastPace = 10;
+
+const speedOf = (milliseconds: number): number => 1_000 / Math.max(1, milliseconds);
+
+/** Creates a watch that has seen nothing. */
+export const createNeighbourWatch = ({ model, throttle, logger }: NeighbourWatchOptions): NeighbourWatch => {
+    const reviewedAt = new Map<WorkerId, number>();
+
+    const servingRuns = (runs: readonly Run[]): readonly Run[] =>
+        runs.filter(run => run.step.tailTarget !== undefined && run.phase === "running" && run.percent >= 100);
+    const spareRuns = (runs: readonly Run[]): readonly Run[] =>
+        runs.filter(run => run.step.usesSpareCpu && run.phase !== "stopping");
+    const spareTask = (worker: CellWorker, step: Step): SpareTask => ({
+        image: step.image ?? "",
+        share: step.cpu / worker.room.capacity().cpu,
+    });
+    const needOf = (run: Run, speed: "ownSpeed" | "floorSpeed"): ServingNeed => {
+        const target = run.step.tailTarget ?? Infinity;
+        return {
+            image: run.step.image ?? "",
+            ownSpeed: model[speed](run.position.job, target),
+            targetSpeed: speedOf(target),
+        };
+    };
+    const learn = (worker: CellWorker, runs: readonly Run[], now: number): void => {
+        const mix = new Map<string, number>();
+        for (const run of spareRuns(runs)) {
+            const { image, share } = spareTask(worker, run.step);
+            const used = run.measure > 0 ? run.measure / worker.room.capacity().cpu : share * run.pace / 100;
+            mix.set(image, (mix.get(image) ?? 0) + used);
+        }
+        const samples = servingRuns(runs).filter(run => run.measure > 0).map((run): ServingSample => ({
+            job: run.position.job,
+            image: run.step.image ?? "",
+            tail: run.measure,
+            target: run.step.tailTarget ?? Infinity,
+        }));
+        model.learn(samples, mix, now);
+    };
+    const setPaces = (worker: CellWorker, runs: readonly Run[]): void => {
+        const spare = spareRuns(runs).filter(run => run.phase === "running");
+        const needs = servingRuns(runs).map(run => needOf(run, "ownSpeed"));
+        const paces = planPaces(needs, spare.map(run => spareTask(worker, run.step)), model.pressure);
+        spare.forEach((run, index) => {
+            const planned = Math.round((paces[index] ?? 1) * 100);
+            const pace = planned < leastPace ? 0 : planned;
+            const isEnd = pace !== run.pace && (pace === 0 || pace === 100);
+            if (isEnd || Math.abs(pace - run.pace) >= leastChange) {
+                const { job } = run.position;
+                logger.info({ job, task: run.task, worker: run.worker, from: run.pace, to: pace }, "pace set");
+                throttle(run, pace);
+            }
+        });
+    };
+    return {
+        review: (worker, runs) => {
+            const now = performance.now();
+            const { id } = worker.session;
+            if (now - (reviewedAt.get(id) ?? -Infinity) < reviewInterval) {
+                return;
+            }
+            reviewedAt.set(id, now);
+            learn(worker, runs, now);
+            setPaces(worker, runs);
+        },
+        slackWith: (worker, runs, step) =>
+            servingSlack(
+                runs.filter(run => run.step.tailTarget !== undefined).map(run => needOf(run, "floorSpeed")),
+                spareRuns(runs).map(run => spareTask(worker, run.step)),
+                spareTask(worker, step),
+                model.pressure,
+            ),
+    };
+};
--- a/packages/workflow/src/cell/run-keeper.ts
+++ b/packages/workflow/src/cell/run-keeper.ts
@@ -11,8 +11,8 @@
 import type { CellWriter } from "./cell-writer.js";
 import type { EndQueue } from "./end-queue.js";
 import { createEndQueue } from "./end-queue.js";
-import type { Run } from "./run.js";
 import type { RunBook } from "./run-book.js";
+import type { Run } from "./run.js";
 import type { WorkerSession } from "./worker-session.js";
 
 /** What happened to a run, for those that learn from it. */
@@ -25,7 +25,13 @@
 /** Starts, stops and settles the runs of a cell. */
 export interface RunKeeper {
     /** Orders a start; the run is in the book before this returns. */
-    readonly start: (ledger: WorkflowLedger, stage: Stage, index: number, session: WorkerSession, number?: number) => void;
+    readonly start: (
+        ledger: WorkflowLedger,
+        stage: Stage,
+        index: number,
+        session: WorkerSession,
+        number?: number,
+    ) => void;
     /** Number for the next run of a task. */
     readonly nextNumber: (task: TaskName) => number;
     readonly stop: (run: Run, reason: string) => void;
@@ -345,7 +351,10 @@
             if (isUnderWay) {
                 continue;
             }
-            logger.info({ job: run.position.job, task: run.task, run: run.number, worker: session.id, reason }, "run lost");
+            logger.info(
+                { job: run.position.job, task: run.task, run: run.number, worker: session.id, reason },
+                "run lost",
+            );
             removeRun({ run, outcome: "lost" });
         }
     };
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -11,8 +11,10 @@
 import { remainingPath } from "../policy/remaining-path.js";
 import type { Urgency } from "../policy/urgency.js";
 import { compareUrgency } from "../policy/urgency.js";
+import type { WorkerCandidate } from "../policy/worker-candidate.js";
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
 import { mayStartOn } from "./cell-workers.js";
+import type { NeighbourWatch } from "./neighbour-watch.js";
 import type { RunBook } from "./run-book.js";
 import type { RunKeeper } from "./run-keeper.js";
 
@@ -39,6 +41,8 @@
     readonly isHeldBack: (ledger: WorkflowLedger) => boolean;
     /** Whether the task failed on the worker before. */
     readonly hasFailedOn: (task: TaskName, worker: CellWorker) => boolean;
+    /** See `NeighbourWatch`. */
+    readonly slackWith: NeighbourWatch["slackWith"];
 }
 
 interface Candidate {
@@ -48,12 +52,15 @@
     readonly urgency: Urgency;
 }
 
+/** Share of what serving tasks reserve that lies idle: they are sized for their peak. */
+const idleShareOfServing = 0.4;
 /** A workflow that takes longer than this multiple of its objective is of no use any more; from the users' rules. */
 const uselessFactor = 3;
 
 /** Creates the scheduler of a cell. */
 export const createStageScheduler = (options: StageSchedulerOptions): StageScheduler => {
-    const { ledgers, workers, book, keeper, runTimes, health, logger, queueOf, isHeldBack, hasFailedOn } = options;
+    const { ledgers, workers, book, keeper, runTimes, health, logger, queueOf, isHeldBack, hasFailedOn, slackWith } =
+        options;
 
     const runTime = (queue: Queue, step: Step, number: number): number => {
         const kind = `${queue.name}/${String(number)}/${String(step.isGang)}`;
@@ -67,6 +74,7 @@
         const objective = queue.slackFactor * criticalPath(steps, time) + queue.latencyTarget;
         const spare = dueAt - Date.now() - remainingPath(steps, stage.number, time);
         return {
+            isLasting: stage.step.isLasting,
             priority: queue.priority,
             laxity: spare + objective,
             lateLaxity: spare + objective * uselessFactor,
@@ -97,6 +105,29 @@
         }
         return count;
     };
+    const describe = (worker: CellWorker, step: Step, task: TaskName): WorkerCandidate => {
+        const { session, room } = worker;
+        const runs = [...book.ofWorker(session.id)];
+        const servingImages = new Map<string, number>();
+        let reservedByServing = 0;
+        for (const run of runs) {
+            if (run.step.tailTarget !== undefined) {
+                const image = run.step.image ?? "";
+                servingImages.set(image, (servingImages.get(image) ?? 0) + 1);
+                reservedByServing += run.step.cpu;
+            }
+        }
+        return {
+            id: session.id,
+            rack: session.entry().rack,
+            capacityCpu: room.capacity().cpu,
+            freeCpu: room.freeCpu(),
+            idleCpu: room.spareCpu() + reservedByServing * idleShareOfServing,
+            servingImages,
+            servingSlack: step.usesSpareCpu ? slackWith(worker, runs, step) : Infinity,
+            hasFailedBefore: hasFailedOn(task, worker),
+        };
+    };
     const choose = (candidate: Candidate, index: number, rack?: string): CellWorker | undefined => {
         const { ledger, stage, queue } = candidate;
         const { step } = stage;
@@ -112,22 +143,7 @@
             && health.allowance(worker.session.id) > 0
             && (step.perWorkerLimit === undefined || tasksOfStageOn(worker, candidate) < step.perWorkerLimit)
         );
-        const best = chooseWorker(
-            step,
-            fitting.map(worker => {
-                const runs = [...book.ofWorker(worker.session.id)];
-                return {
-                    id: worker.session.id,
-                    rack: worker.session.entry().rack,
-                    freeCpu: worker.room.freeCpu(),
-                    spareCpu: worker.room.spareCpu(),
-                    capacityCpu: worker.room.capacity().cpu,
-                    servingTasks: runs.filter(run => run.step.tailTarget !== undefined).length,
-                    spareTasks: runs.filter(run => run.step.usesSpareCpu).length,
-                    failedBefore: hasFailedOn(task, worker),
-                };
-            }),
-        );
+        const best = chooseWorker(step, fitting.map(worker => describe(worker, step, task)));
         return best === undefined ? undefined : workers.get(best.id);
     };
     const startOne = (candidate: Candidate, index: number, worker: CellWorker, number?: number): void => {
--- a/packages/workflow/src/cell/tables.ts
+++ b/packages/workflow/src/cell/tables.ts
@@ -25,6 +25,8 @@
     }),
     /** Entry hosts. */
     host: (id: string): RowKey => ({ table: "hosts", partition: "", key: id }),
+    /** How workers are divided into cells. */
+    cellPlan: { table: "cells", partition: "", key: "plan" } satisfies RowKey,
     /** The key by which entry hosts authenticate each other. */
     peerKey: { table: "secrets", partition: "", key: "peer-key" } satisfies RowKey,
 } as const;
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -91,7 +91,11 @@
     const lease = leaseLength(timing);
     const clock = createWorkerClock(lease, timing.clockDrift);
     const wake = createWakeUp();
-    let horizon: LeaseHorizon = createLeaseHorizon({ ...timing, drift: timing.clockDrift, initial: options.inheritedUntil });
+    let horizon: LeaseHorizon = createLeaseHorizon({
+        ...timing,
+        drift: timing.clockDrift,
+        initial: options.inheritedUntil,
+    });
     let entry = options.entry;
     let isListed = true;
     let contact: Contact = "unknown";
@@ -201,7 +205,8 @@
         deadline: () => {
             const deadline = clock.deadline();
             // A start close to its deadline would arrive late.
-            return contact === "known" && deadline !== undefined && clock.timeUntil(deadline) > lease * (1 - extensionShare)
+            return contact === "known" && deadline !== undefined
+                    && clock.timeUntil(deadline) > lease * (1 - extensionShare)
                 ? deadline
                 : undefined;
         },
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -11,10 +11,10 @@
 import type { TaskName } from "../model/task-name.js";
 import type { WorkerEntry } from "../model/worker-entry.js";
 import type { Workflow, WorkflowState } from "../model/workflow.js";
+import { createPressureModel } from "../policy/pressure-model.js";
 import type { StateStore } from "../port/state-store.js";
 import type { WorkerDirectory } from "../port/worker-directory.js";
 import type { WorkerGateway } from "../port/worker-gateway.js";
-import { createTailWatch } from "../policy/tail-watch.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import { acceptWorkflow } from "./accept-workflow.js";
 import type { CellLease } from "./cell-lease.js";
@@ -25,11 +25,12 @@
 import type { CellWorkers } from "./cell-workers.js";
 import { createCellWriter } from "./cell-writer.js";
 import { loadCell } from "./load-cell.js";
+import { createNeighbourWatch } from "./neighbour-watch.js";
 import { createRoomAccount } from "./room-account.js";
-import type { Run } from "./run.js";
 import { createRunBook } from "./run-book.js";
 import type { RunEnd } from "./run-keeper.js";
 import { createRunKeeper } from "./run-keeper.js";
+import type { Run } from "./run.js";
 import { createStageScheduler } from "./stage-scheduler.js";
 import { tables } from "./tables.js";
 import type { CellRow } from "./take-cell.js";
@@ -97,7 +98,8 @@
 
 /** Runs a cell that was just taken. */
 export const createWorkflowCell = (options: WorkflowCellOptions): WorkflowCell => {
-    const { cell, row, store, gateway, directory, configuration, isOwn, timing, logger, metrics, onLost, onActive } = options;
+    const { cell, row, store, gateway, directory, configuration, isOwn, timing, logger, metrics, onLost, onActive } =
+        options;
     const epoch = row.holder?.epoch ?? 0;
     const stop = createStopSignal();
     const { signal } = stop;
@@ -110,6 +112,7 @@
     const passWanted = createWakeUp();
     const runTimes: SizeEstimate = createSizeEstimate({ quantile: 0.5 });
     const health: WorkerHealth = createWorkerHealth({ failureLimit: 3, quarantine, quarantineLimit, startLimit });
+    const pressure = createPressureModel();
     const failedOn = new Map<TaskName, Set<WorkerId>>();
     const rosterIds = new Set<WorkerId>();
     let rosterVersion = 0;
@@ -148,6 +151,7 @@
             for (const ledger of written) {
                 if (ledger.isSettled() && !settledAt.has(ledger.workflow.id)) {
                     settledAt.set(ledger.workflow.id, performance.now());
+                    pressure.forgetJob(ledger.workflow.id);
                     metrics.workflowSeconds.observe(
                         { queue: ledger.workflow.queue.name, state: ledger.state() },
                         Math.max(0, Date.now() - ledger.workflow.acceptedAt) / 1_000,
@@ -196,6 +200,15 @@
     });
     const hasUnknownWorkers = (): boolean =>
         [...workers.values()].some(({ session }) => rosterIds.has(session.id) && session.contact() === "unknown");
+    const neighbours = createNeighbourWatch({
+        model: pressure,
+        throttle: (run: Run, percent: number) => {
+            metrics.throttles.inc({ direction: percent < run.pace ? "down" : "up" });
+            run.pace = percent;
+            void workers.get(run.worker)?.session.throttle(run.task, run.number, percent);
+        },
+        logger,
+    });
     const scheduler = createStageScheduler({
         ledgers: () => ledgers.values(),
         workers,
@@ -206,20 +219,16 @@
         logger,
         queueOf,
         isHeldBack: ledger => inherited.has(ledger.workflow.id) && hasUnknownWorkers(),
+        slackWith: neighbours.slackWith,
         hasFailedOn: (task, worker) => failedOn.get(task)?.has(worker.session.id) === true,
     });
-    const tailWatch = createTailWatch({
-        throttle: (run: Run, percent: number) => {
-            run.pace = percent;
-            metrics.throttles.inc({ direction: percent === 100 ? "up" : "down" });
-            void workers.get(run.worker)?.session.throttle(run.task, run.number, percent);
-        },
-        logger,
-    });
     const events: SessionEvents = {
         onReport: (session, report, sentAt, isFirst) => {
             keeper.takeReport(session, report, sentAt, isFirst);
-            tailWatch.review([...book.ofWorker(session.id)]);
+            const worker = workers.get(session.id);
+            if (worker !== undefined) {
+                neighbours.review(worker, [...book.ofWorker(session.id)]);
+            }
         },
         onCleared: (session, reason) => {
             keeper.clearWorker(session, reason);
@@ -421,8 +430,11 @@
                 continue;
             }
             const queue = queueOf(ledger);
-            const work = ledger.workflow.steps.reduce((sum, step, number) =>
-                sum + (step.isLasting ? 0 : step.count * step.cpu * scheduler.runTime(queue, step, number)), 0);
+            const work = ledger.workflow.steps.reduce(
+                (sum, step, number) =>
+                    sum + (step.isLasting ? 0 : step.count * step.cpu * scheduler.runTime(queue, step, number)),
+                0,
+            );
             backlog[queue.priority] = (backlog[queue.priority] ?? 0) + work;
         }
         return Array.from(backlog, (value: number | undefined) => Math.round(value ?? 0));
--- a/packages/workflow/src/entry/cell-keeper.ts
+++ b/packages/workflow/src/entry/cell-keeper.ts
@@ -1,5 +1,5 @@
 import type { CellId, FailureDomainId } from "@jayfront/world";
-import { cellId, sleep } from "@jayfront/world";
+import { sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 
 import type { CellRow } from "../cell/take-cell.js";
@@ -11,6 +11,7 @@
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { CellClaims } from "./cell-claims.js";
 import { claimTimeout } from "./cell-claims.js";
+import type { CellPlan } from "./cell-plan.js";
 import type { HostCandidate } from "./rank-hosts.js";
 import { rankHosts } from "./rank-hosts.js";
 
@@ -30,7 +31,8 @@
 /** Options of {@link createCellKeeper}. */
 export interface CellKeeperOptions {
     readonly self: EntryHostRecord;
-    readonly failureDomains: readonly FailureDomainId[];
+    /** How workers are divided into cells; undefined until it has been read. */
+    readonly plan: () => CellPlan | undefined;
     readonly store: StateStore;
     readonly network: WorkflowNetwork;
     readonly registry: HostRegistry;
@@ -52,12 +54,14 @@
 const doubtfulLease = 1_800;
 /** Milliseconds since its last answer from the store within which a peer counts as reaching it. */
 const storeContactAge = 1_500;
+/** Factor on the store's delay after which a cell that nobody ever held is taken; spreads hosts by their distance. */
+const firstLookFactor = 10;
 /** Milliseconds between two offers of one cell. */
 const offerInterval = 700;
 
 /** Creates a keeper that holds no cell. */
 export const createCellKeeper = (options: CellKeeperOptions): CellKeeper => {
-    const { self, failureDomains, store, network, registry, claims, metrics, logger, openCell, onChange } = options;
+    const { self, plan, store, network, registry, claims, metrics, logger, openCell, onChange } = options;
     const startedAt = performance.now();
     const cells = new Map<CellId, WorkflowCell>();
     const taking = new Set<CellId>();
@@ -89,22 +93,24 @@
         onChange();
         return true;
     };
-    const silence = (cell: CellId): number =>
-        Math.round(performance.now() - (claims.heardAt(cell) ?? startedAt));
+    const silence = (cell: CellId): number => Math.round(performance.now() - (claims.heardAt(cell) ?? startedAt));
     /** Time without holder after which this host takes the cell. */
-    const patience = (cell: CellId, domain: FailureDomainId): number => {
+    const patience = (cell: CellId, failureDomains: readonly FailureDomainId[]): number => {
         const heldBy = new Map<string, number>();
         claims.allFresh().forEach(({ host }) => heldBy.set(host.id, (heldBy.get(host.id) ?? 0) + 1));
         const hosts: HostCandidate[] = [self, ...registry.peers()].map(host => ({
             id: host.id,
             failureDomain: host.failureDomain,
+            storeDelay: host.storeDelay,
             heldCells: host.id === self.id ? cells.size : heldBy.get(host.id) ?? 0,
         }));
-        return claimTimeout + rankHosts(cell, domain, hosts).indexOf(self.id) * rankDelay;
+        return claimTimeout + rankHosts(cell, failureDomains, hosts).indexOf(self.id) * rankDelay;
     };
-    const reviewFree = async (cell: CellId, domain: FailureDomainId): Promise<void> => {
+    const reviewFree = async (cell: CellId, failureDomains: readonly FailureDomainId[]): Promise<void> => {
         const isFirstLook = !seenRows.has(cell) && claims.heardAt(cell) === undefined;
-        if (!isFirstLook && silence(cell) < patience(cell, domain)) {
+        // At the first start of all, the host that is nearest to the store should come first.
+        const wait = isFirstLook ? self.storeDelay * firstLookFactor : patience(cell, failureDomains);
+        if (silence(cell) < wait) {
             return;
         }
         const row = await readCellRow(store, cell);
@@ -117,9 +123,10 @@
             seenRows.set(cell, { version, at: performance.now() });
         }
         // A holder's own next life, and a host of a domain whose cell nobody ever held, need not wait for silence.
-        const isOwn = holder?.host === self.id || holder === undefined && domain === self.failureDomain;
+        const isOwn = holder?.host === self.id
+            || holder === undefined && failureDomains.includes(self.failureDomain);
         const isFreshRow = seen === undefined || seen.version !== version
-            || performance.now() - seen.at < patience(cell, domain);
+            || performance.now() - seen.at < patience(cell, failureDomains);
         if (isOwn || !isFreshRow) {
             await take(cell, row.value, isOwn ? "held before" : "holder silent");
         }
@@ -129,9 +136,9 @@
         return answer.isOk && answer.value < storeContactAge;
     };
     const offer = async (held: WorkflowCell, reason: string): Promise<boolean> => {
-        const domain = failureDomains.find(candidate => cellId(candidate, 0) === held.cell) ?? self.failureDomain;
+        const failureDomains = plan()?.cells.find(({ cell }) => cell === held.cell)?.failureDomains ?? [];
         const peers = registry.peers();
-        const order = rankHosts(held.cell, domain, peers.map(peer => ({ ...peer, heldCells: 0 })));
+        const order = rankHosts(held.cell, failureDomains, peers.map(peer => ({ ...peer, heldCells: 0 })));
         const answers = await Promise.all(peers.map(async peer => ({ peer, isAble: await reachesStore(peer) })));
         const able = answers.filter(({ isAble }) => isAble).map(({ peer }) => peer)
             .sort((left, right) => order.indexOf(left.id) - order.indexOf(right.id));
@@ -165,8 +172,9 @@
             await offer(held, "the store does not answer this host");
         }
     };
-    const reviewOnce = async (domain: FailureDomainId): Promise<void> => {
-        const cell = cellId(domain, 0);
+    const reviewOnce = async (
+        { cell, failureDomains }: CellPlan["cells"][number],
+    ): Promise<void> => {
         if (taking.has(cell)) {
             return;
         }
@@ -177,7 +185,7 @@
                 await reviewHeld(held);
             }
             else if (!isStopping && claims.fresh(cell) === undefined) {
-                await reviewFree(cell, domain);
+                await reviewFree(cell, failureDomains);
             }
         }
         finally {
@@ -210,7 +218,7 @@
         },
         run: async signal => {
             while (!signal.aborted) {
-                failureDomains.forEach(domain => void reviewOnce(domain));
+                plan()?.cells.forEach(planned => void reviewOnce(planned));
                 await sleep(reviewInterval, signal);
             }
         },
--- /dev/null
+++ b/packages/workflow/src/entry/cell-plan.ts
@@ -0,0 +1,71 @@
+import type { CellId, FailureDomainId } from "@jayfront/world";
+import { cellId, sleep } from "@jayfront/world";
+import type { Logger } from "pino";
+import { z } from "zod";
+
+import { tables } from "../cell/tables.js";
+import type { WorkerEntry } from "../model/worker-entry.js";
+import type { StateStore } from "../port/state-store.js";
+import type { WorkerDirectory } from "../port/worker-directory.js";
+
+/** Schema of the row that says how workers are divided into cells. */
+const cellPlan = z.object({
+    cells: z.array(z.object({
+        cell: z.string().transform(value => value as CellId),
+        failureDomains: z.array(z.string().transform(value => value as FailureDomainId)),
+    })).min(1),
+});
+
+/** How workers are divided into cells; written once, before any cell is held. */
+export type CellPlan = z.infer<typeof cellPlan>;
+
+/** Options of {@link readCellPlan}. */
+export interface CellPlanOptions {
+    readonly store: StateStore;
+    readonly directory: WorkerDirectory;
+    readonly failureDomains: readonly FailureDomainId[];
+    readonly logger: Logger;
+    readonly signal: AbortSignal;
+}
+
+/**
+ * Workers up to which one cell serves all failure domains. One holder's processor carries about this many, and work
+ * that finds no room in one failure domain then finds it in another without changing hands.
+ */
+const largestSingleCell = 100;
+/** Cell that serves all failure domains. */
+const singleCell = "all" as CellId;
+/** Milliseconds between tries. */
+const retryInterval = 200;
+/** Tries for which a list without workers is taken to be incomplete. */
+const emptyListTries = 15;
+
+const divide = (workers: readonly WorkerEntry[], failureDomains: readonly FailureDomainId[]): CellPlan =>
+    workers.length <= largestSingleCell
+        ? { cells: [{ cell: singleCell, failureDomains: [...failureDomains] }] }
+        : { cells: failureDomains.map(domain => ({ cell: cellId(domain, 0), failureDomains: [domain] })) };
+
+/** Reads the plan; the first host to start writes it. Undefined where `signal` aborts first. */
+export const readCellPlan = async (options: CellPlanOptions): Promise<CellPlan | undefined> => {
+    const { store, directory, failureDomains, logger, signal } = options;
+    const key = tables.cellPlan;
+    for (let attempt = 0; !signal.aborted; attempt += 1) {
+        const read = await store.read(key.table, key.partition, key.key);
+        const [row] = read.isOk ? read.value.rows : [];
+        if (row !== undefined) {
+            return cellPlan.parse(JSON.parse(row.value));
+        }
+        const workers = read.isOk ? await directory.read() : undefined;
+        if (workers?.isOk === true && (workers.value.length > 0 || attempt >= emptyListTries)) {
+            const plan = divide(workers.value, failureDomains);
+            const value = JSON.stringify(plan);
+            const written = await store.commit({ checks: [{ ...key, version: 0 }], writes: [{ ...key, value }] });
+            if (written.isOk) {
+                logger.info({ workers: workers.value.length, cells: plan.cells.length }, "cell plan written");
+                return plan;
+            }
+        }
+        await sleep(retryInterval, signal);
+    }
+    return undefined;
+};
--- a/packages/workflow/src/entry/configuration-watch.ts
+++ b/packages/workflow/src/entry/configuration-watch.ts
@@ -64,7 +64,10 @@
                 const next = await source.next(current?.version);
                 if (next.isErr !== isSourceLost) {
                     isSourceLost = next.isErr;
-                    logger.warn({ error: next.isErr ? next.error : undefined }, `configuration source ${next.isErr ? "lost" : "regained"}`);
+                    logger.warn(
+                        { error: next.isErr ? next.error : undefined },
+                        `configuration source ${next.isErr ? "lost" : "regained"}`,
+                    );
                 }
                 if (next.isErr) {
                     await sleep(retryInterval, signal);
--- a/packages/workflow/src/entry/rank-hosts.ts
+++ b/packages/workflow/src/entry/rank-hosts.ts
@@ -5,19 +5,30 @@
 export interface HostCandidate {
     readonly id: HostId;
     readonly failureDomain: FailureDomainId;
+    /** Milliseconds that the store takes to answer the host. */
+    readonly storeDelay: number;
     /** Cells that it holds already. */
     readonly heldCells: number;
 }
 
-/** Hosts in the order in which they should take a cell: of its failure domain first, then those that hold the fewest. */
+/** Milliseconds of store delay that make no difference; within a region the store answers in less. */
+const storeDelayStep = 15;
+
+/**
+ * Hosts in the order in which they should take a cell: of its failure domains first, then those near the store, then
+ * those that hold the fewest cells.
+ */
 export const rankHosts = (
     cell: CellId,
-    domain: FailureDomainId,
+    failureDomains: readonly FailureDomainId[],
     hosts: readonly HostCandidate[],
 ): readonly HostId[] => {
+    const isLocal = (host: HostCandidate): number => Number(failureDomains.includes(host.failureDomain));
+    const distance = (host: HostCandidate): number => Math.floor(host.storeDelay / storeDelayStep);
     const order = rendezvousRank(cell, hosts.map(host => host.id));
     return [...hosts].sort((left, right) =>
-        Number(right.failureDomain === domain) - Number(left.failureDomain === domain)
+        isLocal(right) - isLocal(left)
+        || distance(left) - distance(right)
         || left.heldCells - right.heldCells
         || order.indexOf(left.id) - order.indexOf(right.id)
     ).map(host => host.id);
--- a/packages/workflow/src/entry/workflow-desk.ts
+++ b/packages/workflow/src/entry/workflow-desk.ts
@@ -1,5 +1,5 @@
-import type { CellId, FailureDomainId, JobId } from "@jayfront/world";
-import { cellId, sleep } from "@jayfront/world";
+import type { CellId, JobId } from "@jayfront/world";
+import { sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 
 import { settledWorkflow } from "../cell/settled-workflow.js";
@@ -39,7 +39,8 @@
 
 /** Options of {@link createWorkflowDesk}. */
 export interface WorkflowDeskOptions {
-    readonly failureDomains: readonly FailureDomainId[];
+    /** All cells; undefined until they are known. */
+    readonly cells: () => readonly CellId[] | undefined;
     readonly store: StateStore;
     readonly network: WorkflowNetwork;
     readonly claims: CellClaims;
@@ -62,7 +63,7 @@
 
 /** Creates the desk of an entry host. */
 export const createWorkflowDesk = (options: WorkflowDeskOptions): WorkflowDesk => {
-    const { failureDomains, store, network, claims, held, isNear, logger } = options;
+    const { cells, store, network, claims, held, isNear, logger } = options;
     const sent: { readonly cell: CellId; readonly cpu: number; readonly at: number; }[] = [];
 
     const sentTo = (cell: CellId): number => {
@@ -223,11 +224,13 @@
         state,
         cancel,
         pending: queue => {
-            const counts = failureDomains.map(domain => {
-                const claim = claims.fresh(cellId(domain, 0));
+            const counts = (cells() ?? [undefined]).map(cell => {
+                const claim = cell === undefined ? undefined : claims.fresh(cell);
                 return claim?.summary.isActive === true ? claim.summary.pending[queue] ?? 0 : undefined;
             });
-            return counts.includes(undefined) ? undefined : counts.reduce<number>((sum, count) => sum + (count ?? 0), 0);
+            return counts.includes(undefined)
+                ? undefined
+                : counts.reduce<number>((sum, count) => sum + (count ?? 0), 0);
         },
     };
 };
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -1,5 +1,5 @@
 import type { CellId, FailureDomainId } from "@jayfront/world";
-import { cellId, createStopSignal, sleep } from "@jayfront/world";
+import { createStopSignal, sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 
 import type { CellTiming } from "../cell/cell-timing.js";
@@ -7,7 +7,12 @@
 import type { Configuration } from "../model/configuration.js";
 import type { EntryHostRecord } from "../peer/host-registry.js";
 import { createHostRegistry } from "../peer/host-registry.js";
-import type { WorkflowMessage, WorkflowMessageKind, WorkflowMessages, WorkflowReplies } from "../peer/workflow-message.js";
+import type {
+    WorkflowMessage,
+    WorkflowMessageKind,
+    WorkflowMessages,
+    WorkflowReplies,
+} from "../peer/workflow-message.js";
 import type { WorkflowNetwork } from "../peer/workflow-network.js";
 import type { ConfigurationSource } from "../port/configuration-source.js";
 import type { StateStore } from "../port/state-store.js";
@@ -17,6 +22,8 @@
 import { cancelIn } from "./cancel-in.js";
 import { createCellClaims } from "./cell-claims.js";
 import { createCellKeeper } from "./cell-keeper.js";
+import type { CellPlan } from "./cell-plan.js";
+import { readCellPlan } from "./cell-plan.js";
 import { createConfigurationWatch } from "./configuration-watch.js";
 import type { WorkflowDesk } from "./workflow-desk.js";
 import { createWorkflowDesk } from "./workflow-desk.js";
@@ -88,11 +95,12 @@
             sendHeartbeats();
         },
     });
-    const domainOf = (cell: CellId): FailureDomainId | undefined =>
-        failureDomains.find(domain => cellId(domain, 0) === cell);
+    let plan: CellPlan | undefined;
+    const domainsOf = (cell: CellId): readonly FailureDomainId[] =>
+        plan?.cells.find(planned => planned.cell === cell)?.failureDomains ?? [];
     const keeper = createCellKeeper({
         self,
-        failureDomains,
+        plan: () => plan,
         store,
         network,
         registry,
@@ -109,7 +117,7 @@
                 gateway,
                 directory,
                 configuration: watch.current,
-                isOwn: worker => worker.failureDomain === domainOf(cell),
+                isOwn: worker => domainsOf(cell).includes(worker.failureDomain),
                 timing,
                 logger,
                 metrics,
@@ -174,12 +182,12 @@
     };
     return {
         desk: createWorkflowDesk({
-            failureDomains,
+            cells: () => plan?.cells.map(planned => planned.cell),
             store,
             network,
             claims,
             held: keeper.held,
-            isNear: cell => regions[domainOf(cell) ?? ""] === regions[self.failureDomain],
+            isNear: cell => domainsOf(cell).some(domain => regions[domain] === regions[self.failureDomain]),
             logger,
         }),
         configuration: watch.current,
@@ -188,7 +196,10 @@
         start: () => {
             void watch.run(stop.signal);
             void registry.run(stop.signal);
-            void keeper.run(stop.signal);
+            void readCellPlan({ store, directory, failureDomains, logger, signal: stop.signal }).then(read => {
+                plan = read;
+                return keeper.run(stop.signal);
+            });
             void runHeartbeats();
         },
         drain: async () => {
--- a/packages/workflow/src/peer/host-registry.ts
+++ b/packages/workflow/src/peer/host-registry.ts
@@ -13,6 +13,8 @@
     readonly peerAddress: string;
     /** Differs between two lives of the host. */
     readonly incarnation: string;
+    /** Milliseconds that the store took to answer the host when it started. */
+    readonly storeDelay: number;
 }
 
 /** Knows the other entry hosts, by their rows in the store and by what they say of themselves. */
@@ -59,7 +61,10 @@
         }
         hosts.set(host.id, { host, version: version ?? known?.version ?? 0, seenAt: performance.now() });
         if (known?.host.incarnation !== host.incarnation) {
-            logger.info({ peer: host.id, address: host.peerAddress, incarnation: host.incarnation }, "entry host found");
+            logger.info(
+                { peer: host.id, address: host.peerAddress, incarnation: host.incarnation },
+                "entry host found",
+            );
             onFound(host);
         }
     };
--- a/packages/workflow/src/peer/workflow-message.ts
+++ b/packages/workflow/src/peer/workflow-message.ts
@@ -1,7 +1,7 @@
 import type { CellId, JobId } from "@jayfront/world";
 
-import type { Submission } from "../cell/workflow-cell.js";
 import type { CellSummary } from "../cell/cell-summary.js";
+import type { Submission } from "../cell/workflow-cell.js";
 import type { Configuration } from "../model/configuration.js";
 import type { Workflow, WorkflowState } from "../model/workflow.js";
 import type { EntryHostRecord } from "./host-registry.js";
--- a/packages/workflow/src/policy/choose-cell.ts
+++ b/packages/workflow/src/policy/choose-cell.ts
@@ -24,7 +24,8 @@
 const rackWeight = 10;
 
 /** Thousandths of cores that the workflow's widest step asks for. */
-export const widestDemand = (steps: readonly Step[]): number => Math.max(0, ...steps.map(step => step.count * step.cpu));
+export const widestDemand = (steps: readonly Step[]): number =>
+    Math.max(0, ...steps.map(step => step.count * step.cpu));
 
 const loadOf = (candidate: CellCandidate, priority: number): number => {
     const capacity = Math.max(1, candidate.capacityCpu);
--- a/packages/workflow/src/policy/choose-worker.ts
+++ b/packages/workflow/src/policy/choose-worker.ts
@@ -5,31 +5,48 @@
 const rackWeight = 100;
 /** Weight against a worker on which the same task has failed; larger than that of data. */
 const failureWeight = 1_000;
-/** Weight of one neighbour that would disturb or be disturbed, in shares of a worker's capacity. */
-const neighbourWeight = 0.5;
-/** Share of a task's wish for spare processor time that a worker has to have left. */
-const leastSpareShare = 0.5;
+/** Weight of serving tasks of the same image: kept together, they leave other workers to what would disturb them. */
+const sameImageWeight = 0.6;
+/** Weight of serving tasks of other images, each. */
+const otherImageWeight = 0.15;
+/** Largest slack that still makes a difference, as a share of the target's speed. */
+const enoughSlack = 1;
+/** Least share of the processor time asked for that has to lie idle for a task on spare time. */
+const leastIdleShare = 0.7;
 
-const scoreOf = (step: Step, candidate: WorkerCandidate): number => {
-    const { capacityCpu, spareCpu, servingTasks, spareTasks } = candidate;
-    const room = (spareCpu - step.cpu) / capacityCpu;
-    const neighbours = step.usesSpareCpu ? servingTasks : step.tailTarget === undefined ? 0 : spareTasks + servingTasks;
-    return room
-        - neighbours * neighbourWeight
-        + (step.preferredRack === candidate.rack ? rackWeight : 0)
-        - (candidate.failedBefore ? failureWeight : 0);
+/** How well a worker suits a task; undefined where it must not run there. */
+type Score = (step: Step, candidate: WorkerCandidate) => number | undefined;
+
+const scoreSpare: Score = (step, { servingSlack, idleCpu, capacityCpu }) => {
+    if (servingSlack < 0 || idleCpu < step.cpu * leastIdleShare) {
+        return undefined;
+    }
+    return Math.min(enoughSlack, servingSlack) + idleCpu / capacityCpu;
 };
+const scoreServing: Score = (step, { freeCpu, capacityCpu, servingImages }) => {
+    const image = step.image ?? "";
+    const same = servingImages.get(image) ?? 0;
+    const others = [...servingImages.values()].reduce((sum, count) => sum + count, 0) - same;
+    return (freeCpu - step.cpu) / capacityCpu + (same > 0 ? sameImageWeight : 0) - others * otherImageWeight;
+};
+const scoreReserving: Score = (step, { freeCpu, capacityCpu }) => (freeCpu - step.cpu) / capacityCpu;
+
+const scoreOf = (step: Step): Score =>
+    step.usesSpareCpu ? scoreSpare : step.tailTarget === undefined ? scoreReserving : scoreServing;
 
-/** The best of the candidates, all of which have room; undefined where none serves the step well enough. */
+/** The best of the candidates, all of which have room; undefined where the task should wait. */
 export const chooseWorker = (step: Step, candidates: readonly WorkerCandidate[]): WorkerCandidate | undefined => {
+    const score = scoreOf(step);
     let best: WorkerCandidate | undefined;
     let bestScore = -Infinity;
     for (const candidate of candidates) {
-        const isStarved = step.usesSpareCpu && candidate.spareCpu < step.cpu * leastSpareShare;
-        const score = isStarved ? -Infinity : scoreOf(step, candidate);
-        if (score > bestScore) {
+        const value = score(step, candidate);
+        const total = (value ?? -Infinity)
+            + (step.preferredRack === candidate.rack ? rackWeight : 0)
+            - (candidate.hasFailedBefore ? failureWeight : 0);
+        if (value !== undefined && total > bestScore) {
             best = candidate;
-            bestScore = score;
+            bestScore = total;
         }
     }
     return best;
--- a/packages/workflow/src/policy/urgency.ts
+++ b/packages/workflow/src/policy/urgency.ts
@@ -1,5 +1,7 @@
 /** What decides in which order steps get workers. */
 export interface Urgency {
+    /** Whether tasks that are to last are missing. */
+    readonly isLasting: boolean;
     /** Priority of the queue; 0 comes first. */
     readonly priority: number;
     /** Milliseconds to spare before the workflow misses its objective; negative where it will. */
@@ -8,8 +10,9 @@
     readonly lateLaxity: number;
 }
 
-/** Work in time goes first, then work that is late but still of use, then the rest. */
-const rankOf = ({ laxity, lateLaxity }: Urgency): number => laxity >= 0 ? 0 : lateLaxity >= 0 ? 1 : 2;
+/** Tasks that are to last go first, then work in time, then work that is late but still of use, then the rest. */
+const rankOf = ({ isLasting, laxity, lateLaxity }: Urgency): number =>
+    isLasting ? 0 : laxity >= 0 ? 1 : lateLaxity >= 0 ? 2 : 3;
 
 /** Orders steps: the smaller first. */
 export const compareUrgency = (left: Urgency, right: Urgency): number =>
--- a/packages/workflow/src/policy/worker-candidate.ts
+++ b/packages/workflow/src/policy/worker-candidate.ts
@@ -4,15 +4,15 @@
 export interface WorkerCandidate {
     readonly id: WorkerId;
     readonly rack: string;
-    /** Thousandths of cores free for reserving tasks. */
-    readonly freeCpu: number;
-    /** As `freeCpu`, less what tasks on spare processor time want. */
-    readonly spareCpu: number;
     readonly capacityCpu: number;
-    /** Tasks there whose tail has a target. */
-    readonly servingTasks: number;
-    /** Tasks there that take spare processor time. */
-    readonly spareTasks: number;
-    /** Failed runs of the same task there. */
-    readonly failedBefore: boolean;
+    /** Thousandths of cores that no task reserves. */
+    readonly freeCpu: number;
+    /** Thousandths of cores that are expected to lie idle: what serving tasks reserve is seldom used whole. */
+    readonly idleCpu: number;
+    /** Serving tasks there, by image. */
+    readonly servingImages: ReadonlyMap<string, number>;
+    /** Slack of the serving tasks there once the task is added, for tasks that could disturb them. */
+    readonly servingSlack: number;
+    /** Whether the same task has failed there. */
+    readonly hasFailedBefore: boolean;
 }
