Play the platform's protocol in a stand-in; test cells through the adapter in fake time

Found by them: a cut worker's tasks waited for late orders in every case (18 s); the wait now counts late orders only while such orders are seen. Submissions try the store twice, not three times.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,17 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "packages/*/bin/**", "**/node_modules/**", "eslint.config.js", "jest.config.js"] },
+    {
+        ignores: [
+            "**/dist/**",
+            "packages/*/bin/**",
+            "deploy/*.js",
+            "target/**",
+            "**/node_modules/**",
+            "eslint.config.js",
+            "jest.config.js",
+        ],
+    },
     ...tseslint.configs.recommendedTypeChecked,
     {
         languageOptions: {
--- a/jest.config.js
+++ b/jest.config.js
@@ -1,9 +1,10 @@
 export default {
     testEnvironment: "node",
     extensionsToTreatAsEsm: [".ts"],
-    testMatch: ["<rootDir>/packages/*/tests/**/*.test.ts"],
+    testMatch: ["<rootDir>/packages/*/tests/**/*.test.ts", "<rootDir>/platform/tests/**/*.test.ts"],
     modulePathIgnorePatterns: ["/dist/"],
     moduleNameMapper: {
+        "^@jayfront/platform-adapter$": "<rootDir>/platform/src/index.ts",
         "^@jayfront/([a-z-]+)$": "<rootDir>/packages/$1/src/index.ts",
         "^(\\.{1,2}/.*)\\.js$": "$1",
     },
--- /dev/null
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -0,0 +1,246 @@
+import {
+    createPlatformConfiguration,
+    createPlatformDirectory,
+    createPlatformStore,
+    createPlatformWorkers,
+} from "@jayfront/platform-adapter";
+import type { ProtocolPlatform } from "@jayfront/platform-stand-in";
+import { createProtocolPlatform } from "@jayfront/platform-stand-in";
+import type {
+    CellTiming,
+    EntryHostRecord,
+    Queue,
+    Step,
+    SubmissionAnswer,
+    Workflow,
+    WorkflowHost,
+    WorkflowNetwork,
+} from "@jayfront/workflow";
+import { createWorkflowHost, createWorkflowMetrics } from "@jayfront/workflow";
+import type { FailureDomainId, HostId, JobId, ServiceId } from "@jayfront/world";
+import type { Logger } from "pino";
+import pino from "pino";
+import { Registry } from "prom-client";
+import { Result } from "true-myth";
+
+/** Entry hosts with the daemon's whole code but its sockets, on the platform's stand-in, in one process. */
+export interface WorkflowCluster {
+    readonly platform: ProtocolPlatform;
+    readonly hosts: ReadonlyMap<string, WorkflowHost>;
+    /** Starts a host, or starts it again after `kill`. */
+    readonly start: (id: string) => void;
+    /** Ends a host at once. */
+    readonly kill: (id: string) => void;
+    /** Nothing reaches the host and nothing leaves it; what it returns heals that. */
+    readonly isolate: (id: string) => () => void;
+    /** The host that holds the cell, by the cell's row. */
+    readonly holder: () => string | undefined;
+    readonly submit: (
+        host: string,
+        id: string,
+        steps: readonly Partial<Step>[],
+        payload?: object,
+    ) => Promise<SubmissionAnswer>;
+    readonly stop: () => void;
+}
+
+/** Options of {@link createWorkflowCluster}. */
+export interface WorkflowClusterOptions {
+    /** Hosts by failure domain. */
+    readonly hosts: Readonly<Record<string, number>>;
+    /** Workers by failure domain. */
+    readonly workers: Readonly<Record<string, number>>;
+    readonly cpuOf?: (task: string) => number;
+    readonly logger?: Logger;
+}
+
+const longestLease = 6_000;
+const timing: CellTiming = {
+    longestLease,
+    stopTime: 200,
+    gangTime: 3_000,
+    retention: 120_000,
+    clockDrift: 0.02,
+    lateOrderTime: 12_000,
+    restoreTime: 0,
+    remotePenalty: 2,
+    checkpointInterval: 2_000,
+    tolerableHarm: 4_000,
+};
+const configuration = {
+    version: 1,
+    routes: [{
+        name: "r-urgent",
+        host: "desk.example",
+        pathPrefix: "/urgent/",
+        service: "desk",
+        priority: 0,
+        maxAttempts: 3,
+        slackFactor: 2,
+        targetLatencyMs: 500,
+    }],
+    services: [{ name: "desk", admissionCheck: true }],
+};
+/** Queue of the workflows that {@link WorkflowCluster.submit} hands in. */
+const queue: Queue = {
+    name: "r-urgent",
+    hostName: "desk.example",
+    pathPrefix: "/urgent/",
+    service: "desk" as ServiceId,
+    priority: 0,
+    maxAttempts: 3,
+    slackFactor: 2,
+    latencyTarget: 500,
+};
+const plainStep: Step = {
+    count: 1,
+    cpu: 1_000,
+    memory: 100,
+    accelerators: 0,
+    expectedRunTime: 500,
+    after: [],
+    isCheckpointing: false,
+    isGang: false,
+    needsOneRack: false,
+    isSpeculative: false,
+    isLasting: false,
+    usesSpareCpu: false,
+};
+const peerLatency = 3;
+const peerTimeout = 900;
+
+const pause = (milliseconds: number): Promise<void> =>
+    new Promise(resolve => {
+        setTimeout(resolve, milliseconds);
+    });
+
+/** Creates a cluster whose hosts are all started. */
+export const createWorkflowCluster = (options: WorkflowClusterOptions): WorkflowCluster => {
+    const { logger = pino({ level: "silent" }), cpuOf } = options;
+    const platform = createProtocolPlatform({
+        workers: options.workers,
+        longestLease,
+        ...(cpuOf === undefined ? {} : { cpuOf }),
+    });
+    platform.configure(configuration);
+    const hosts = new Map<string, WorkflowHost>();
+    const domains = new Map<string, string>();
+    const isolated = new Set<string>();
+    const regions = Object.fromEntries(Object.keys(options.workers).map(domain => [domain, "region"]));
+    let lives = 0;
+
+    const networkOf = (from: string, isAlive: () => boolean): WorkflowNetwork => ({
+        call: async (to, kind, body) => {
+            const target = hosts.get(to.id);
+            await pause(peerLatency);
+            if (target === undefined) {
+                return Result.err({ kind: "not-sent", message: `${to.id} is down` });
+            }
+            if (isolated.has(from) || isolated.has(to.id) || !isAlive()) {
+                await pause(peerTimeout);
+                return Result.err({ kind: "unknown", message: `${to.id} gave no reply` });
+            }
+            const message = { kind, body: structuredClone(body) };
+            const reply = await target.handlePeer(message as never, () => undefined);
+            await pause(peerLatency);
+            return isAlive() && hosts.get(to.id) === target
+                ? Result.ok(structuredClone(reply) as never)
+                : Result.err({ kind: "unknown", message: `${to.id} gave no reply` });
+        },
+        close: () => undefined,
+    });
+    const start = (id: string): void => {
+        lives += 1;
+        let isAlive = true;
+        const self: EntryHostRecord = {
+            id: id as HostId,
+            failureDomain: (domains.get(id) ?? "") as FailureDomainId,
+            peerAddress: `${id}:2`,
+            incarnation: `${id}/${String(lives)}`,
+            storeDelay: 4,
+        };
+        const metrics = createWorkflowMetrics(new Registry());
+        const open = platform.network.clientOf(id);
+        const silence = new Promise<never>(() => undefined);
+        // A process that was killed neither sends nor hears anything.
+        const client = {
+            ...open,
+            call: async (call: Parameters<typeof open.call>[0]) => {
+                if (!isAlive) {
+                    return silence;
+                }
+                const answer = await open.call(call);
+                return isAlive ? answer : silence;
+            },
+        };
+        const hostLogger = logger.child({ host: id });
+        const store = createPlatformStore({ address: platform.storeAddress, client, metrics, logger: hostLogger });
+        const host = createWorkflowHost({
+            self,
+            regions,
+            timing,
+            store,
+            gateway: createPlatformWorkers(client, metrics),
+            directory: createPlatformDirectory(store, hostLogger),
+            configurationSource: createPlatformConfiguration(store, hostLogger),
+            network: networkOf(id, () => isAlive),
+            metrics,
+            logger: hostLogger,
+            storeHeardAt: store.heardAt,
+        });
+        hosts.set(id, {
+            ...host,
+            stop: () => {
+                isAlive = false;
+                host.stop();
+            },
+        });
+        host.start();
+    };
+    const kill = (id: string): void => {
+        hosts.get(id)?.stop();
+        hosts.delete(id);
+    };
+    for (const [domain, count] of Object.entries(options.hosts)) {
+        for (let number = 0; number < count; number += 1) {
+            const id = `h-${domain}-${String(number)}`;
+            domains.set(id, domain);
+            start(id);
+        }
+    }
+    return {
+        platform,
+        hosts,
+        start,
+        kill,
+        isolate: id => {
+            isolated.add(id);
+            const heal = platform.network.addFault({ matches: from => from === id, action: "cut" });
+            return () => {
+                isolated.delete(id);
+                heal();
+            };
+        },
+        holder: () => {
+            const row = platform.store.rows("cells").find(found => found.key === "holder");
+            return (row?.value as { host?: string; } | undefined)?.host;
+        },
+        submit: (host, id, steps, payload = {}) => {
+            const workflow: Workflow = {
+                id: id as JobId,
+                queue,
+                payload: JSON.stringify(payload),
+                steps: steps.map(step => ({ ...plainStep, ...step })),
+                acceptedAt: Date.now(),
+            };
+            const found = hosts.get(host);
+            return found === undefined
+                ? Promise.resolve({ kind: "unavailable", reason: "the host is down" })
+                : found.desk.submit(workflow);
+        },
+        stop: () => {
+            [...hosts.keys()].forEach(kill);
+            platform.stop();
+        },
+    };
+};
--- /dev/null
+++ b/packages/bench/tests/workflow/workflow-cluster.test.ts
@@ -0,0 +1,229 @@
+import { findBreach } from "@jayfront/platform-stand-in";
+import type { JobId } from "@jayfront/world";
+import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
+
+import type { FakeTime } from "../../src/util/fake-time.js";
+import { installFakeTime } from "../../src/util/fake-time.js";
+import type { WorkflowCluster } from "../../src/workflow/workflow-cluster.js";
+import { createWorkflowCluster } from "../../src/workflow/workflow-cluster.js";
+
+const warmUp = 3_000;
+const idOf = (number: number): string => number.toString(16).padStart(16, "0");
+
+describe("workflows on a cluster of entry hosts", () => {
+    let time: FakeTime;
+    let cluster: WorkflowCluster;
+    beforeEach(async () => {
+        time = installFakeTime();
+        cluster = createWorkflowCluster({
+            hosts: { "east-a": 2, "east-b": 1 },
+            workers: { "east-a": 3, "east-b": 3 },
+            cpuOf: () => 1_000,
+        });
+        await time.advance(warmUp);
+    });
+    afterEach(() => {
+        cluster.stop();
+        time.restore();
+    });
+    const submit = async (
+        host: string,
+        number: number,
+        steps: Parameters<WorkflowCluster["submit"]>[2],
+        payload = {},
+    ): Promise<string> => {
+        const answer = cluster.submit(host, idOf(number), steps, payload);
+        await time.advance(100);
+        return (await answer).kind;
+    };
+    const stateOf = async (host: string, number: number): Promise<string> => {
+        const asked = cluster.hosts.get(host)?.desk.state(idOf(number) as JobId);
+        await time.advance(2_500);
+        const answer = await asked;
+        return answer?.kind === "known" ? answer.value : String(answer?.kind);
+    };
+    const otherThan = (host: string | undefined): string => [...cluster.hosts.keys()].find(id => id !== host) ?? "";
+    const breach = (): string | undefined => findBreach(cluster.platform.journal.events);
+    const startsOf = (number: number): number =>
+        cluster.platform.journal.events.filter(event => event.kind === "started" && event.task.startsWith(idOf(number)))
+            .length;
+
+    it("makes all hosts ready and gives the cell one holder", () => {
+        expect([...cluster.hosts.values()].map(host => host.isReady())).toEqual([true, true, true]);
+        expect(cluster.holder()).toBeDefined();
+    });
+
+    it("runs steps one after the other, handed in at any host and asked for at any other", async () => {
+        for (const [number, host] of [...cluster.hosts.keys()].entries()) {
+            expect(await submit(host, number, [{ count: 3 }, { count: 2, after: [0] }])).toBe("accepted");
+        }
+        await time.advance(3_000);
+        for (const [number] of [...cluster.hosts.keys()].entries()) {
+            expect(await stateOf(otherThan(cluster.holder()), number)).toBe("completed");
+            expect(startsOf(number)).toBe(5);
+        }
+        expect(breach()).toBeUndefined();
+    });
+
+    it("takes a workflow that is handed in again as the same one", async () => {
+        const [first = "", second = ""] = cluster.hosts.keys();
+        expect(await submit(first, 1, [{}])).toBe("accepted");
+        expect(await submit(second, 1, [{}])).toBe("accepted");
+        await time.advance(2_000);
+        expect(startsOf(1)).toBe(1);
+        // Also after it has ended.
+        expect(await submit(second, 1, [{}])).toBe("accepted");
+        await time.advance(2_000);
+        expect(startsOf(1)).toBe(1);
+    });
+
+    it("starts a failed task again, and gives its workflow up at the limit", async () => {
+        const host = cluster.holder() ?? "";
+        await submit(host, 1, [{}], { failures: 2 });
+        await submit(host, 2, [{}], { failures: 3 });
+        await time.advance(8_000);
+        expect(await stateOf(host, 1)).toBe("completed");
+        expect(await stateOf(host, 2)).toBe("failed");
+        expect([startsOf(1), startsOf(2)]).toEqual([3, 3]);
+    });
+
+    it("stops all that a cancelled workflow runs and tells it from one that never was", async () => {
+        const host = otherThan(cluster.holder());
+        await submit(host, 1, [{ count: 2, isLasting: true }], { isLasting: true });
+        await time.advance(2_000);
+        const cancelled = cluster.hosts.get(host)?.desk.cancel(idOf(1) as JobId);
+        await time.advance(1_000);
+        expect(await cancelled).toEqual({ kind: "known", value: "cancelled" });
+        expect([...cluster.platform.workers.values()].flatMap(worker => worker.running())).toEqual([]);
+        expect(await stateOf(host, 1)).toBe("cancelled");
+        expect(await stateOf(host, 9)).toBe("absent");
+    });
+
+    it("goes on after its holder was killed, adopting what runs", async () => {
+        const dead = cluster.holder() ?? "";
+        const asked = otherThan(dead);
+        await submit(asked, 1, [{ count: 4 }], { work: 5_000 });
+        await time.advance(1_000);
+        cluster.kill(dead);
+        const taken = await time.advanceUntil(() => cluster.holder() !== dead, 5_000);
+        expect(taken).toBe(true);
+        await time.advance(6_000);
+        expect(await stateOf(asked, 1)).toBe("completed");
+        expect(startsOf(1)).toBe(4);
+        expect(breach()).toBeUndefined();
+    });
+
+    it("adopts what runs after all hosts were killed at once", async () => {
+        await submit(cluster.holder() ?? "", 1, [{ count: 4 }], { work: 6_000 });
+        await time.advance(500);
+        const ids = [...cluster.hosts.keys()];
+        ids.forEach(cluster.kill);
+        await time.advance(1_500);
+        ids.forEach(cluster.start);
+        await time.advance(7_000);
+        expect(await stateOf(ids[0] ?? "", 1)).toBe("completed");
+        expect(startsOf(1)).toBe(4);
+        expect(breach()).toBeUndefined();
+    });
+
+    it("waits for the leases of a worker that is cut off before its tasks run elsewhere", async () => {
+        await submit(cluster.holder() ?? "", 1, [{}], { work: 60_000 });
+        await time.advance(2_000);
+        const [worker] = [...cluster.platform.workers.values()].filter(candidate => candidate.running().length > 0);
+        const address = cluster.platform.addressOf(worker?.id ?? "");
+        cluster.platform.network.addFault({ matches: (...[, call]) => call.address === address, action: "cut" });
+        await time.advance(4_000);
+        expect(startsOf(1)).toBe(1);
+        const restarted = await time.advanceUntil(() => startsOf(1) === 2, 12_000);
+        expect(restarted).toBe(true);
+        expect(breach()).toBeUndefined();
+    });
+
+    it("starts the tasks of a worker that has begun a new life elsewhere at once", async () => {
+        await submit(cluster.holder() ?? "", 1, [{}], { work: 20_000 });
+        await time.advance(2_000);
+        const [worker] = [...cluster.platform.workers.values()].filter(candidate => candidate.running().length > 0);
+        worker?.restart();
+        expect(await time.advanceUntil(() => startsOf(1) === 2, 3_000)).toBe(true);
+        expect(breach()).toBeUndefined();
+    });
+
+    it("settles a start whose answer was lost before the task runs elsewhere", async () => {
+        const heal = cluster.platform.network.addFault({
+            matches: (...[, call]) => call.path === "/api/run-start",
+            action: "late",
+            delay: 5_000,
+        });
+        await submit(cluster.holder() ?? "", 1, [{}], { work: 2_000 });
+        await time.advance(500);
+        heal();
+        await time.advance(15_000);
+        expect(await stateOf(cluster.holder() ?? "", 1)).toBe("completed");
+        expect(breach()).toBeUndefined();
+    });
+
+    it("loses no end and runs nothing twice when the store's writes are done late", async () => {
+        const heal = cluster.platform.network.addFault({
+            matches: (...[, call]) => call.path === "/api/rows-tx",
+            action: "late",
+            delay: 2_500,
+        });
+        const host = otherThan(cluster.holder());
+        const answer = cluster.submit(host, idOf(1), [{ count: 3 }, { after: [0] }]);
+        await time.advance(4_000);
+        heal();
+        await time.advance(4_000);
+        const { kind } = await answer;
+        expect(["accepted", "unknown"]).toContain(kind);
+        const again = await submit(host, 1, [{ count: 3 }, { after: [0] }]);
+        expect(again).toBe("accepted");
+        await time.advance(6_000);
+        expect(await stateOf(host, 1)).toBe("completed");
+        expect(startsOf(1)).toBe(4);
+        expect(breach()).toBeUndefined();
+    });
+
+    it("hands the cell over when only its holder has lost the store", async () => {
+        const cut = cluster.holder() ?? "";
+        await submit(cut, 1, [{}], { work: 9_000 });
+        cluster.platform.network.addFault({
+            matches: (from, call) => from === cut && call.address === cluster.platform.storeAddress,
+            action: "refuse",
+        });
+        expect(await time.advanceUntil(() => cluster.holder() !== cut, 4_000)).toBe(true);
+        await time.advance(10_000);
+        expect(startsOf(1)).toBe(1);
+        expect(await stateOf(otherThan(cut), 1)).toBe("completed");
+        expect(breach()).toBeUndefined();
+    });
+
+    it("goes on with what is accepted while the store is away for all", async () => {
+        const host = cluster.holder() ?? "";
+        await submit(host, 1, [{ count: 2 }], { work: 2_000 });
+        await time.advance(500);
+        const heal = cluster.platform.network.addFault({
+            matches: (...[, call]) => call.address === cluster.platform.storeAddress,
+            action: "cut",
+        });
+        await time.advance(4_000);
+        heal();
+        await time.advance(4_000);
+        expect(await stateOf(host, 1)).toBe("completed");
+        expect(startsOf(1)).toBe(2);
+    });
+
+    it("starts nothing on a worker that leaves", async () => {
+        for (const id of cluster.platform.workers.keys()) {
+            if (id !== "w-east-a-0") {
+                cluster.platform.list(id, "draining");
+            }
+        }
+        await time.advance(1_500);
+        await submit(cluster.holder() ?? "", 1, [{ count: 8 }]);
+        await time.advance(2_000);
+        const workers = cluster.platform.journal.events.filter(event => event.kind === "started").map(event =>
+            event.worker
+        );
+        expect(new Set(workers)).toEqual(new Set(["w-east-a-0"]));
+    });
+});
--- /dev/null
+++ b/packages/platform-stand-in/src/protocol/protocol-answer.ts
@@ -0,0 +1,18 @@
+/** What a stand-in's door answers; `undefined` body for none. */
+export interface ProtocolAnswer {
+    readonly status: number;
+    readonly body?: unknown;
+}
+
+/** One call as it arrives at a door. */
+export interface ProtocolCall {
+    readonly method: string;
+    /** Path without query. */
+    readonly path: string;
+    readonly query: URLSearchParams;
+    readonly body: unknown;
+    readonly headers: Readonly<Record<string, string>>;
+}
+
+/** Answers calls; one that waits for something resolves later. */
+export type ProtocolDoor = (call: ProtocolCall) => Promise<ProtocolAnswer> | ProtocolAnswer;
--- /dev/null
+++ b/packages/platform-stand-in/src/protocol/protocol-platform.ts
@@ -0,0 +1,121 @@
+import { createProtocolJournal } from "./protocol-journal.js";
+import type { ProtocolJournal } from "./protocol-journal.js";
+import type { ProtocolNetwork } from "./protocol-network.js";
+import { createProtocolNetwork } from "./protocol-network.js";
+import type { ProtocolStore } from "./protocol-store.js";
+import { createProtocolStore } from "./protocol-store.js";
+import type { ProtocolWorker } from "./protocol-worker.js";
+import { createProtocolWorker } from "./protocol-worker.js";
+
+/** The whole platform in one process: store, workers, and the network to them. */
+export interface ProtocolPlatform {
+    readonly network: ProtocolNetwork;
+    readonly store: ProtocolStore;
+    readonly journal: ProtocolJournal;
+    readonly workers: ReadonlyMap<string, ProtocolWorker>;
+    readonly storeAddress: string;
+    readonly addressOf: (worker: string) => string;
+    /** Writes a worker's entry, as its heartbeat does; `undefined` state removes it. */
+    readonly list: (worker: string, state: "ready" | "draining" | undefined) => void;
+    /** Writes the operator's configuration. */
+    readonly configure: (document: object) => void;
+    readonly stop: () => void;
+}
+
+/** Options of {@link createProtocolPlatform}. */
+export interface ProtocolPlatformOptions {
+    /** Workers by failure domain. */
+    readonly workers: Readonly<Record<string, number>>;
+    /** Thousandths of cores of each worker. Default 16,000. */
+    readonly cpu?: number;
+    /** Longest lease in ms. Default 6,000. */
+    readonly longestLease?: number;
+    readonly cpuOf?: (task: string) => number;
+}
+
+const storeAddress = "10.200.0.1:1";
+const heartbeatInterval = 1_100;
+const stopTime = 200;
+const rackSize = 4;
+
+/** Creates a platform whose workers are listed and send heartbeats. */
+export const createProtocolPlatform = (options: ProtocolPlatformOptions): ProtocolPlatform => {
+    const { cpu = 16_000, longestLease = 6_000, cpuOf } = options;
+    const network = createProtocolNetwork();
+    const store = createProtocolStore();
+    const journal = createProtocolJournal();
+    const workers = new Map<string, ProtocolWorker>();
+    const failures = new Map<string, number>();
+    const states = new Map<string, { state: "ready" | "draining" | undefined; zone: string; rack: string; }>();
+    let sequence = 0;
+
+    const addressOf = (worker: string): string => `${worker}:1`;
+    const writeEntry = (id: string): void => {
+        const known = states.get(id);
+        const worker = workers.get(id);
+        if (known?.state === undefined || worker === undefined) {
+            store.put("servers", id, undefined);
+            return;
+        }
+        sequence += 1;
+        store.put("servers", id, {
+            service: "desk",
+            address: addressOf(id),
+            zone: known.zone,
+            version: "v1",
+            slots: 8,
+            state: known.state,
+            coldRemainingMs: 0,
+            capacity: { cpu, memoryRequestMb: 64_000, gpu: 0 },
+            labels: ["a", known.rack],
+            born: worker.bornAt(),
+            sequence,
+            ...(known.state === "draining" ? { remainingMs: 2_500 } : {}),
+        });
+    };
+    network.addDoor(storeAddress, store.door);
+    for (const [zone, count] of Object.entries(options.workers)) {
+        for (let number = 0; number < count; number += 1) {
+            const id = `w-${zone}-${String(number)}`;
+            const worker = createProtocolWorker({
+                id,
+                journal,
+                cpu,
+                failures,
+                longestLease,
+                stopTime,
+                ...(cpuOf === undefined ? {} : { cpuOf }),
+            });
+            workers.set(id, worker);
+            network.addDoor(addressOf(id), worker.door);
+            states.set(id, { state: "ready", zone, rack: `r-${zone}-${String(Math.floor(number / rackSize))}` });
+            writeEntry(id);
+        }
+    }
+    const timer = setInterval(() => {
+        [...states].filter(([, { state }]) => state !== undefined).forEach(([id]) => {
+            writeEntry(id);
+        });
+    }, heartbeatInterval);
+    return {
+        network,
+        store,
+        journal,
+        workers,
+        storeAddress,
+        addressOf,
+        list: (id, state) => {
+            const known = states.get(id);
+            if (known !== undefined) {
+                known.state = state;
+                writeEntry(id);
+            }
+        },
+        configure: document => {
+            store.put("op", "config", document);
+        },
+        stop: () => {
+            clearInterval(timer);
+        },
+    };
+};
--- /dev/null
+++ b/packages/platform-stand-in/src/protocol/protocol-store.ts
@@ -0,0 +1,166 @@
+import type { ProtocolAnswer, ProtocolCall, ProtocolDoor } from "./protocol-answer.js";
+
+/** A row as the wire has it. */
+interface WireRow {
+    readonly table: string;
+    readonly part: string;
+    readonly key: string;
+    readonly value: string;
+    readonly schemaVersion: number;
+    readonly deleted?: boolean;
+}
+
+interface WireTransaction {
+    readonly expectedRevision?: readonly Omit<WireRow, "value">[];
+    readonly puts?: readonly Omit<WireRow, "schemaVersion">[];
+    readonly removals?: readonly Pick<WireRow, "table" | "part" | "key">[];
+    readonly crossPartition?: boolean;
+}
+
+/** Counts of calls by path, for tests of cost. */
+export type CallCounts = ReadonlyMap<string, number>;
+
+/** The platform's store, by its protocol. */
+export interface ProtocolStore {
+    readonly door: ProtocolDoor;
+    readonly counts: CallCounts;
+    /** Writes a row as the operator or a worker does; undefined removes it. */
+    readonly put: (table: string, key: string, value: unknown) => void;
+    readonly rows: (
+        table: string,
+    ) => readonly { readonly part: string; readonly key: string; readonly value: unknown; }[];
+    /** Drops the history, so that feeds have to start anew. */
+    readonly compact: () => void;
+}
+
+const mostEntries = 100;
+const pageSize = 500;
+const rowKey = (row: Pick<WireRow, "table" | "part" | "key">): string =>
+    `${row.table}\u0000${row.part}\u0000${row.key}`;
+const encode = (value: unknown): string => Buffer.from(JSON.stringify(value)).toString("base64");
+const decode = (value: string): unknown => {
+    const text = Buffer.from(value, "base64").toString();
+    try {
+        return JSON.parse(text) as unknown;
+    }
+    catch {
+        return text;
+    }
+};
+
+/** Creates an empty store. */
+export const createProtocolStore = (): ProtocolStore => {
+    const rows = new Map<string, WireRow>();
+    const counts = new Map<string, number>();
+    const waiting = new Set<() => void>();
+    let history: WireRow[] = [];
+    let forgottenUpTo = 0;
+    let version = 0;
+
+    const stamp = (): { schemaVersion: number; nowMs: number; } => ({
+        schemaVersion: version,
+        nowMs: Math.round(performance.now()),
+    });
+    const write = (row: Omit<WireRow, "schemaVersion">): void => {
+        const written = { ...row, schemaVersion: version };
+        rows.set(rowKey(row), written);
+        history.push(written);
+    };
+    const remove = (row: Pick<WireRow, "table" | "part" | "key">): void => {
+        const { table, part, key } = row;
+        if (rows.delete(rowKey(row))) {
+            history.push({ table, part, key, value: "", schemaVersion: version, deleted: true });
+        }
+    };
+    const wakeAll = (): void => {
+        [...waiting].forEach(wake => {
+            wake();
+        });
+    };
+    const transact = (
+        { expectedRevision = [], puts = [], removals = [], crossPartition }: WireTransaction,
+    ): ProtocolAnswer => {
+        const all = [...expectedRevision, ...puts, ...removals];
+        const parts = new Set(all.map(row => row.part));
+        if (all.length > mostEntries || parts.size > 1 && crossPartition !== true) {
+            return { status: 400 };
+        }
+        if (puts.some(row => row.table === "servers" || row.table === "op")) {
+            return { status: 403 };
+        }
+        if (expectedRevision.some(row => (rows.get(rowKey(row))?.schemaVersion ?? 0) !== row.schemaVersion)) {
+            const current = expectedRevision.flatMap(row => rows.get(rowKey(row)) ?? []);
+            return { status: 412, body: { rows: current, ...stamp() } };
+        }
+        version += 1;
+        puts.forEach(write);
+        removals.forEach(remove);
+        wakeAll();
+        return { status: 200, body: stamp() };
+    };
+    const read = ({ query }: ProtocolCall): ProtocolAnswer => {
+        const from = query.get("from") ?? "";
+        const limit = Math.min(pageSize, Number(query.get("limit") ?? pageSize));
+        const found = [...rows.values()]
+            .filter(row =>
+                row.table === query.get("table") && row.part === (query.get("part") ?? "") && row.key >= from
+            )
+            .sort((left, right) => left.key < right.key ? -1 : 1);
+        return { status: 200, body: { rows: found.slice(0, limit), hasMore: found.length > limit, ...stamp() } };
+    };
+    const changesAfter = (table: string | null, after: number): readonly WireRow[] =>
+        history.filter(row => row.table === table && row.schemaVersion > after);
+    const follow = async ({ query }: ProtocolCall): Promise<ProtocolAnswer> => {
+        const after = Number(query.get("after"));
+        const table = query.get("table");
+        if (after < forgottenUpTo) {
+            return { status: 410 };
+        }
+        const deadline = performance.now() + Number(query.get("waitMs") ?? 0);
+        while (changesAfter(table, after).length === 0 && performance.now() < deadline) {
+            await new Promise<void>(resolve => {
+                const timer = setTimeout(resolve, deadline - performance.now());
+                const wake = (): void => {
+                    clearTimeout(timer);
+                    waiting.delete(wake);
+                    resolve();
+                };
+                waiting.add(wake);
+            });
+        }
+        return after < forgottenUpTo
+            ? { status: 410 }
+            : { status: 200, body: { rows: changesAfter(table, after), ...stamp() } };
+    };
+    const doors: Record<string, ProtocolDoor> = {
+        "POST /api/rows-tx": ({ body }) => transact(body as WireTransaction),
+        "GET /api/rows-get": read,
+        "GET /api/rows-feed": follow,
+    };
+    return {
+        counts,
+        door: call => {
+            const name = `${call.method} ${call.path}`;
+            counts.set(name, (counts.get(name) ?? 0) + 1);
+            return doors[name]?.(call) ?? { status: 404 };
+        },
+        put: (table, key, value) => {
+            version += 1;
+            if (value === undefined) {
+                remove({ table, part: "", key });
+            }
+            else {
+                write({ table, part: "", key, value: encode(value) });
+            }
+            wakeAll();
+        },
+        rows: table =>
+            [...rows.values()].filter(row => row.table === table)
+                .map(({ part, key, value }) => ({ part, key, value: decode(value) })),
+        compact: () => {
+            history = [];
+            forgottenUpTo = version;
+            wakeAll();
+        },
+    };
+};
--- a/packages/workflow/src/cell/accept-workflow.ts
+++ b/packages/workflow/src/cell/accept-workflow.ts
@@ -25,7 +25,7 @@
 /** Milliseconds between two tries to learn what became of a write without answer. */
 const retryDelay = 150;
 /** Tries to store a workflow; with a call's time-out they take less than a submitter's usual deadline. */
-const tries = 3;
+const tries = 2;
 
 /** Takes over a workflow whose rows stand already: a repeated submission, or an earlier write without answer. */
 const readEarlier = async (
--- a/packages/workflow/src/cell/lease-horizon.ts
+++ b/packages/workflow/src/cell/lease-horizon.ts
@@ -15,8 +15,8 @@
     /** Longest time for which the worker accepts a deadline, in ms. */
     readonly longestLease: number;
     readonly drift: number;
-    /** Longest delay in ms of an order that is never answered; such an order's time may count from its arrival. */
-    readonly lateOrderTime: number;
+    /** Longest delay in ms with which a deadline that was never answered may still arrive; its time counts from then. */
+    readonly lateOrderTime: () => number;
     /** First value: until when deadlines of an earlier holder may hold. */
     readonly initial: number;
 }
@@ -25,18 +25,17 @@
 export const createLeaseHorizon = (options: LeaseHorizonOptions): LeaseHorizon => {
     const { longestLease, drift, lateOrderTime } = options;
     let until = options.initial;
-    const unanswered = new Set<number>();
+    const unanswered = new Set<{ readonly until: number; }>();
     return {
         noteSent: length => {
-            const sentAt = performance.now();
             const bounded = Math.min(Math.max(0, length), longestLease) / (1 - drift);
-            const worst = sentAt + lateOrderTime + bounded;
-            unanswered.add(worst);
+            const sent = { until: performance.now() + bounded };
+            unanswered.add(sent);
             return () => {
-                unanswered.delete(worst);
+                unanswered.delete(sent);
                 until = Math.max(until, performance.now() + bounded);
             };
         },
-        until: () => Math.max(until, ...unanswered),
+        until: () => Math.max(until, ...[...unanswered].map(sent => sent.until + lateOrderTime())),
     };
 };
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -52,6 +52,8 @@
     /** The worker obeys a higher epoch. */
     readonly onFenced: (session: WorkerSession) => void;
     readonly onContact: (session: WorkerSession) => void;
+    /** A call stayed without answer although the worker answers others: it may still be carried out. */
+    readonly onLateOrder: (session: WorkerSession) => void;
 }
 
 /** Options of {@link createWorkerSession}. */
@@ -64,6 +66,8 @@
     readonly events: SessionEvents;
     /** Whether something runs or is about to run on the worker. */
     readonly isBusy: () => boolean;
+    /** Whether orders without answer are carried out late in these minutes. */
+    readonly hasLateOrders: () => boolean;
     /** Milliseconds on the steady clock until which an earlier holder's leases may last. */
     readonly inheritedUntil: number;
 }
@@ -82,20 +86,25 @@
 const stopInterval = 300;
 /** Remaining share of a lease below which it is extended. */
 const extensionShare = 0.6;
+/** Milliseconds after a call without answer within which another answer shows that the worker was not away. */
+const lateOrderSign = 3_000;
 /** Milliseconds added to a lapsed lease before its tasks run elsewhere; covers the time to read the answer. */
 const lapseMargin = 100;
 
 /** Creates the session of a worker; `run` starts it. */
 export const createWorkerSession = (options: WorkerSessionOptions): WorkerSession => {
-    const { epoch, gateway, timing, logger, events, isBusy } = options;
+    const { epoch, gateway, timing, logger, events, isBusy, hasLateOrders } = options;
     const lease = leaseLength(timing);
     const clock = createWorkerClock(lease, timing.clockDrift);
     const wake = createWakeUp();
-    let horizon: LeaseHorizon = createLeaseHorizon({
-        ...timing,
-        drift: timing.clockDrift,
-        initial: options.inheritedUntil,
-    });
+    const newHorizon = (initial: number): LeaseHorizon =>
+        createLeaseHorizon({
+            longestLease: timing.longestLease,
+            drift: timing.clockDrift,
+            lateOrderTime: () => hasLateOrders() ? timing.lateOrderTime : 0,
+            initial,
+        });
+    let horizon = newHorizon(options.inheritedUntil);
     let entry = options.entry;
     let isListed = true;
     let contact: Contact = "unknown";
@@ -105,6 +114,8 @@
     /** Deadline that the worker is known to have. */
     let grantedDeadline = 0;
     let failures = 0;
+    /** Steady ms of the last call without answer. */
+    let unansweredAt = -Infinity;
 
     const setContact = (next: Contact, details: object): void => {
         if (next !== contact) {
@@ -119,7 +130,7 @@
         listedEnd = 0;
         grantedDeadline = 0;
         bornAt = undefined;
-        horizon = createLeaseHorizon({ ...timing, drift: timing.clockDrift, initial: 0 });
+        horizon = newHorizon(0);
         events.onCleared(session, reason);
     };
     const noteBirth = (born: number): void => {
@@ -134,6 +145,7 @@
             return;
         }
         failures += 1;
+        unansweredAt = error.kind === "unknown" ? performance.now() : unansweredAt;
         if (failures >= 2 && contact === "known") {
             setContact("silent", { error: error.kind, leasedFor: Math.round(horizon.until() - performance.now()) });
         }
@@ -147,6 +159,10 @@
         noteBirth(report.bornAt);
         bornAt = report.bornAt;
         failures = 0;
+        if (contact === "known" && performance.now() - unansweredAt < lateOrderSign) {
+            events.onLateOrder(session);
+        }
+        unansweredAt = -Infinity;
         clock.note(report.clock);
         listedEnd = Math.max(listedEnd, ...report.ended.map(row => row.number));
         const isFirst = contact === "unknown" || contact === "lapsed";
@@ -217,6 +233,9 @@
             if (result.isOk || result.error.kind !== "unknown") {
                 answered();
             }
+            else {
+                unansweredAt = performance.now();
+            }
             if (result.isOk) {
                 clock.note(result.value);
                 grantedDeadline = Math.max(grantedDeadline, deadline);
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -93,6 +93,8 @@
 const quarantine = 2_000;
 /** Milliseconds of the longest quarantine; workers recover within some ten seconds or are replaced. */
 const quarantineLimit = 8_000;
+/** Milliseconds for which orders without answer count as possibly late once one of them was seen to be. */
+const lateOrderMemory = 60_000;
 /** Starts a worker may get before it has shown successes; placement bounds them by room. */
 const startLimit = 1_000;
 
@@ -117,6 +119,7 @@
     const rosterIds = new Set<WorkerId>();
     let rosterVersion = 0;
     let isActive = false;
+    let lateOrdersUntil = -Infinity;
     let accepted: JobId[] = [];
     /** Steady ms by which leases that earlier holders gave have run out. */
     const inheritedUntil = options.takenAt
@@ -240,6 +243,12 @@
         onContact: () => {
             passWanted.notify();
         },
+        onLateOrder: session => {
+            if (performance.now() >= lateOrdersUntil) {
+                logger.info({ cell, worker: session.id }, "orders without answer may be carried out late");
+            }
+            lateOrdersUntil = performance.now() + lateOrderMemory;
+        },
     };
     const addWorker = (entry: WorkerEntry): void => {
         const isNew = !rosterIds.has(entry.id);
@@ -252,6 +261,7 @@
             logger,
             events,
             isBusy: () => book.ofWorker(entry.id).size > 0,
+            hasLateOrders: () => performance.now() < lateOrdersUntil,
             // A worker that no roster names can't have been given anything.
             inheritedUntil: isNew ? 0 : inheritedUntil,
         });
