--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -141,7 +141,7 @@
                 return Result.err({ kind: "unknown", message: `${to.id} gave no reply` });
             }
             const message = { kind, body: structuredClone(body) };
-            const reply = await target.handlePeer(message as never, () => undefined);
+            const reply = await target.handlePeer(message, () => undefined);
             await pause(peerLatency);
             return isAlive() && hosts.get(to.id) === target
                 ? Result.ok(structuredClone(reply) as never)
--- a/packages/workflow/src/cell/neighbour-watch.ts
+++ b/packages/workflow/src/cell/neighbour-watch.ts
@@ -6,6 +6,8 @@
 import { planPaces } from "../policy/pace-plan.js";
 import type { PressureModel, ServingSample } from "../policy/pressure-model.js";
 import { servingSlack } from "../policy/serving-slack.js";
+import type { TailBrake } from "../policy/tail-brake.js";
+import { createTailBrake } from "../policy/tail-brake.js";
 import type { CellWorker } from "./cell-workers.js";
 import type { Run } from "./run.js";
 
@@ -13,6 +15,8 @@
 export interface NeighbourWatch {
     /** Takes in a worker's report. */
     readonly review: (worker: CellWorker, runs: readonly Run[]) => void;
+    /** Whether serving tasks and tasks on spare processor time stand side by side. */
+    readonly isNeeded: (runs: readonly Run[]) => boolean;
     /** Slack of the worker's serving tasks once a task of the step is added; see `servingSlack`. */
     readonly slackWith: (worker: CellWorker, runs: readonly Run[], step: Step) => number;
 }
@@ -36,6 +40,7 @@
 /** Creates a watch that has seen nothing. */
 export const createNeighbourWatch = ({ model, throttle, logger }: NeighbourWatchOptions): NeighbourWatch => {
     const reviewedAt = new Map<WorkerId, number>();
+    const brakes = new Map<WorkerId, TailBrake>();
 
     const servingRuns = (runs: readonly Run[]): readonly Run[] =>
         runs.filter(run => run.step.tailTarget !== undefined && run.phase === "running" && run.percent >= 100);
@@ -70,15 +75,19 @@
     };
     const setPaces = (worker: CellWorker, runs: readonly Run[]): void => {
         const spare = spareRuns(runs).filter(run => run.phase === "running");
+        const brake = brakes.get(worker.session.id) ?? createTailBrake();
+        brakes.set(worker.session.id, brake);
+        const tails = servingRuns(runs).map(run => run.measure / (run.step.tailTarget ?? Infinity));
+        const level = brake.note(Math.max(0, ...tails));
         const needs = servingRuns(runs).map(run => needOf(run, "ownSpeed"));
         const paces = planPaces(needs, spare.map(run => spareTask(worker, run.step)), model.pressure);
         spare.forEach((run, index) => {
-            const planned = Math.round((paces[index] ?? 1) * 100);
+            const planned = Math.round((paces[index] ?? 1) * level * 100);
             const pace = planned < leastPace ? 0 : planned;
             const isEnd = pace !== run.pace && (pace === 0 || pace === 100);
             if (isEnd || Math.abs(pace - run.pace) >= leastChange) {
                 const { job } = run.position;
-                logger.info({ job, task: run.task, worker: run.worker, from: run.pace, to: pace }, "pace set");
+                logger.info({ job, task: run.task, worker: run.worker, from: run.pace, to: pace, level }, "pace set");
                 throttle(run, pace);
             }
         });
@@ -94,6 +103,8 @@
             learn(worker, runs, now);
             setPaces(worker, runs);
         },
+        isNeeded: runs =>
+            runs.some(run => run.step.usesSpareCpu) && runs.some(run => run.step.tailTarget !== undefined),
         slackWith: (worker, runs, step) =>
             servingSlack(
                 runs.filter(run => run.step.tailTarget !== undefined).map(run => needOf(run, "floorSpeed")),
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -140,10 +140,12 @@
         const fitting = [...workers.values()].filter(worker =>
             mayStartOn(worker, queue.service, step)
             && (rack === undefined || worker.session.entry().rack === rack)
-            && health.allowance(worker.session.id) > 0
             && (step.perWorkerLimit === undefined || tasksOfStageOn(worker, candidate) < step.perWorkerLimit)
         );
-        const best = chooseWorker(step, fitting.map(worker => describe(worker, step, task)));
+        const trusted = fitting.filter(worker => health.allowance(worker.session.id) > 0);
+        // A task that lasts rather tries a worker in quarantine than stay away.
+        const considered = trusted.length === 0 && step.isLasting ? fitting : trusted;
+        const best = chooseWorker(step, considered.map(worker => describe(worker, step, task)));
         return best === undefined ? undefined : workers.get(best.id);
     };
     const startOne = (candidate: Candidate, index: number, worker: CellWorker, number?: number): void => {
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -66,6 +66,8 @@
     readonly events: SessionEvents;
     /** Whether something runs or is about to run on the worker. */
     readonly isBusy: () => boolean;
+    /** Whether tasks on the worker may disturb each other, so that its figures have to be fresh. */
+    readonly isWatched: () => boolean;
     /** Whether orders without answer are carried out late in these minutes. */
     readonly hasLateOrders: () => boolean;
     /** Milliseconds on the steady clock until which an earlier holder's leases may last. */
@@ -74,6 +76,8 @@
 
 /** Milliseconds that a worker may wait for an end before it answers a look; longer would hide a silent connection. */
 const lookWait = 1_000;
+/** As `lookWait`, where tasks may disturb each other; the worker's figures cover the last half second. */
+const watchWait = 400;
 /** Milliseconds after a look in which further ends gather, so that a look finds several. */
 const gatherTime = 25;
 /** Milliseconds between looks at a worker that runs nothing; keeps its clock's reading fresh. */
@@ -93,7 +97,7 @@
 
 /** Creates the session of a worker; `run` starts it. */
 export const createWorkerSession = (options: WorkerSessionOptions): WorkerSession => {
-    const { epoch, gateway, timing, logger, events, isBusy, hasLateOrders } = options;
+    const { epoch, gateway, timing, logger, events, isBusy, isWatched, hasLateOrders } = options;
     const lease = leaseLength(timing);
     const clock = createWorkerClock(lease, timing.clockDrift);
     const wake = createWakeUp();
@@ -277,7 +281,7 @@
         run: async signal => {
             while (!signal.aborted) {
                 const canWait = contact === "known" && failures === 0 && isBusy() && listedEnd <= recordedEnd;
-                const wasAnswered = await look(canWait ? lookWait : 0);
+                const wasAnswered = await look(canWait ? isWatched() ? watchWait : lookWait : 0);
                 await pause(wasAnswered, signal);
             }
             gateway.forget(entry);
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -93,6 +93,8 @@
 const quarantine = 2_000;
 /** Milliseconds of the longest quarantine; workers recover within some ten seconds or are replaced. */
 const quarantineLimit = 8_000;
+/** Milliseconds of work after which the failure of a lasting task does not tell against its worker. */
+const earlyFailure = 1_500;
 /** Milliseconds for which orders without answer count as possibly late once one of them was seen to be. */
 const lateOrderMemory = 60_000;
 /** Starts a worker may get before it has shown successes; placement bounds them by room. */
@@ -169,7 +171,9 @@
     const learn = ({ run, outcome, error }: RunEnd): void => {
         const { step, position, worker, ledger } = run;
         metrics.runEnds.inc({ queue: ledger.workflow.queue.name, outcome: error ?? outcome });
-        if (outcome === "failed") {
+        // Tasks that last never end well, so that only an early failure says something of their worker.
+        const isEarly = performance.now() - run.startedAt < earlyFailure;
+        if (outcome === "failed" && (!step.isLasting || isEarly)) {
             const tried = failedOn.get(run.task) ?? new Set();
             failedOn.set(run.task, tried.add(worker));
             health.recordEnd(worker, position.job, true);
@@ -261,6 +265,7 @@
             logger,
             events,
             isBusy: () => book.ofWorker(entry.id).size > 0,
+            isWatched: () => neighbours.isNeeded([...book.ofWorker(entry.id)]),
             hasLateOrders: () => performance.now() < lateOrdersUntil,
             // A worker that no roster names can't have been given anything.
             inheritedUntil: isNew ? 0 : inheritedUntil,
--- a/packages/workflow/src/entry/cell-keeper.ts
+++ b/packages/workflow/src/entry/cell-keeper.ts
@@ -55,7 +55,9 @@
 /** Milliseconds since its last answer from the store within which a peer counts as reaching it. */
 const storeContactAge = 1_500;
 /** Factor on the store's delay after which a cell that nobody ever held is taken; spreads hosts by their distance. */
-const firstLookFactor = 10;
+const firstLookFactor = 20;
+/** Milliseconds from reading the plan until a cell that nobody ever held is taken; other hosts read it meanwhile. */
+const firstLookWait = 300;
 /** Milliseconds between two offers of one cell. */
 const offerInterval = 700;
 
@@ -69,6 +71,7 @@
     /** Versions of rows in which this host has seen other holders, with the time at which it first saw them. */
     const seenRows = new Map<CellId, { readonly version: number; readonly at: number; }>();
     let isStopping = false;
+    let ranSince = startedAt;
 
     const isTaken = (cell: CellId): boolean => cells.has(cell) || claims.fresh(cell) !== undefined;
     const take = async (cell: CellId, row: CellRow, reason: string): Promise<boolean> => {
@@ -109,8 +112,10 @@
     const reviewFree = async (cell: CellId, failureDomains: readonly FailureDomainId[]): Promise<void> => {
         const isFirstLook = !seenRows.has(cell) && claims.heardAt(cell) === undefined;
         // At the first start of all, the host that is nearest to the store should come first.
-        const wait = isFirstLook ? self.storeDelay * firstLookFactor : patience(cell, failureDomains);
-        if (silence(cell) < wait) {
+        const isTooSoon = isFirstLook
+            ? performance.now() - ranSince < firstLookWait + self.storeDelay * firstLookFactor
+            : silence(cell) < patience(cell, failureDomains);
+        if (isTooSoon) {
             return;
         }
         const row = await readCellRow(store, cell);
@@ -217,6 +222,7 @@
             }
         },
         run: async signal => {
+            ranSince = performance.now();
             while (!signal.aborted) {
                 plan()?.cells.forEach(planned => void reviewOnce(planned));
                 await sleep(reviewInterval, signal);
--- a/packages/workflow/src/entry/cell-plan.ts
+++ b/packages/workflow/src/entry/cell-plan.ts
@@ -37,8 +37,8 @@
 const singleCell = "all" as CellId;
 /** Milliseconds between tries. */
 const retryInterval = 200;
-/** Tries for which a list without workers is taken to be incomplete. */
-const emptyListTries = 15;
+/** Milliseconds for which the list of workers must not grow before it is taken to be complete: a heartbeat and more. */
+const settleTime = 1_500;
 
 const divide = (workers: readonly WorkerEntry[], failureDomains: readonly FailureDomainId[]): CellPlan =>
     workers.length <= largestSingleCell
@@ -49,14 +49,20 @@
 export const readCellPlan = async (options: CellPlanOptions): Promise<CellPlan | undefined> => {
     const { store, directory, failureDomains, logger, signal } = options;
     const key = tables.cellPlan;
-    for (let attempt = 0; !signal.aborted; attempt += 1) {
+    let known = -1;
+    let grewAt = 0;
+    while (!signal.aborted) {
         const read = await store.read(key.table, key.partition, key.key);
         const [row] = read.isOk ? read.value.rows : [];
         if (row !== undefined) {
             return cellPlan.parse(JSON.parse(row.value));
         }
         const workers = read.isOk ? await directory.read() : undefined;
-        if (workers?.isOk === true && (workers.value.length > 0 || attempt >= emptyListTries)) {
+        if (workers?.isOk === true && workers.value.length > known) {
+            known = workers.value.length;
+            grewAt = performance.now();
+        }
+        if (workers?.isOk === true && known > 0 && performance.now() - grewAt >= settleTime) {
             const plan = divide(workers.value, failureDomains);
             const value = JSON.stringify(plan);
             const written = await store.commit({ checks: [{ ...key, version: 0 }], writes: [{ ...key, value }] });
--- a/packages/workflow/src/policy/choose-worker.ts
+++ b/packages/workflow/src/policy/choose-worker.ts
@@ -9,6 +9,8 @@
 const sameImageWeight = 0.6;
 /** Weight of serving tasks of other images, each. */
 const otherImageWeight = 0.15;
+/** Least slack, as a share of the target's speed, that serving tasks keep beside a new neighbour. */
+const leastSlack = 0.1;
 /** Largest slack that still makes a difference, as a share of the target's speed. */
 const enoughSlack = 1;
 /** Least share of the processor time asked for that has to lie idle for a task on spare time. */
@@ -18,7 +20,7 @@
 type Score = (step: Step, candidate: WorkerCandidate) => number | undefined;
 
 const scoreSpare: Score = (step, { servingSlack, idleCpu, capacityCpu }) => {
-    if (servingSlack < 0 || idleCpu < step.cpu * leastIdleShare) {
+    if (servingSlack < leastSlack || idleCpu < step.cpu * leastIdleShare) {
         return undefined;
     }
     return Math.min(enoughSlack, servingSlack) + idleCpu / capacityCpu;
--- a/packages/workflow/src/policy/pace-plan.ts
+++ b/packages/workflow/src/policy/pace-plan.ts
@@ -18,7 +18,7 @@
 export type Pressure = (servingImage: string, spareImage: string) => number;
 
 /** Reserve above the target's speed, as a share; reports lag half a second and orders take a tenth. */
-const reserve = 0.12;
+const reserve = 0.25;
 /** Share of all pressure on a serving task below which a neighbour is left alone. */
 const harmlessShare = 0.08;
 
