--- a/packages/workflow/src/cell/neighbour-watch.ts
+++ b/packages/workflow/src/cell/neighbour-watch.ts
@@ -32,11 +32,11 @@
 const reviewInterval = 450;
 /** Smallest change of a pace in percent that is worth an order. */
 const leastChange = 12;
+/** Pressure below which a neighbour is known to be harmless, so that the brake leaves it alone. */
+const harmlessPressure = 1.2;
 /** Percent below which a task is halted: its work would not pay for the disturbance. */
 const leastPace = 10;
 
-const speedOf = (milliseconds: number): number => 1_000 / Math.max(1, milliseconds);
-
 /** Creates a watch that has seen nothing. */
 export const createNeighbourWatch = ({ model, throttle, logger }: NeighbourWatchOptions): NeighbourWatch => {
     const reviewedAt = new Map<WorkerId, number>();
@@ -50,14 +50,10 @@
         image: step.image ?? "",
         share: step.cpu / worker.room.capacity().cpu,
     });
-    const needOf = (run: Run, speed: "ownSpeed" | "floorSpeed"): ServingNeed => {
-        const target = run.step.tailTarget ?? Infinity;
-        return {
-            image: run.step.image ?? "",
-            ownSpeed: model[speed](run.position.job, target),
-            targetSpeed: speedOf(target),
-        };
-    };
+    const needOf = (run: Run, speed: "ownSpeed" | "floorSpeed"): ServingNeed => ({
+        image: run.step.image ?? "",
+        ownSpeed: model[speed](run.position.job),
+    });
     const learn = (worker: CellWorker, runs: readonly Run[], now: number): void => {
         const mix = new Map<string, number>();
         for (const run of spareRuns(runs)) {
@@ -81,8 +77,10 @@
         const level = brake.note(Math.max(0, ...tails));
         const needs = servingRuns(runs).map(run => needOf(run, "ownSpeed"));
         const paces = planPaces(needs, spare.map(run => spareTask(worker, run.step)), model.pressure);
+        const isHarmless = (run: Run): boolean =>
+            needs.every(need => model.pressure(need.image, run.step.image ?? "") < harmlessPressure);
         spare.forEach((run, index) => {
-            const planned = Math.round((paces[index] ?? 1) * level * 100);
+            const planned = Math.round((paces[index] ?? 1) * (isHarmless(run) ? 1 : level) * 100);
             const pace = planned < leastPace ? 0 : planned;
             const isEnd = pace !== run.pace && (pace === 0 || pace === 100);
             if (isEnd || Math.abs(pace - run.pace) >= leastChange) {
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -53,7 +53,7 @@
 }
 
 /** Share of what serving tasks reserve that lies idle: they are sized for their peak. */
-const idleShareOfServing = 0.4;
+const idleShareOfServing = 0.5;
 /** A workflow that takes longer than this multiple of its objective is of no use any more; from the users' rules. */
 const uselessFactor = 3;
 
--- a/packages/workflow/src/policy/pace-plan.ts
+++ b/packages/workflow/src/policy/pace-plan.ts
@@ -1,10 +1,8 @@
-/** A serving task whose tail has to stay below its target, in speeds (see `PressureModel`). */
+/** A serving task whose tail has to stay below its target, that is, whose relative speed above 1 (`PressureModel`). */
 export interface ServingNeed {
     readonly image: string;
     /** Speed beside nobody. */
     readonly ownSpeed: number;
-    /** Speed at the target. */
-    readonly targetSpeed: number;
 }
 
 /** A task on spare processor time. */
@@ -17,14 +15,14 @@
 /** Loss of speed of a serving image for each whole worker's worth of another. */
 export type Pressure = (servingImage: string, spareImage: string) => number;
 
-/** Reserve above the target's speed, as a share; reports lag half a second and orders take a tenth. */
+/** Reserve above the speed at the target; reports lag half a second and orders take a tenth. */
 const reserve = 0.25;
 /** Share of all pressure on a serving task below which a neighbour is left alone. */
 const harmlessShare = 0.08;
 
 /** Share of speed that `task` may have so that `need` is met, given the whole pressure on it. */
 const paceFor = (need: ServingNeed, task: SpareTask, all: number, pressure: Pressure): number => {
-    const budget = need.ownSpeed - need.targetSpeed * (1 + reserve);
+    const budget = need.ownSpeed - (1 + reserve);
     const own = pressure(need.image, task.image) * task.share;
     if (all <= budget || own < all * harmlessShare) {
         return 1;
--- a/packages/workflow/src/policy/serving-slack.ts
+++ b/packages/workflow/src/policy/serving-slack.ts
@@ -1,7 +1,7 @@
 import type { Pressure, ServingNeed, SpareTask } from "./pace-plan.js";
 
 /**
- * Smallest slack of any serving task once `added` runs beside it, as a share of its target's speed: negative where a
+ * Smallest slack of any serving task once `added` runs beside it in relative speed: negative where a
  * target would be missed, infinite where there is no serving task.
  */
 export const servingSlack = (
@@ -17,6 +17,6 @@
                 (sum, task) => sum + pressure(need.image, task.image) * task.share,
                 0,
             );
-            return (need.ownSpeed - loss) / need.targetSpeed - 1;
+            return need.ownSpeed - loss - 1;
         }),
     );
