Test ledgers, clocks, leases, orders of work, pressures and paces without network

Found by them: two modules took the clock from node:perf_hooks, which fake time does not replace, so that cases of the cluster ran lapsing leases by the real clock; they use the global clock now.

--- a/packages/workflow/src/cell/lease-horizon.ts
+++ b/packages/workflow/src/cell/lease-horizon.ts
@@ -1,5 +1,3 @@
-import { performance } from "node:perf_hooks";
-
 /**
  * Time of our steady clock after which a worker can't run anything any more, going by the deadlines it was sent. Our
  * clock may stand still, which only makes the wait longer.
--- a/packages/workflow/src/cell/worker-clock.ts
+++ b/packages/workflow/src/cell/worker-clock.ts
@@ -1,5 +1,3 @@
-import { performance } from "node:perf_hooks";
-
 /** A reading of a worker's clock, with the time of our steady clock at which the answer arrived. */
 interface Sample {
     readonly clock: number;
--- /dev/null
+++ b/packages/workflow/tests/choose-worker.test.ts
@@ -0,0 +1,62 @@
+import type { WorkerId } from "@jayfront/world";
+import { describe, expect, it } from "@jest/globals";
+
+import { chooseWorker } from "../src/policy/choose-worker.js";
+import type { WorkerCandidate } from "../src/policy/worker-candidate.js";
+import { testStep } from "./test-step.js";
+
+const candidate = (id: string, changes: Partial<WorkerCandidate> = {}): WorkerCandidate => ({
+    id: id as WorkerId,
+    rack: "r-1",
+    capacityCpu: 10_000,
+    freeCpu: 6_000,
+    idleCpu: 6_000,
+    servingImages: new Map(),
+    servingSlack: Infinity,
+    hasFailedBefore: false,
+    ...changes,
+});
+
+describe("the choice of a worker", () => {
+    const serving = testStep({ isLasting: true, tailTarget: 50, image: "a" });
+    const spare = testStep({ usesSpareCpu: true, image: "x" });
+
+    it.each([
+        ["the freest for plain tasks", testStep(), [candidate("w1"), candidate("w2", { freeCpu: 8_000 })], "w2"],
+        ["the rack of the data before room", testStep({ preferredRack: "r-2" }), [
+            candidate("w1", { freeCpu: 9_000 }),
+            candidate("w2", { rack: "r-2" }),
+        ], "w2"],
+        ["another worker after a failure", testStep(), [
+            candidate("w1", { freeCpu: 9_000, hasFailedBefore: true }),
+            candidate("w2"),
+        ], "w2"],
+        ["the failed one where there is no other", testStep(), [candidate("w1", { hasFailedBefore: true })], "w1"],
+        ["serving tasks of one image together", serving, [
+            candidate("w1", { servingImages: new Map([["b", 1]]) }),
+            candidate("w2", { freeCpu: 3_000, servingImages: new Map([["a", 2]]) }),
+        ], "w2"],
+        ["an empty worker rather than one of another image", serving, [
+            candidate("w1", { servingImages: new Map([["b", 1]]) }),
+            candidate("w2"),
+        ], "w2"],
+        ["the most slack for tasks that disturb", spare, [
+            candidate("w1", { servingSlack: 0.2 }),
+            candidate("w2", { servingSlack: 0.7 }),
+        ], "w2"],
+        [
+            "no worker whose serving tasks would miss their targets",
+            spare,
+            [candidate("w1", { servingSlack: 0.05 })],
+            undefined,
+        ],
+        [
+            "no worker whose processors are busy, for tasks on spare time",
+            spare,
+            [candidate("w1", { idleCpu: 500 })],
+            undefined,
+        ],
+    ])("takes %s", (...[, step, candidates, expected]) => {
+        expect(chooseWorker(step, candidates)?.id).toBe(expected);
+    });
+});
--- /dev/null
+++ b/packages/workflow/tests/urgency.test.ts
@@ -0,0 +1,49 @@
+import { describe, expect, it } from "@jest/globals";
+
+import { criticalPath } from "../src/policy/critical-path.js";
+import { remainingPath } from "../src/policy/remaining-path.js";
+import type { Urgency } from "../src/policy/urgency.js";
+import { compareUrgency } from "../src/policy/urgency.js";
+import { testStep } from "./test-step.js";
+
+const urgency = (changes: Partial<Urgency>): Urgency => ({
+    isLasting: false,
+    priority: 1,
+    laxity: 500,
+    lateLaxity: 5_000,
+    ...changes,
+});
+
+describe("the order of work under overload", () => {
+    it.each([
+        ["missing lasting tasks before all else", { isLasting: true, priority: 2 }, { priority: 0 }],
+        ["lower numbers of priority first", { priority: 0, laxity: 900 }, { priority: 1, laxity: 100 }],
+        ["the least laxity within a priority", { laxity: 100 }, { laxity: 900 }],
+        ["work in time before work that is late", { laxity: 10, priority: 2 }, { laxity: -10, priority: 0 }],
+        ["late work before work of no use any more", { laxity: -10, priority: 2 }, {
+            laxity: -10,
+            lateLaxity: -1,
+            priority: 0,
+        }],
+    ])("puts %s", (...[, first, second]) => {
+        expect(compareUrgency(urgency(first), urgency(second))).toBeLessThan(0);
+        expect(compareUrgency(urgency(second), urgency(first))).toBeGreaterThan(0);
+    });
+});
+
+describe("chains of steps", () => {
+    const steps = [
+        testStep({ expectedRunTime: 100 }),
+        testStep({ expectedRunTime: 300 }),
+        testStep({ expectedRunTime: 50, after: [0, 1] }),
+        testStep({ expectedRunTime: 10, after: [0] }),
+    ];
+    const runTime = (step: { expectedRunTime: number; }): number => step.expectedRunTime;
+
+    it("are as long as their longest", () => {
+        expect(criticalPath(steps, runTime)).toBe(350);
+    });
+    it.each([[0, 150], [1, 350], [2, 50], [3, 10], [9, 0]])("from step %i take %i ms", (number, expected) => {
+        expect(remainingPath(steps, number, runTime)).toBe(expected);
+    });
+});
--- /dev/null
+++ b/packages/workflow/tests/worker-clock.test.ts
@@ -0,0 +1,110 @@
+import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
+
+import { createEndQueue } from "../src/cell/end-queue.js";
+import { createLeaseHorizon } from "../src/cell/lease-horizon.js";
+import { createWorkerClock } from "../src/cell/worker-clock.js";
+
+const lease = 5_000;
+const drift = 0.02;
+
+describe("deadlines on a worker's clock", () => {
+    beforeEach(() => {
+        jest.useFakeTimers();
+    });
+    afterEach(() => {
+        jest.useRealTimers();
+    });
+
+    it("count from the last proof of the cell's lease, by a reading taken before it was sent", () => {
+        const clock = createWorkerClock(lease, drift);
+        clock.note(100_000);
+        jest.advanceTimersByTime(1_000);
+        const proven = clock.noteProofSent();
+        jest.advanceTimersByTime(500);
+        proven();
+        // 980 ms of the worker's clock at least have passed until the proof was sent.
+        expect(clock.deadline()).toBe(100_980 + lease);
+    });
+
+    it("ignore a reading that arrived after the proof was sent", () => {
+        const clock = createWorkerClock(lease, drift);
+        const proven = clock.noteProofSent();
+        clock.note(100_000);
+        proven();
+        expect(clock.deadline()).toBeUndefined();
+    });
+
+    it("never move back, and belong to one life of the worker", () => {
+        const clock = createWorkerClock(lease, drift);
+        clock.note(100_000);
+        clock.noteProofSent()();
+        const late = clock.noteProofSent();
+        expect(clock.deadline()).toBe(100_000 + lease);
+        clock.reset();
+        expect(clock.deadline()).toBeUndefined();
+        late();
+        expect(clock.deadline()).toBeUndefined();
+    });
+});
+
+describe("the end of a worker's leases", () => {
+    beforeEach(() => {
+        jest.useFakeTimers();
+    });
+    afterEach(() => {
+        jest.useRealTimers();
+    });
+    const horizon = (late = 0): ReturnType<typeof createLeaseHorizon> =>
+        createLeaseHorizon({ longestLease: 6_000, drift, lateOrderTime: () => late, initial: 0 });
+
+    it("counts an answered deadline from its answer, at the slowest clock", () => {
+        const leases = horizon();
+        const answered = leases.noteSent(4_900);
+        jest.advanceTimersByTime(200);
+        const now = performance.now();
+        answered();
+        expect(leases.until() - now).toBeCloseTo(5_000);
+    });
+
+    it("counts one without answer from its latest arrival where orders come late", () => {
+        const leases = horizon(12_000);
+        const now = performance.now();
+        leases.noteSent(4_900);
+        expect(leases.until() - now).toBeCloseTo(17_000);
+    });
+
+    it("never counts more than the longest lease", () => {
+        const leases = horizon();
+        leases.noteSent(60_000)();
+        expect(leases.until() - performance.now()).toBeCloseTo(6_000 / 0.98);
+    });
+});
+
+describe("the queue of a worker's ends", () => {
+    it("lets the worker forget ends in order, once each is stored", () => {
+        const recorded: number[] = [];
+        const queue = createEndQueue(number => recorded.push(number));
+        const first = queue.add(3, 1);
+        queue.add(5, 0);
+        // Later ends that need no write must not take earlier ones with them.
+        expect(recorded).toEqual([]);
+        first();
+        expect(recorded).toEqual([5]);
+    });
+
+    it("takes each end in once", () => {
+        const queue = createEndQueue(() => undefined);
+        queue.add(4, 1);
+        expect([3, 4, 5].map(queue.isNew)).toEqual([false, false, true]);
+    });
+
+    it("waits for all writes of a report", () => {
+        const recorded: number[] = [];
+        const queue = createEndQueue(number => recorded.push(number));
+        const written = queue.add(2, 2);
+        written();
+        expect(recorded).toEqual([]);
+        written();
+        expect(recorded).toEqual([2]);
+    });
+});
--- /dev/null
+++ b/packages/workflow/tests/workflow-ledger.test.ts
@@ -0,0 +1,111 @@
+import type { JobId, ServiceId } from "@jayfront/world";
+import { describe, expect, it } from "@jest/globals";
+
+import type { TaskPosition, WorkflowLedger } from "../src/ledger/workflow-ledger.js";
+import { createWorkflowLedger } from "../src/ledger/workflow-ledger.js";
+import { workflowProgress } from "../src/ledger/workflow-progress.js";
+import type { Step } from "../src/model/step.js";
+import type { Schedule, Workflow } from "../src/model/workflow.js";
+import { testStep } from "./test-step.js";
+
+const workflow = (steps: readonly Step[], schedule?: Schedule): Workflow => ({
+    id: "00000000000000aa" as JobId,
+    queue: {
+        name: "r-a",
+        hostName: "a.example",
+        pathPrefix: "/a/",
+        service: "desk" as ServiceId,
+        priority: 0,
+        maxAttempts: 2,
+        slackFactor: 2,
+        latencyTarget: 100,
+    },
+    payload: "",
+    steps,
+    acceptedAt: 0,
+    ...(schedule === undefined ? {} : { schedule }),
+});
+const at = (step: number, index = 0, occurrence = 0): TaskPosition => ({ occurrence, step, index });
+const written = (ledger: WorkflowLedger): WorkflowLedger => {
+    ledger.noteWritten(ledger.revision());
+    return ledger;
+};
+const openSteps = (ledger: WorkflowLedger, now = 0): string[] =>
+    ledger.openStages(now, 0).map(stage => `${String(stage.occurrence)}.${String(stage.number)}`);
+const reload = (ledger: WorkflowLedger): WorkflowLedger =>
+    createWorkflowLedger(ledger.workflow, workflowProgress.parse(JSON.parse(JSON.stringify(ledger.progress()))));
+
+describe("a workflow's ledger", () => {
+    it("opens a step once all tasks of the steps before it are done and stored", () => {
+        const ledger = createWorkflowLedger(workflow([testStep({ count: 2 }), testStep({ after: [0] })]));
+        expect(openSteps(ledger)).toEqual(["0.0"]);
+        ledger.noteDone(at(0, 0));
+        ledger.noteDone(at(0, 1));
+        // The ends are not stored, so that a new holder would run the first step again.
+        expect(openSteps(ledger)).toEqual([]);
+        expect(openSteps(written(ledger))).toEqual(["0.1"]);
+        ledger.noteDone(at(1));
+        expect(ledger.state()).toBe("completed");
+    });
+
+    it("fails at the limit of one task's failed runs, not of all tasks together", () => {
+        const ledger = createWorkflowLedger(workflow([testStep({ count: 3 })]));
+        ledger.noteFailure(at(0, 0));
+        ledger.noteFailure(at(0, 1));
+        ledger.noteFailure(at(0, 2));
+        expect(ledger.isSettled()).toBe(false);
+        ledger.noteFailure(at(0, 1));
+        expect(ledger.state()).toBe("failed");
+    });
+
+    it("counts failed runs of a gang together and takes one end for all", () => {
+        const failed = createWorkflowLedger(workflow([testStep({ count: 3, isGang: true })]));
+        failed.noteFailure(at(0, 0));
+        failed.noteFailure(at(0, 2));
+        expect(failed.state()).toBe("failed");
+        const done = createWorkflowLedger(workflow([testStep({ count: 3, isGang: true })]));
+        done.noteDone(at(0, 1));
+        expect(done.state()).toBe("completed");
+    });
+
+    it("never ends a step that lasts, however its tasks end", () => {
+        const ledger = createWorkflowLedger(workflow([testStep({ isLasting: true })]));
+        ledger.noteStart(at(0));
+        for (let run = 0; run < 5; run += 1) {
+            ledger.noteFailure(at(0));
+            ledger.noteDone(at(0));
+        }
+        expect(ledger.state()).toBe("running");
+        ledger.noteCancelled();
+        expect(ledger.state()).toBe("cancelled");
+    });
+
+    it("opens occurrences when they are due, also beside earlier ones", () => {
+        const ledger = createWorkflowLedger(
+            workflow([testStep()], { repetitions: 3, firstDue: 1_000, interval: 500 }),
+        );
+        expect(openSteps(ledger, 999)).toEqual([]);
+        expect(openSteps(ledger, 1_500)).toEqual(["0.0", "1.0"]);
+        ledger.noteDone(at(0, 0, 0));
+        ledger.noteDone(at(0, 0, 1));
+        expect(ledger.state()).toBe("queued");
+        ledger.noteDone(at(0, 0, 2));
+        expect(ledger.state()).toBe("completed");
+    });
+
+    it("comes back from its stored progress as it was", () => {
+        const ledger = createWorkflowLedger(
+            workflow([testStep({ count: 3, isCheckpointing: true }), testStep({ after: [0] })]),
+        );
+        ledger.noteStart(at(0, 0));
+        ledger.noteDone(at(0, 0));
+        ledger.noteFailure(at(0, 1));
+        ledger.noteCheckpoint(at(0, 2), "c-7");
+        const again = reload(ledger);
+        expect(again.state()).toBe("running");
+        expect([...again.stage(at(0))?.record.waiting ?? []]).toEqual([1, 2]);
+        expect(again.stage(at(0))?.record.checkpoints.get(2)).toBe("c-7");
+        again.noteFailure(at(0, 1));
+        expect(again.state()).toBe("failed");
+    });
+});
