Count a failed run once; move runs off leaving and stalled workers

Failed runs are now stored by number. Besides: work on a worker that leaves or where it stands still was lost until leases lapsed; what can't end in time is stopped, and lasting tasks move while there is room. Both have cases that failed before (ledger, cluster, run-fate).

--- a/packages/bench/tests/workflow/workflow-cluster.test.ts
+++ b/packages/bench/tests/workflow/workflow-cluster.test.ts
@@ -226,4 +226,62 @@
         );
         expect(new Set(workers)).toEqual(new Set(["w-east-a-0"]));
     });
+
+    it("moves what can't end in time off a worker that leaves, and leaves the rest there", async () => {
+        await submit(cluster.holder() ?? "", 1, [{ count: 6, expectedRunTime: 8_000 }], { work: 8_000 });
+        await submit(cluster.holder() ?? "", 2, [{ count: 6, expectedRunTime: 3_000 }], { work: 3_000 });
+        await time.advance(1_000);
+        cluster.platform.list("w-east-a-0", "draining");
+        await time.advance(2_400);
+        const left = cluster.platform.workers.get("w-east-a-0");
+        expect(left?.running()).toEqual([]);
+        left?.kill();
+        cluster.platform.list("w-east-a-0", undefined);
+        await time.advance(9_000);
+        expect(await stateOf(cluster.holder() ?? "", 1)).toBe("completed");
+        expect(startsOf(1)).toBe(7);
+        expect(startsOf(2)).toBe(6);
+        expect(breach()).toBeUndefined();
+    });
+
+    it("takes tasks away from a worker where they stand still, and keeps others off it", async () => {
+        const still = cluster.platform.workers.get("w-east-a-1");
+        if (still !== undefined) {
+            still.standsStill = true;
+        }
+        await submit(cluster.holder() ?? "", 1, [{ count: 12 }]);
+        await time.advance(8_000);
+        expect(await stateOf(cluster.holder() ?? "", 1)).toBe("completed");
+        expect(breach()).toBeUndefined();
+    });
+
+    it("keeps work off a worker that fails all that it starts", async () => {
+        const bad = cluster.platform.workers.get("w-east-b-0");
+        if (bad !== undefined) {
+            bad.failsEverything = true;
+        }
+        for (let number = 0; number < 10; number += 1) {
+            await submit(cluster.holder() ?? "", number, [{ count: 4 }]);
+            await time.advance(300);
+        }
+        await time.advance(5_000);
+        const states: string[] = [];
+        for (let number = 0; number < 10; number += 1) {
+            states.push(await stateOf(cluster.holder() ?? "", number));
+        }
+        expect(states).toEqual(Array(10).fill("completed"));
+    });
+
+    it("starts a lasting task again within a second of its end, before other work gets the room", async () => {
+        await submit(cluster.holder() ?? "", 1, [{ count: 1, isLasting: true, cpu: 16_000 }], { isLasting: true });
+        await time.advance(1_000);
+        for (let number = 2; number < 30; number += 1) {
+            await submit(cluster.holder() ?? "", number, [{ count: 4, cpu: 4_000 }], { work: 700 });
+        }
+        const [worker] = [...cluster.platform.workers.values()].filter(candidate =>
+            candidate.running().some(task => task.startsWith(idOf(1)))
+        );
+        worker?.restart();
+        expect(await time.advanceUntil(() => startsOf(1) === 2, 2_500)).toBe(true);
+    });
 });
--- a/packages/platform-stand-in/src/protocol/protocol-worker.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-worker.ts
@@ -38,6 +38,8 @@
     readonly kill: () => void;
     /** Fails everything that it starts. */
     failsEverything: boolean;
+    /** What it starts stands still. */
+    standsStill: boolean;
 }
 
 interface RunningTask {
@@ -47,6 +49,7 @@
     readonly work: number;
     readonly willFail: boolean;
     readonly isLasting: boolean;
+    readonly isStill: boolean;
     readonly end: (how: string) => void;
 }
 
@@ -82,6 +85,7 @@
     let bornAt = Date.now();
     let isUp = true;
     let failsEverything = false;
+    let standsStill = false;
     let wake: (() => void) | undefined;
 
     const clock = (): number => Math.round(performance.now() + clockOffset);
@@ -129,6 +133,7 @@
             work: script.work ?? defaultWork,
             willFail,
             isLasting: script.isLasting === true,
+            isStill: standsStill,
             end: how => {
                 if (life === bornAt) {
                     finish(started, how);
@@ -137,7 +142,7 @@
         };
         running.set(task, started);
         journal.note({ kind: "started", at: performance.now(), worker: id, task, run: runNumber });
-        if (!started.isLasting || willFail) {
+        if (!started.isStill && (!started.isLasting || willFail)) {
             setTimeout(() => {
                 started.end(willFail ? "failed" : "done");
             }, started.work);
@@ -190,7 +195,11 @@
         finished = finished.filter(([number]) => number > lastSeen);
     };
     const progressOf = (task: RunningTask): number =>
-        task.isLasting ? 100 : Math.min(99, Math.round((performance.now() - task.startedAt) / task.work * 100));
+        task.isStill
+            ? 0
+            : task.isLasting
+            ? 100
+            : Math.min(99, Math.round((performance.now() - task.startedAt) / task.work * 100));
     const hold = async (
         { fencingToken = 0, lastSeen = 0, deadlineMs, waitMs = 0 }: HoldBody,
     ): Promise<ProtocolAnswer> => {
@@ -261,5 +270,11 @@
         set failsEverything(value: boolean) {
             failsEverything = value;
         },
+        get standsStill() {
+            return standsStill;
+        },
+        set standsStill(value: boolean) {
+            standsStill = value;
+        },
     };
 };
--- a/packages/workflow/src/cell/cell-workers.ts
+++ b/packages/workflow/src/cell/cell-workers.ts
@@ -12,6 +12,8 @@
     isOnRoster: boolean;
     /** Steady ms since which the platform does not list it; undefined while it does. */
     unlistedSince: number | undefined;
+    /** Steady ms since which the worker is known to leave; undefined while it does not. */
+    drainsSince: number | undefined;
     /** Ends the session. */
     readonly stop: () => void;
 }
--- a/packages/workflow/src/cell/run-keeper.ts
+++ b/packages/workflow/src/cell/run-keeper.ts
@@ -146,6 +146,7 @@
             if (run.phase === "starting") {
                 run.phase = "running";
                 run.startedAt = run.answeredAt;
+                run.percentChangedAt = run.answeredAt;
             }
             else {
                 // The stop may have reached an earlier life of the worker.
@@ -178,6 +179,7 @@
             startedAt: now,
             percent: 0,
             percentChangedAt: now,
+            reportedAt: now,
             measure: 0,
             checkpoint: stage.record.checkpoints.get(index) ?? "",
             pace: 100,
@@ -210,7 +212,7 @@
                 ledger.noteDone(position);
             })
             .with("failed", () => {
-                ledger.noteFailure(position);
+                ledger.noteFailure(position, row.run);
             })
             .with("stopped", "lapsed", "broken", "alone", () => undefined)
             .exhaustive();
@@ -300,6 +302,7 @@
             startedAt: now,
             percent: row.percent,
             percentChangedAt: now,
+            reportedAt: now,
             measure: row.measure,
             checkpoint: row.checkpoint,
             pace: 100,
@@ -311,6 +314,7 @@
             run.percentChangedAt = now;
         }
         run.percent = row.percent;
+        run.reportedAt = now;
         run.measure = row.measure;
         if (row.checkpoint !== "" && row.checkpoint !== run.checkpoint) {
             run.checkpoint = row.checkpoint;
--- /dev/null
+++ b/packages/workflow/src/cell/run-watch.ts
@@ -0,0 +1,76 @@
+import type { WorkerHealth } from "@jayfront/policy";
+
+import type { Queue } from "../model/queue.js";
+import type { Step } from "../model/step.js";
+import { judgeRun } from "../policy/run-fate.js";
+import type { CellWorker, CellWorkers } from "./cell-workers.js";
+import { mayStartOn } from "./cell-workers.js";
+import type { RunBook } from "./run-book.js";
+import type { RunKeeper } from "./run-keeper.js";
+import type { Run } from "./run.js";
+
+/** Stops runs that would be better off elsewhere: on workers that leave, or where they stand still. */
+export interface RunWatch {
+    readonly review: () => void;
+}
+
+/** Options of {@link createRunWatch}. */
+export interface RunWatchOptions {
+    readonly book: RunBook;
+    readonly keeper: RunKeeper;
+    readonly workers: CellWorkers;
+    readonly health: WorkerHealth;
+    readonly runTime: (queue: Queue, step: Step, number: number) => number;
+    readonly queueOf: (run: Run) => Queue;
+}
+
+/** Creates the watch over all runs of a cell. */
+export const createRunWatch = (options: RunWatchOptions): RunWatch => {
+    const { book, keeper, workers, health, runTime, queueOf } = options;
+
+    const hasRoomElsewhere = (run: Run, queue: Queue): boolean =>
+        [...workers.values()].some(worker =>
+            worker.session.id !== run.worker && mayStartOn(worker, queue.service, run.step)
+        );
+    /** Milliseconds that a leaving worker stays at least. */
+    const stay = ({ session, drainsSince }: CellWorker, now: number): { workerStays?: number; } =>
+        drainsSince === undefined
+            ? {}
+            : { workerStays: Math.max(0, (session.entry().remaining ?? 0) - (now - session.entryAt())) };
+    const judge = (run: Run, now: number): void => {
+        const worker = workers.get(run.worker);
+        if (worker === undefined || run.phase !== "running") {
+            return;
+        }
+        const queue = queueOf(run);
+        const { step } = run;
+        const reason = judgeRun({
+            isLasting: step.isLasting,
+            isCheckpointing: step.isCheckpointing,
+            isGang: step.isGang,
+            age: now - run.startedAt,
+            stillFor: now - run.percentChangedAt,
+            reportAge: now - run.reportedAt,
+            percent: run.percent,
+            pace: run.pace,
+            expectedTime: runTime(queue, step, run.position.step),
+            ...stay(worker, now),
+            hasRoomElsewhere: worker.drainsSince !== undefined && step.isLasting && hasRoomElsewhere(run, queue),
+        });
+        if (reason === undefined) {
+            return;
+        }
+        if (reason === "stands still") {
+            health.recordEnd(run.worker, run.position.job, true);
+        }
+        keeper.stop(run, reason);
+    };
+    return {
+        review: () => {
+            const now = performance.now();
+            for (const run of [...book.all()]) {
+                judge(run, now);
+            }
+        },
+    };
+};
--- a/packages/workflow/src/cell/run.ts
+++ b/packages/workflow/src/cell/run.ts
@@ -26,6 +26,8 @@
     percent: number;
     /** Steady milliseconds at which `percent` last rose. */
     percentChangedAt: number;
+    /** Steady milliseconds of the last report that listed the run. */
+    reportedAt: number;
     /** Last reported tail in ms, or thousandths of cores in use. */
     measure: number;
     /** Newest checkpoint that the worker reported. */
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -22,6 +22,8 @@
 export interface WorkerSession {
     readonly id: WorkerId;
     readonly entry: () => WorkerEntry;
+    /** Steady ms at which the entry was read. */
+    readonly entryAt: () => number;
     /** Whether the platform lists the worker now. */
     readonly isListed: () => boolean;
     readonly setEntry: (entry: WorkerEntry | undefined) => void;
@@ -110,6 +112,7 @@
         });
     let horizon = newHorizon(options.inheritedUntil);
     let entry = options.entry;
+    let entryAt = performance.now();
     let isListed = true;
     let contact: Contact = "unknown";
     let bornAt: number | undefined;
@@ -211,6 +214,7 @@
     const session: WorkerSession = {
         id: entry.id,
         entry: () => entry,
+        entryAt: () => entryAt,
         isListed: () => isListed,
         contact: () => contact,
         noteProofSent: clock.noteProofSent,
@@ -218,6 +222,8 @@
         setEntry: next => {
             isListed = next !== undefined;
             if (next !== undefined) {
+                // An entry that stays the same still tells of the moment at which it was written.
+                entryAt = next.remaining === entry.remaining ? entryAt : performance.now();
                 entry = next;
                 noteBirth(next.bornAt);
             }
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -30,6 +30,7 @@
 import { createRunBook } from "./run-book.js";
 import type { RunEnd } from "./run-keeper.js";
 import { createRunKeeper } from "./run-keeper.js";
+import { createRunWatch } from "./run-watch.js";
 import type { Run } from "./run.js";
 import { createStageScheduler } from "./stage-scheduler.js";
 import { tables } from "./tables.js";
@@ -87,6 +88,8 @@
 const passGatherTime = 10;
 /** Milliseconds after which a pass runs without news, for work that becomes due. */
 const passInterval = 200;
+/** Milliseconds between reviews of all runs. */
+const watchInterval = 250;
 /** Milliseconds before a failed read of the predecessor's rows is tried again. */
 const loadRetry = 200;
 /** Milliseconds of the first quarantine of a worker that fails what it runs; a few run times. */
@@ -229,6 +232,14 @@
         slackWith: neighbours.slackWith,
         hasFailedOn: (task, worker) => failedOn.get(task)?.has(worker.session.id) === true,
     });
+    const watch = createRunWatch({
+        book,
+        keeper,
+        workers,
+        health,
+        runTime: scheduler.runTime,
+        queueOf: run => queueOf(run.ledger),
+    });
     const events: SessionEvents = {
         onReport: (session, report, sentAt, isFirst) => {
             keeper.takeReport(session, report, sentAt, isFirst);
@@ -275,6 +286,7 @@
             room: createRoomAccount(entry.capacity),
             isOnRoster: !isNew,
             unlistedSince: undefined,
+            drainsSince: undefined,
             stop: sessionStop.abort,
         });
         void session.run(sessionStop.signal);
@@ -298,10 +310,10 @@
                 workers.delete(id);
                 continue;
             }
-            const wasDraining = worker.session.entry().isDraining;
             worker.session.setEntry(entry);
             worker.unlistedSince = entry === undefined ? worker.unlistedSince ?? performance.now() : undefined;
-            if (entry?.isDraining === true && !wasDraining) {
+            if (entry?.isDraining === true && worker.drainsSince === undefined) {
+                worker.drainsSince = performance.now();
                 logger.info({ cell, worker: id, remaining: entry.remaining }, "worker drains");
             }
         }
@@ -366,12 +378,17 @@
         }
     };
     const runPasses = async (): Promise<void> => {
+        let watchedAt = performance.now();
         while (!signal.aborted) {
             await passWanted.wait(passInterval, signal);
             await sleep(passGatherTime, signal);
             if (!signal.aborted) {
                 scheduler.pass();
             }
+            if (performance.now() - watchedAt >= watchInterval) {
+                watchedAt = performance.now();
+                watch.review();
+            }
         }
     };
     const dropOldWorkflows = (): void => {
--- a/packages/workflow/src/ledger/step-record.ts
+++ b/packages/workflow/src/ledger/step-record.ts
@@ -1,8 +1,8 @@
 /** What is known of the tasks of one step in one occurrence. */
 export interface StepRecord {
     readonly done: Set<number>;
-    /** Runs that ended `failed`, by index. */
-    readonly failures: Map<number, number>;
+    /** Numbers of the runs that ended `failed`, by index; an end that is reported again counts once. */
+    readonly failures: Map<number, Set<number>>;
     /** Newest checkpoint by index. */
     readonly checkpoints: Map<number, string>;
     /** Tasks that have neither a run nor an end. */
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -30,8 +30,8 @@
     /** The task has no run any more and waits again. */
     readonly noteIdle: (position: TaskPosition) => void;
     readonly noteDone: (position: TaskPosition) => void;
-    /** Counts a failed run; the workflow has failed when its limit is reached. */
-    readonly noteFailure: (position: TaskPosition) => void;
+    /** Counts a failed run once, however often it is told; the workflow has failed when its limit is reached. */
+    readonly noteFailure: (position: TaskPosition, run: number) => void;
     readonly noteCheckpoint: (position: TaskPosition, checkpoint: string) => void;
     readonly noteCancelled: () => void;
     /** Whether there are changes that no write has taken over. */
@@ -99,7 +99,7 @@
             row.done.forEach(index => {
                 markDone(found, index);
             });
-            row.failures.forEach(([index, count]) => found.record.failures.set(index, count));
+            row.failures.forEach(([index, runs]) => found.record.failures.set(index, new Set(runs)));
             row.checkpoints.forEach(([index, checkpoint]) => found.record.checkpoints.set(index, checkpoint));
         }
     }
@@ -156,15 +156,18 @@
             });
             touch();
         },
-        noteFailure: position => {
+        noteFailure: (position, run) => {
             const found = stage(position);
             if (found === undefined || found.step.isLasting) {
                 return;
             }
             const index = found.step.isGang ? 0 : position.index;
-            const count = (found.record.failures.get(index) ?? 0) + 1;
-            found.record.failures.set(index, count);
-            isFailed ||= count >= queue.maxAttempts;
+            const runs = found.record.failures.get(index) ?? new Set();
+            if (runs.has(run)) {
+                return;
+            }
+            found.record.failures.set(index, runs.add(run));
+            isFailed ||= runs.size >= queue.maxAttempts;
             touch();
         },
         noteCheckpoint: (position, checkpoint) => {
@@ -187,7 +190,7 @@
                 occurrence,
                 step: number,
                 done: [...record.done],
-                failures: [...record.failures],
+                failures: [...record.failures].map(([index, runs]) => [index, [...runs]]),
                 checkpoints: [...record.checkpoints],
             })),
         }),
--- a/packages/workflow/src/ledger/workflow-progress.ts
+++ b/packages/workflow/src/ledger/workflow-progress.ts
@@ -13,7 +13,8 @@
         occurrence: z.int(),
         step: z.int(),
         done: z.array(z.int()),
-        failures: pairs(z.int()),
+        /** Numbers of failed runs by index. */
+        failures: pairs(z.array(z.int())),
         checkpoints: pairs(z.string()),
     })),
 });
--- /dev/null
+++ b/packages/workflow/tests/run-fate.test.ts
@@ -0,0 +1,65 @@
+import { describe, expect, it } from "@jest/globals";
+
+import type { RunFacts } from "../src/policy/run-fate.js";
+import { judgeRun } from "../src/policy/run-fate.js";
+
+const facts = (changes: Partial<RunFacts>): RunFacts => ({
+    isLasting: false,
+    isCheckpointing: false,
+    isGang: false,
+    age: 1_000,
+    stillFor: 100,
+    reportAge: 100,
+    percent: 50,
+    pace: 100,
+    expectedTime: 2_000,
+    hasRoomElsewhere: true,
+    ...changes,
+});
+
+describe("whether a run goes on where it is", () => {
+    it.each([
+        ["a healthy one goes on", {}, undefined],
+        ["one that ends before its worker leaves goes on", { workerStays: 2_500 }, undefined],
+        ["one that won't is moved at once", { percent: 20, workerStays: 2_500 }, "worker leaves"],
+        [
+            "one without a report is judged by its expected time",
+            { percent: 0, expectedTime: 5_000, workerStays: 2_500 },
+            "worker leaves",
+        ],
+        [
+            "a lasting one moves while there is room",
+            { isLasting: true, percent: 100, workerStays: 2_500 },
+            "worker leaves",
+        ],
+        ["a lasting one stays while there is none", {
+            isLasting: true,
+            percent: 100,
+            workerStays: 2_500,
+            hasRoomElsewhere: false,
+        }, undefined],
+        ["a lasting one moves at the end in any case", {
+            isLasting: true,
+            percent: 100,
+            workerStays: 200,
+            hasRoomElsewhere: false,
+        }, "worker leaves"],
+        ["one that stands still is stopped", { stillFor: 2_500 }, "stands still"],
+        ["one that was halted may stand still", { stillFor: 9_000, pace: 0 }, undefined],
+        ["one that was slowed gets more time", { stillFor: 2_500, pace: 40 }, undefined],
+        ["a member of a gang may wait", { stillFor: 9_000, isGang: true }, undefined],
+        ["without fresh reports nothing is known", { stillFor: 9_000, reportAge: 3_000 }, undefined],
+        [
+            "a lasting one has to serve in time",
+            { isLasting: true, percent: 10, age: 6_000, stillFor: 5_000 },
+            "stands still",
+        ],
+        [
+            "a lasting one that serves stands at 100",
+            { isLasting: true, percent: 100, age: 60_000, stillFor: 55_000 },
+            undefined,
+        ],
+    ])("%s", (...[, changes, expected]) => {
+        expect(judgeRun(facts(changes))).toBe(expected);
+    });
+});
--- a/packages/workflow/tests/workflow-ledger.test.ts
+++ b/packages/workflow/tests/workflow-ledger.test.ts
@@ -50,18 +50,28 @@
 
     it("fails at the limit of one task's failed runs, not of all tasks together", () => {
         const ledger = createWorkflowLedger(workflow([testStep({ count: 3 })]));
-        ledger.noteFailure(at(0, 0));
-        ledger.noteFailure(at(0, 1));
-        ledger.noteFailure(at(0, 2));
+        ledger.noteFailure(at(0, 0), 1);
+        ledger.noteFailure(at(0, 1), 1);
+        ledger.noteFailure(at(0, 2), 1);
         expect(ledger.isSettled()).toBe(false);
-        ledger.noteFailure(at(0, 1));
+        ledger.noteFailure(at(0, 1), 2);
         expect(ledger.state()).toBe("failed");
     });
 
+    it("counts a failed run once where a worker reports it again to the next holder", () => {
+        const ledger = createWorkflowLedger(workflow([testStep()]));
+        ledger.noteFailure(at(0), 4_097);
+        const next = reload(ledger);
+        next.noteFailure(at(0), 4_097);
+        expect(next.isSettled()).toBe(false);
+        next.noteFailure(at(0), 8_193);
+        expect(next.state()).toBe("failed");
+    });
+
     it("counts failed runs of a gang together and takes one end for all", () => {
         const failed = createWorkflowLedger(workflow([testStep({ count: 3, isGang: true })]));
-        failed.noteFailure(at(0, 0));
-        failed.noteFailure(at(0, 2));
+        failed.noteFailure(at(0, 0), 1);
+        failed.noteFailure(at(0, 2), 2);
         expect(failed.state()).toBe("failed");
         const done = createWorkflowLedger(workflow([testStep({ count: 3, isGang: true })]));
         done.noteDone(at(0, 1));
@@ -72,7 +82,7 @@
         const ledger = createWorkflowLedger(workflow([testStep({ isLasting: true })]));
         ledger.noteStart(at(0));
         for (let run = 0; run < 5; run += 1) {
-            ledger.noteFailure(at(0));
+            ledger.noteFailure(at(0), run);
             ledger.noteDone(at(0));
         }
         expect(ledger.state()).toBe("running");
@@ -99,13 +109,13 @@
         );
         ledger.noteStart(at(0, 0));
         ledger.noteDone(at(0, 0));
-        ledger.noteFailure(at(0, 1));
+        ledger.noteFailure(at(0, 1), 1);
         ledger.noteCheckpoint(at(0, 2), "c-7");
         const again = reload(ledger);
         expect(again.state()).toBe("running");
         expect([...again.stage(at(0))?.record.waiting ?? []]).toEqual([1, 2]);
         expect(again.stage(at(0))?.record.checkpoints.get(2)).toBe("c-7");
-        again.noteFailure(at(0, 1));
+        again.noteFailure(at(0, 1), 2);
         expect(again.state()).toBe("failed");
     });
 });
