Resolve unknown submissions in the caller's time; refuse at once while the store is silent

Cases: refusals during an outage never run; a killed holder's submission is settled by its successor.

--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -106,8 +106,10 @@
     isLasting: false,
     usesSpareCpu: false,
 };
+/** Milliseconds; what an adapter makes of a usual deadline of 3 s. */
+const submissionPatience = 1_350;
 const peerLatency = 3;
-const peerTimeout = 900;
+const peerTimeout = 1_200;
 
 const pause = (milliseconds: number): Promise<void> =>
     new Promise(resolve => {
@@ -143,8 +145,8 @@
             const message = { kind, body: structuredClone(body) };
             const reply = await target.handlePeer(message, () => undefined);
             await pause(peerLatency);
-            return isAlive() && hosts.get(to.id) === target
-                ? Result.ok(structuredClone(reply) as never)
+            return isAlive() && hosts.get(to.id) === target && reply !== undefined
+                ? Result.ok(structuredClone(reply.value) as never)
                 : Result.err({ kind: "unknown", message: `${to.id} gave no reply` });
         },
         close: () => undefined,
@@ -236,7 +238,7 @@
             const found = hosts.get(host);
             return found === undefined
                 ? Promise.resolve({ kind: "unavailable", reason: "the host is down" })
-                : found.desk.submit(workflow);
+                : found.desk.submit(workflow, submissionPatience);
         },
         stop: () => {
             [...hosts.keys()].forEach(kill);
--- a/packages/bench/tests/workflow/workflow-cluster.test.ts
+++ b/packages/bench/tests/workflow/workflow-cluster.test.ts
@@ -284,4 +284,43 @@
         worker?.restart();
         expect(await time.advanceUntil(() => startsOf(1) === 2, 2_500)).toBe(true);
     });
+
+    it("refuses at once, truly, what is handed in while the store is away", async () => {
+        const [first = ""] = cluster.hosts.keys();
+        const heal = cluster.platform.network.addFault({
+            matches: (...[, call]) => call.address === cluster.platform.storeAddress,
+            action: "cut",
+        });
+        await time.advance(2_000);
+        const kinds: string[] = [];
+        for (let number = 0; number < 5; number += 1) {
+            kinds.push(await submit(first, number, [{}]));
+        }
+        heal();
+        await time.advance(9_000);
+        expect(kinds).toEqual(Array(5).fill("unavailable"));
+        expect([0, 1, 2, 3, 4].map(startsOf)).toEqual([0, 0, 0, 0, 0]);
+    });
+
+    it("learns from the next holder what became of a submission whose holder was killed", async () => {
+        const dead = cluster.holder() ?? "";
+        const host = otherThan(dead);
+        const heal = cluster.platform.network.addFault({
+            matches: (from, call) => from === dead && call.path === "/api/rows-tx",
+            action: "slow",
+            delay: 600,
+        });
+        const answer = cluster.submit(host, idOf(1), [{}]);
+        await time.advance(50);
+        cluster.kill(dead);
+        heal();
+        await time.advance(4_000);
+        const { kind } = await answer;
+        expect(["accepted", "unknown"]).toContain(kind);
+        const again = await submit(host, 1, [{}]);
+        expect(again).toBe("accepted");
+        await time.advance(3_000);
+        expect(startsOf(1)).toBe(1);
+        expect(breach()).toBeUndefined();
+    });
 });
--- a/packages/workflow/src/cell/accept-workflow.ts
+++ b/packages/workflow/src/cell/accept-workflow.ts
@@ -24,7 +24,7 @@
 
 /** Milliseconds between two tries to learn what became of a write without answer. */
 const retryDelay = 150;
-/** Tries to store a workflow; with a call's time-out they take less than a submitter's usual deadline. */
+/** Tries to store a workflow; the entry host tries again where time is left. */
 const tries = 2;
 
 /** Takes over a workflow whose rows stand already: a repeated submission, or an earlier write without answer. */
@@ -69,6 +69,9 @@
     const index = tables.index(workflow.id);
     const rowKey = tables.workflow(lease.cell, workflow.id);
     let outcome: "refused" | "unknown" = "refused";
+    if (lease.isTroubled()) {
+        return { kind: outcome };
+    }
     for (let attempt = 0; attempt < tries && !lease.isLost(); attempt += 1) {
         const proven = lease.noteSent();
         const written = await store.commit({
@@ -96,8 +99,12 @@
             error: written.error.kind,
             message: written.error.message,
         }, "workflow not stored");
+        lease.noteTrouble();
         // Once one write may have been done, a later refusal does not undo it.
         outcome = outcome === "unknown" ? outcome : outcomes[written.error.kind];
+        if (outcome === "refused") {
+            return { kind: outcome };
+        }
         await sleep(retryDelay);
     }
     return { kind: outcome };
--- a/packages/workflow/src/cell/cell-lease.ts
+++ b/packages/workflow/src/cell/cell-lease.ts
@@ -24,6 +24,10 @@
     /** Milliseconds of the steady clock at the sending of the last call that proved the lease. */
     readonly provenAt: () => number;
     readonly isLost: () => boolean;
+    /** Whether the store's last answer is missing: a write now would probably have an unknown outcome. */
+    readonly isTroubled: () => boolean;
+    /** A call on behalf of the cell had no useful answer. */
+    readonly noteTrouble: () => void;
     /** Gives the cell up: another holder has been seen. */
     readonly lose: (reason: string) => void;
 }
@@ -49,6 +53,7 @@
     const key = tables.holder(cell);
     let provenAt = options.takenAt;
     let isLost = false;
+    let isTroubled = false;
 
     const lose = (reason: string): void => {
         if (!isLost) {
@@ -63,6 +68,7 @@
         return () => {
             if (!isLost) {
                 provenAt = Math.max(provenAt, sentAt);
+                isTroubled = false;
                 onProven();
             }
         };
@@ -77,6 +83,7 @@
             const proven = noteSent();
             const read = await store.read(key.table, key.partition, key.key);
             if (read.isErr) {
+                isTroubled = true;
                 return false;
             }
             if (read.value.rows[0]?.version !== row.version) {
@@ -88,5 +95,9 @@
         },
         provenAt: () => provenAt,
         isLost: () => isLost,
+        isTroubled: () => isTroubled,
+        noteTrouble: () => {
+            isTroubled = true;
+        },
     };
 };
--- a/packages/workflow/src/cell/cell-writer.ts
+++ b/packages/workflow/src/cell/cell-writer.ts
@@ -107,6 +107,9 @@
             if (written.error.kind === "conflict") {
                 takeConflict(written.error, entries);
             }
+            else {
+                lease.noteTrouble();
+            }
             return false;
         }
         proven();
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -82,6 +82,8 @@
 
 /** Milliseconds between proofs of the lease; a lease survives several failed ones. */
 const renewalInterval = 1_000;
+/** As `renewalInterval`, while the store does not answer: its return should be noticed at once. */
+const troubledInterval = 200;
 /** Milliseconds between reads of the list of workers; a fifth of the time in which a draining worker must be left. */
 const directoryInterval = 500;
 /** Milliseconds in which news gather before the next placement pass. */
@@ -374,7 +376,7 @@
                 await lease.renew();
             }
             void Promise.all([...workers.values()].map(worker => worker.session.extend()));
-            await sleep(renewalInterval / 2, signal);
+            await sleep(lease.isTroubled() ? troubledInterval : renewalInterval / 2, signal);
         }
     };
     const runPasses = async (): Promise<void> => {
--- a/packages/workflow/src/entry/workflow-desk.ts
+++ b/packages/workflow/src/entry/workflow-desk.ts
@@ -30,7 +30,8 @@
 
 /** Serves submitters at any entry host, wherever their workflows are held. */
 export interface WorkflowDesk {
-    readonly submit: (workflow: Workflow) => Promise<SubmissionAnswer>;
+    /** `patience`: milliseconds within which the submitter should have an answer, if there is to be one. */
+    readonly submit: (workflow: Workflow, patience: number) => Promise<SubmissionAnswer>;
     readonly state: (id: JobId) => Promise<WorkflowAnswer<WorkflowState>>;
     readonly cancel: (id: JobId) => Promise<WorkflowAnswer<"cancelled">>;
     /** Workflows of a queue without a started task; undefined where some cell's figure is not known. */
@@ -50,8 +51,12 @@
     readonly logger: Logger;
 }
 
-/** Milliseconds for which a request waits for a holder while cells change hands: a takeover takes less. */
-const holderWait = 1_500;
+/** Milliseconds for which a request for a workflow waits for its holder while cells change hands. */
+const holderWait = 1_300;
+/** Milliseconds for which a submission waits for a holder; after that its submitter does better to come back. */
+const submissionWait = 300;
+/** Milliseconds between two tries to learn what became of a submission. */
+const resolveInterval = 150;
 /** Milliseconds between two looks for a holder. */
 const holderInterval = 50;
 /** Seconds after which submitters come back when no cell could take their workflow: a takeover and a reserve. */
@@ -76,8 +81,9 @@
     /** Waits a little for a holder, since cells without one are being taken over. */
     const waitFor = async <Found>(
         find: () => Found | undefined | Promise<Found | undefined>,
+        patience: number = holderWait,
     ): Promise<Found | undefined> => {
-        const deadline = performance.now() + holderWait;
+        const deadline = performance.now() + patience;
         let found = await find();
         while (found === undefined && performance.now() < deadline) {
             await sleep(holderInterval);
@@ -107,23 +113,41 @@
                 isNear: isNear(summary.cell),
             })),
         );
-    const submit = async (workflow: Workflow): Promise<SubmissionAnswer> => {
-        await waitFor(() => activeClaims().length > 0 ? true : undefined);
-        const tried: string[] = [];
-        let mayHaveBeenStored = false;
+    /** Offers a workflow to all cells in turn; adds to `tried` what came of it. */
+    const offer = async (workflow: Workflow, tried: string[]): Promise<"accepted" | "refused" | "unknown"> => {
+        let isUnknown = false;
         for (const cell of rank(workflow)) {
             const outcome = await submitTo(cell, workflow);
             tried.push(`${cell}: ${outcome}`);
             if (outcome === "accepted") {
                 sent.push({ cell, cpu: widestDemand(workflow.steps), at: performance.now() });
-                return { kind: "accepted", reason: tried.join(", ") };
+                return outcome;
             }
             // The index row makes the id unique, so that another cell can be tried after an unknown outcome.
-            mayHaveBeenStored ||= outcome === "unknown" || outcome === "no-answer";
+            isUnknown ||= outcome === "unknown" || outcome === "no-answer";
+        }
+        return isUnknown ? "unknown" : "refused";
+    };
+    const submit = async (workflow: Workflow, patience: number): Promise<SubmissionAnswer> => {
+        const deadline = performance.now() + patience;
+        const tried: string[] = [];
+        let mayBeStored = false;
+        await waitFor(() => activeClaims().length > 0 ? true : undefined, Math.min(patience, submissionWait));
+        do {
+            const outcome = await offer(workflow, tried);
+            if (outcome === "accepted") {
+                return { kind: outcome, reason: tried.join(", ") };
+            }
+            // What may be stored must not be called refused: it is offered again until that is known.
+            mayBeStored ||= outcome === "unknown";
+            if (mayBeStored) {
+                await sleep(resolveInterval);
+            }
         }
+        while (mayBeStored && performance.now() < deadline);
         const reason = tried.length === 0 ? "no cell has a holder" : tried.join(", ");
-        logger.info({ job: workflow.id, mayHaveBeenStored, reason }, "workflow not accepted");
-        return mayHaveBeenStored
+        logger.info({ job: workflow.id, mayBeStored, reason }, "workflow not accepted");
+        return mayBeStored
             ? { kind: "unknown", reason }
             : { kind: "unavailable", reason, retryAfter: retryAfterOutage };
     };
--- a/packages/workflow/src/peer/workflow-network.ts
+++ b/packages/workflow/src/peer/workflow-network.ts
@@ -15,8 +15,8 @@
     readonly close: () => void;
 }
 
-/** Milliseconds until a call to a peer counts as unanswered; under a third of a caller's usual deadline. */
-const callTimeout = 900;
+/** Milliseconds until a call to a peer counts as unanswered; its connection is closed then. */
+const callTimeout = 1_200;
 
 /** Reaches peers over one `ws` connection each, opened when it is first needed. */
 export const createWorkflowNetwork = (peerKey: string): WorkflowNetwork => {
