Tell submitters of an end only once it is stored

The holder showed a workflow as completed while the store was silent; it lost the cell before it could write, and a worker that left took its ends along, so that the next holder ran the tasks again. Ruled out: acknowledging early (logged: the recorded number never passed a write), late orders, a new life's numbers. Change: a ledger's state shows an end once its write is done; the cluster's peers time out as real ones do.

--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -143,7 +143,8 @@
                 return Result.err({ kind: "unknown", message: `${to.id} gave no reply` });
             }
             const message = { kind, body: structuredClone(body) };
-            const reply = await target.handlePeer(message, () => undefined);
+            const answered = target.handlePeer(message as never, () => undefined).then(value => ({ value }));
+            const reply = await Promise.race([answered, pause(peerTimeout).then(() => undefined)]);
             await pause(peerLatency);
             return isAlive() && hosts.get(to.id) === target && reply !== undefined
                 ? Result.ok(structuredClone(reply.value) as never)
--- a/packages/workflow/src/cell/cell-writer.ts
+++ b/packages/workflow/src/cell/cell-writer.ts
@@ -67,13 +67,13 @@
     };
     /** Rows by which a workflow's progress is stored; of one that has ended, only how it ended is kept. */
     const changesOf = (
-        { workflow, state, isSettled, progress }: WorkflowLedger,
+        { workflow, outcome, isSettled, progress }: WorkflowLedger,
     ): Pick<Transaction, "writes" | "removals"> =>
         isSettled()
             ? {
                 writes: [{
                     ...tables.settled(cell, workflow.id),
-                    value: JSON.stringify({ state: state(), settledAt: Date.now() }),
+                    value: JSON.stringify({ state: outcome(), settledAt: Date.now() }),
                 }],
                 removals: [tables.workflow(cell, workflow.id), tables.progress(cell, workflow.id)],
             }
--- a/packages/workflow/src/cell/run-keeper.ts
+++ b/packages/workflow/src/cell/run-keeper.ts
@@ -238,7 +238,7 @@
             isKnown: run !== undefined,
             ranFor: run === undefined ? undefined : Math.round(performance.now() - run.startedAt),
             reason: run?.stopReason,
-            state: ledger.state(),
+            state: ledger.outcome(),
         }, "run ended");
         closeNumber(row.task, row.run);
         if (run !== undefined) {
@@ -250,7 +250,7 @@
             });
         }
         if (ledger.isSettled() && !wasSettled) {
-            stopWorkflow(position.job, `the workflow is ${ledger.state()}`);
+            stopWorkflow(position.job, `the workflow is ${ledger.outcome()}`);
         }
         return ledger;
     };
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -19,7 +19,10 @@
 /** What is known of one workflow: which tasks wait, ran and are done. */
 export interface WorkflowLedger {
     readonly workflow: Workflow;
+    /** State that submitters may be told: an end counts once it is stored. */
     readonly state: () => WorkflowState;
+    /** State as it will be once all changes are stored. */
+    readonly outcome: () => WorkflowState;
     /** Whether the workflow has ended one way or another. */
     readonly isSettled: () => boolean;
     /** Steps whose tasks may run now; `now` in Unix ms, `steadyNow` in ms of the steady clock. */
@@ -55,6 +58,8 @@
     let hasStarted = stored?.hasStarted ?? false;
     let revision = 0;
     let writtenRevision = 0;
+    /** Revision in which the workflow ended. */
+    let settledRevision: number | undefined;
     /** Steps that are still to be done, over all occurrences. */
     let remainingSteps = occurrences * steps.length;
 
@@ -72,8 +77,21 @@
     const stage = ({ occurrence, step }: TaskPosition): Stage | undefined => stageAt(occurrence, step);
     const isStepDone = (occurrence: number, number: number): boolean =>
         stages.get(stageKey(occurrence, number))?.record.done.size === steps[number]?.count;
+    const isSettled = (): boolean => isCancelled || isFailed || remainingSteps === 0;
+    const outcome = (): WorkflowState => {
+        if (isCancelled) {
+            return "cancelled";
+        }
+        if (isFailed) {
+            return "failed";
+        }
+        return remainingSteps === 0 ? "completed" : hasStarted ? "running" : "queued";
+    };
     const touch = (): void => {
         revision += 1;
+        if (isSettled()) {
+            settledRevision ??= revision;
+        }
     };
     const markDone = (found: Stage, index: number): void => {
         const { record, step } = found;
@@ -86,7 +104,6 @@
             remainingSteps -= 1;
         }
     };
-    const isSettled = (): boolean => isCancelled || isFailed || remainingSteps === 0;
     const isDue = (occurrence: number, now: number): boolean =>
         schedule === undefined || now >= schedule.firstDue + occurrence * schedule.interval;
     const isOpen = (occurrence: number, number: number): boolean =>
@@ -107,14 +124,10 @@
         workflow,
         stage,
         isSettled,
+        outcome,
         state: () => {
-            if (isCancelled) {
-                return "cancelled";
-            }
-            if (isFailed) {
-                return "failed";
-            }
-            return remainingSteps === 0 ? "completed" : hasStarted ? "running" : "queued";
+            const isStored = settledRevision === undefined || writtenRevision >= settledRevision;
+            return isStored ? outcome() : hasStarted ? "running" : "queued";
         },
         openStages: (now, steadyNow) => {
             // Ends that are not stored yet must not let later steps start: a new holder could run them again.
--- a/packages/workflow/tests/workflow-ledger.test.ts
+++ b/packages/workflow/tests/workflow-ledger.test.ts
@@ -45,7 +45,7 @@
         expect(openSteps(ledger)).toEqual([]);
         expect(openSteps(written(ledger))).toEqual(["0.1"]);
         ledger.noteDone(at(1));
-        expect(ledger.state()).toBe("completed");
+        expect(written(ledger).state()).toBe("completed");
     });
 
     it("fails at the limit of one task's failed runs, not of all tasks together", () => {
@@ -55,7 +55,15 @@
         ledger.noteFailure(at(0, 2), 1);
         expect(ledger.isSettled()).toBe(false);
         ledger.noteFailure(at(0, 1), 2);
-        expect(ledger.state()).toBe("failed");
+        expect(written(ledger).state()).toBe("failed");
+    });
+
+    it("tells submitters of an end only once it is stored, since a new holder would go on without it", () => {
+        const ledger = createWorkflowLedger(workflow([testStep()]));
+        ledger.noteStart(at(0));
+        ledger.noteDone(at(0));
+        expect([ledger.isSettled(), ledger.state(), ledger.outcome()]).toEqual([true, "running", "completed"]);
+        expect(written(ledger).state()).toBe("completed");
     });
 
     it("counts a failed run once where a worker reports it again to the next holder", () => {
@@ -65,17 +73,17 @@
         next.noteFailure(at(0), 4_097);
         expect(next.isSettled()).toBe(false);
         next.noteFailure(at(0), 8_193);
-        expect(next.state()).toBe("failed");
+        expect(written(next).state()).toBe("failed");
     });
 
     it("counts failed runs of a gang together and takes one end for all", () => {
         const failed = createWorkflowLedger(workflow([testStep({ count: 3, isGang: true })]));
         failed.noteFailure(at(0, 0), 1);
         failed.noteFailure(at(0, 2), 2);
-        expect(failed.state()).toBe("failed");
+        expect(written(failed).state()).toBe("failed");
         const done = createWorkflowLedger(workflow([testStep({ count: 3, isGang: true })]));
         done.noteDone(at(0, 1));
-        expect(done.state()).toBe("completed");
+        expect(written(done).state()).toBe("completed");
     });
 
     it("never ends a step that lasts, however its tasks end", () => {
@@ -87,7 +95,7 @@
         }
         expect(ledger.state()).toBe("running");
         ledger.noteCancelled();
-        expect(ledger.state()).toBe("cancelled");
+        expect(written(ledger).state()).toBe("cancelled");
     });
 
     it("opens occurrences when they are due, also beside earlier ones", () => {
@@ -100,7 +108,7 @@
         ledger.noteDone(at(0, 0, 1));
         expect(ledger.state()).toBe("queued");
         ledger.noteDone(at(0, 0, 2));
-        expect(ledger.state()).toBe("completed");
+        expect(written(ledger).state()).toBe("completed");
     });
 
     it("comes back from its stored progress as it was", () => {
@@ -116,6 +124,6 @@
         expect([...again.stage(at(0))?.record.waiting ?? []]).toEqual([1, 2]);
         expect(again.stage(at(0))?.record.checkpoints.get(2)).toBe("c-7");
         again.noteFailure(at(0, 1), 2);
-        expect(again.state()).toBe("failed");
+        expect(written(again).state()).toBe("failed");
     });
 });
