Put urgent work before new lasting tasks; expect of a workflow the load that others show

Tails over their target came at the peak of a load that the workflow had not shown yet. Change: lasting tasks that lost their run come first, then urgent work in time, then new lasting tasks; the floor of a workflow's speed is at most what few of all fall below; tasks on spare time need half of their wish to lie idle.

--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -53,7 +53,7 @@
 }
 
 /** Share of what serving tasks reserve that lies idle: they are sized for their peak. */
-const idleShareOfServing = 0.5;
+const idleShareOfServing = 0.55;
 /** A workflow that takes longer than this multiple of its objective is of no use any more; from the users' rules. */
 const uselessFactor = 3;
 
@@ -74,7 +74,7 @@
         const objective = queue.slackFactor * criticalPath(steps, time) + queue.latencyTarget;
         const spare = dueAt - Date.now() - remainingPath(steps, stage.number, time);
         return {
-            isLasting: stage.step.isLasting,
+            lasting: !stage.step.isLasting ? "no" : stage.record.hasStarted ? "again" : "new",
             priority: queue.priority,
             laxity: spare + objective,
             lateLaxity: spare + objective * uselessFactor,
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -148,7 +148,11 @@
         },
         isDone: position => stage(position)?.record.done.has(position.index) ?? false,
         noteStart: position => {
-            stage(position)?.record.waiting.delete(position.index);
+            const found = stage(position);
+            if (found !== undefined) {
+                found.record.waiting.delete(position.index);
+                found.record.hasStarted = true;
+            }
             hasStarted = true;
         },
         noteIdle: position => {
--- a/packages/workflow/src/policy/choose-worker.ts
+++ b/packages/workflow/src/policy/choose-worker.ts
@@ -14,7 +14,7 @@
 /** Largest slack that still makes a difference, as a share of the target's speed. */
 const enoughSlack = 1;
 /** Least share of the processor time asked for that has to lie idle for a task on spare time. */
-const leastIdleShare = 0.7;
+const leastIdleShare = 0.5;
 
 /** How well a worker suits a task; undefined where it must not run there. */
 type Score = (step: Step, candidate: WorkerCandidate) => number | undefined;
--- a/packages/workflow/src/policy/pressure-model.ts
+++ b/packages/workflow/src/policy/pressure-model.ts
@@ -55,6 +55,8 @@
 const floorMemory = 25_000;
 /** Share of the present speed that is expected as floor of a workflow that was not seen for long. */
 const firstFloorShare = 0.65;
+/** Steps by which the speed that few workflows fall below follows what is seen: fast down, slowly up. */
+const commonFloorStep = { down: 0.15, up: 0.001 } as const;
 /** Speed that is expected of an unseen workflow. */
 const unseenSpeed = 2.2;
 
@@ -64,6 +66,8 @@
 export const createPressureModel = (): PressureModel => {
     const pressures = new Map<string, ShareRegression>();
     const loads = new Map<string, Load>();
+    /** Speed that the workflows of all images seldom fall below; what one has not shown yet, others have. */
+    let commonFloor = unseenSpeed * firstFloorShare;
 
     const pressuresOn = (image: string): ShareRegression => {
         const known = pressures.get(image) ?? createShareRegression({
@@ -74,6 +78,9 @@
         pressures.set(image, known);
         return known;
     };
+    const noteCommonFloor = (speed: number): void => {
+        commonFloor += (speed - commonFloor) * (speed < commonFloor ? commonFloorStep.down : commonFloorStep.up);
+    };
     const noteLoad = (job: string, speed: number, noise: number, now: number): void => {
         const known = loads.get(job);
         if (known === undefined) {
@@ -88,6 +95,7 @@
         const memory = Math.exp(-(now - known.seenAt) / floorMemory);
         known.floor = Math.min(known.speed, known.floor * memory + known.speed * (1 - memory));
         known.seenAt = now;
+        noteCommonFloor(known.speed);
     };
     const learnOne = ({ job, image, tail, target }: ServingSample, mix: SpareMix, now: number): void => {
         const speed = target / Math.max(1, tail);
@@ -115,7 +123,7 @@
             });
         },
         ownSpeed: job => loads.get(job)?.speed ?? unseenSpeed,
-        floorSpeed: job => loads.get(job)?.floor ?? unseenSpeed * firstFloorShare,
+        floorSpeed: job => Math.min(loads.get(job)?.floor ?? Infinity, commonFloor),
         pressure: (servingImage, spareImage) => pressuresOn(servingImage).weight(spareImage),
         forgetJob: job => {
             loads.delete(job);
--- a/packages/workflow/src/policy/urgency.ts
+++ b/packages/workflow/src/policy/urgency.ts
@@ -1,7 +1,7 @@
 /** What decides in which order steps get workers. */
 export interface Urgency {
-    /** Whether tasks that are to last are missing. */
-    readonly isLasting: boolean;
+    /** Whether tasks that are to last are missing: `again` where they have run before, and left the room they need. */
+    readonly lasting: "no" | "new" | "again";
     /** Priority of the queue; 0 comes first. */
     readonly priority: number;
     /** Milliseconds to spare before the workflow misses its objective; negative where it will. */
@@ -10,9 +10,19 @@
     readonly lateLaxity: number;
 }
 
-/** Tasks that are to last go first, then work in time, then work that is late but still of use, then the rest. */
-const rankOf = ({ isLasting, laxity, lateLaxity }: Urgency): number =>
-    isLasting ? 0 : laxity >= 0 ? 1 : lateLaxity >= 0 ? 2 : 3;
+/** Priority of work that goes before tasks which are to last and have not run yet. */
+const urgentPriority = 0;
+
+/** Lasting tasks go back to their room first; urgent work in time goes before new ones; then what is late, but of use. */
+const rankOf = ({ lasting, priority, laxity, lateLaxity }: Urgency): number => {
+    if (lasting !== "no") {
+        return lasting === "again" ? 0 : 2;
+    }
+    if (laxity >= 0) {
+        return priority === urgentPriority ? 1 : 3;
+    }
+    return lateLaxity >= 0 ? 4 : 5;
+};
 
 /** Orders steps: the smaller first. */
 export const compareUrgency = (left: Urgency, right: Urgency): number =>
