--- a/packages/workflow/src/cell/neighbour-watch.ts
+++ b/packages/workflow/src/cell/neighbour-watch.ts
@@ -5,7 +5,8 @@
 import type { ServingNeed, SpareTask } from "../policy/pace-plan.js";
 import { planPaces } from "../policy/pace-plan.js";
 import type { PressureModel, ServingSample } from "../policy/pressure-model.js";
-import { servingSlack } from "../policy/serving-slack.js";
+import type { PressedTask } from "../policy/serving-slack.js";
+import { pressTasks, servingSlack } from "../policy/serving-slack.js";
 import type { TailBrake } from "../policy/tail-brake.js";
 import { createTailBrake } from "../policy/tail-brake.js";
 import type { CellWorker } from "./cell-workers.js";
@@ -17,8 +18,20 @@
     readonly review: (worker: CellWorker, runs: readonly Run[]) => void;
     /** Whether serving tasks and tasks on spare processor time stand side by side. */
     readonly isNeeded: (runs: readonly Run[]) => boolean;
+    /** What stands on a worker now. */
+    readonly survey: (worker: CellWorker, runs: readonly Run[]) => WorkerSurvey;
     /** Slack of the worker's serving tasks once a task of the step is added; see `servingSlack`. */
-    readonly slackWith: (worker: CellWorker, runs: readonly Run[], step: Step) => number;
+    readonly slackWith: (worker: CellWorker, survey: WorkerSurvey, step: Step) => number;
+}
+
+/** What stands on a worker, as far as neighbours matter. */
+export interface WorkerSurvey {
+    /** Serving tasks by image. */
+    readonly servingImages: ReadonlyMap<string, number>;
+    /** Thousandths of cores that they reserve. */
+    readonly servingCpu: number;
+    /** The serving tasks beside all that is there, at the load to be expected soon. */
+    readonly pressed: readonly PressedTask[];
 }
 
 /** Options of {@link createNeighbourWatch}. */
@@ -103,12 +116,22 @@
         },
         isNeeded: runs =>
             runs.some(run => run.step.usesSpareCpu) && runs.some(run => run.step.tailTarget !== undefined),
-        slackWith: (worker, runs, step) =>
-            servingSlack(
-                runs.filter(run => run.step.tailTarget !== undefined).map(run => needOf(run, "floorSpeed")),
-                spareRuns(runs).map(run => spareTask(worker, run.step)),
-                spareTask(worker, step),
-                model.pressure,
-            ),
+        survey: (worker, runs) => {
+            const serving = runs.filter(run => run.step.tailTarget !== undefined);
+            const servingImages = new Map<string, number>();
+            for (const { step: { image = "" } } of serving) {
+                servingImages.set(image, (servingImages.get(image) ?? 0) + 1);
+            }
+            return {
+                servingImages,
+                servingCpu: serving.reduce((sum, run) => sum + run.step.cpu, 0),
+                pressed: pressTasks(
+                    serving.map(run => needOf(run, "floorSpeed")),
+                    spareRuns(runs).map(run => spareTask(worker, run.step)),
+                    model.pressure,
+                ),
+            };
+        },
+        slackWith: (worker, { pressed }, step) => servingSlack(pressed, spareTask(worker, step), model.pressure),
     };
 };
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -1,4 +1,5 @@
 import type { SizeEstimate, WorkerHealth } from "@jayfront/policy";
+import type { WorkerId } from "@jayfront/world";
 import type { Logger } from "pino";
 
 import type { Stage, WorkflowLedger } from "../ledger/workflow-ledger.js";
@@ -14,7 +15,7 @@
 import type { WorkerCandidate } from "../policy/worker-candidate.js";
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
 import { mayStartOn } from "./cell-workers.js";
-import type { NeighbourWatch } from "./neighbour-watch.js";
+import type { NeighbourWatch, WorkerSurvey } from "./neighbour-watch.js";
 import type { RunBook } from "./run-book.js";
 import type { RunKeeper } from "./run-keeper.js";
 
@@ -41,8 +42,7 @@
     readonly isHeldBack: (ledger: WorkflowLedger) => boolean;
     /** Whether the task failed on the worker before. */
     readonly hasFailedOn: (task: TaskName, worker: CellWorker) => boolean;
-    /** See `NeighbourWatch`. */
-    readonly slackWith: NeighbourWatch["slackWith"];
+    readonly neighbours: Pick<NeighbourWatch, "survey" | "slackWith">;
 }
 
 interface Candidate {
@@ -59,9 +59,13 @@
 
 /** Creates the scheduler of a cell. */
 export const createStageScheduler = (options: StageSchedulerOptions): StageScheduler => {
-    const { ledgers, workers, book, keeper, runTimes, health, logger, queueOf, isHeldBack, hasFailedOn, slackWith } =
+    const { ledgers, workers, book, keeper, runTimes, health, logger, queueOf, isHeldBack, hasFailedOn, neighbours } =
         options;
 
+    /** What stands on workers, and sizes that found no worker; both hold for one pass. */
+    const surveys = new Map<WorkerId, WorkerSurvey>();
+    const blockedSizes = new Map<string, Pick<Step, "cpu" | "memory">>();
+
     const runTime = (queue: Queue, step: Step, number: number): number => {
         const kind = `${queue.name}/${String(number)}/${String(step.isGang)}`;
         // Estimates are off by a factor that a queue's submitters share; it is learned as a ratio.
@@ -105,26 +109,23 @@
         }
         return count;
     };
+    const surveyOf = (worker: CellWorker): WorkerSurvey => {
+        const { id } = worker.session;
+        const known = surveys.get(id) ?? neighbours.survey(worker, [...book.ofWorker(id)]);
+        surveys.set(id, known);
+        return known;
+    };
     const describe = (worker: CellWorker, step: Step, task: TaskName): WorkerCandidate => {
         const { session, room } = worker;
-        const runs = [...book.ofWorker(session.id)];
-        const servingImages = new Map<string, number>();
-        let reservedByServing = 0;
-        for (const run of runs) {
-            if (run.step.tailTarget !== undefined) {
-                const image = run.step.image ?? "";
-                servingImages.set(image, (servingImages.get(image) ?? 0) + 1);
-                reservedByServing += run.step.cpu;
-            }
-        }
+        const survey = surveyOf(worker);
         return {
             id: session.id,
             rack: session.entry().rack,
             capacityCpu: room.capacity().cpu,
             freeCpu: room.freeCpu(),
-            idleCpu: room.spareCpu() + reservedByServing * idleShareOfServing,
-            servingImages,
-            servingSlack: step.usesSpareCpu ? slackWith(worker, runs, step) : Infinity,
+            idleCpu: room.spareCpu() + survey.servingCpu * idleShareOfServing,
+            servingImages: survey.servingImages,
+            servingSlack: step.usesSpareCpu ? neighbours.slackWith(worker, survey, step) : Infinity,
             hasFailedBefore: hasFailedOn(task, worker),
         };
     };
@@ -150,6 +151,7 @@
     };
     const startOne = (candidate: Candidate, index: number, worker: CellWorker, number?: number): void => {
         health.recordStart(worker.session.id);
+        surveys.delete(worker.session.id);
         const { ledger, stage, urgency } = candidate;
         logger.info({
             job: ledger.workflow.id,
@@ -208,10 +210,22 @@
             }
         });
     };
+    /** What decides, besides its size, whether a step finds a worker. */
+    const shapeOf = ({ queue, stage: { step } }: Candidate): string =>
+        [queue.service, step.requiredLabel, step.usesSpareCpu, step.isLasting, step.image].join(" ");
     const startTasks = (candidate: Candidate): void => {
-        for (const index of [...candidate.stage.record.waiting]) {
+        const { step, record } = candidate.stage;
+        const shape = shapeOf(candidate);
+        const blocked = blockedSizes.get(shape);
+        if (blocked !== undefined && step.cpu >= blocked.cpu && step.memory >= blocked.memory) {
+            return;
+        }
+        for (const index of [...record.waiting]) {
             const worker = choose(candidate, index);
             if (worker === undefined) {
+                if (step.perWorkerLimit === undefined) {
+                    blockedSizes.set(shape, step);
+                }
                 return;
             }
             startOne(candidate, index, worker);
@@ -220,6 +234,8 @@
     return {
         runTime,
         pass: () => {
+            surveys.clear();
+            blockedSizes.clear();
             for (const candidate of candidates()) {
                 if (candidate.stage.step.isGang) {
                     startGang(candidate);
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -87,7 +87,7 @@
 /** Milliseconds between reads of the list of workers; a fifth of the time in which a draining worker must be left. */
 const directoryInterval = 500;
 /** Milliseconds in which news gather before the next placement pass. */
-const passGatherTime = 10;
+const passGatherTime = 15;
 /** Milliseconds after which a pass runs without news, for work that becomes due. */
 const passInterval = 200;
 /** Milliseconds between reviews of all runs. */
@@ -231,7 +231,7 @@
         logger,
         queueOf,
         isHeldBack: ledger => inherited.has(ledger.workflow.id) && hasUnknownWorkers(),
-        slackWith: neighbours.slackWith,
+        neighbours,
         hasFailedOn: (task, worker) => failedOn.get(task)?.has(worker.session.id) === true,
     });
     const watch = createRunWatch({
--- a/packages/workflow/tests/pace-plan.test.ts
+++ b/packages/workflow/tests/pace-plan.test.ts
@@ -2,7 +2,7 @@
 
 import type { Pressure } from "../src/policy/pace-plan.js";
 import { planPaces } from "../src/policy/pace-plan.js";
-import { servingSlack } from "../src/policy/serving-slack.js";
+import { pressTasks, servingSlack } from "../src/policy/serving-slack.js";
 
 const pressure: Pressure = (...[, spare]) => spare === "heavy" ? 8 : 0.5;
 const heavy = { image: "heavy", share: 0.1 };
@@ -38,7 +38,7 @@
         ["beside others", [{ image: "a", ownSpeed: 2 }], [heavy], light, 0.15],
         ["of the one that needs most", [{ image: "a", ownSpeed: 2 }, { image: "b", ownSpeed: 1.5 }], [], light, 0.45],
     ])("%s", (...[, needs, present, added, expected]) => {
-        const slack = servingSlack(needs, present, added, pressure);
+        const slack = servingSlack(pressTasks(needs, present, pressure), added, pressure);
         if (expected === Infinity) {
             expect(slack).toBe(Infinity);
         }
