--- a/packages/workflow/src/policy/choose-worker.ts
+++ b/packages/workflow/src/policy/choose-worker.ts
@@ -7,8 +7,10 @@
 const failureWeight = 1_000;
 /** Weight of serving tasks of the same image: kept together, they leave other workers to what would disturb them. */
 const sameImageWeight = 0.6;
-/** Weight of serving tasks of other images, each. */
-const otherImageWeight = 0.15;
+/** Weight against serving tasks of other images: that there are any, and each of them. */
+const otherImageWeight = { any: 0.3, each: 0.1 } as const;
+/** Weight of room that would be left over beside serving tasks; small holes fit no large task. */
+const leftoverWeight = 0.5;
 /** Least slack, as a share of the target's speed, that serving tasks keep beside a new neighbour. */
 const leastSlack = 0.1;
 /** Largest slack that still makes a difference, as a share of the target's speed. */
@@ -16,8 +18,11 @@
 /** Least share of the processor time asked for that has to lie idle for a task on spare time. */
 const leastIdleShare = 0.5;
 
+/** Free share of the workers that have room above which tasks are spread, so that a lost worker costs less. */
+const plentyOfRoom = 0.4;
+
 /** How well a worker suits a task; undefined where it must not run there. */
-type Score = (step: Step, candidate: WorkerCandidate) => number | undefined;
+type Score = (step: Step, candidate: WorkerCandidate, hasPlenty: boolean) => number | undefined;
 
 const scoreSpare: Score = (step, { servingSlack, idleCpu, capacityCpu }) => {
     if (servingSlack < leastSlack || idleCpu < step.cpu * leastIdleShare) {
@@ -29,20 +34,31 @@
     const image = step.image ?? "";
     const same = servingImages.get(image) ?? 0;
     const others = [...servingImages.values()].reduce((sum, count) => sum + count, 0) - same;
-    return (freeCpu - step.cpu) / capacityCpu + (same > 0 ? sameImageWeight : 0) - others * otherImageWeight;
+    return (same > 0 ? sameImageWeight : 0)
+        - (others > 0 ? otherImageWeight.any : 0)
+        - others * otherImageWeight.each
+        - (freeCpu - step.cpu) / capacityCpu * leftoverWeight;
 };
-const scoreReserving: Score = (step, { freeCpu, capacityCpu }) => (freeCpu - step.cpu) / capacityCpu;
+/** The tightest fit where room is scarce: what several small tasks would break up stays whole for large ones. */
+const scoreReserving: Score = (step, { freeCpu, capacityCpu }, hasPlenty) =>
+    (freeCpu - step.cpu) / capacityCpu * (hasPlenty ? 1 : -1);
 
+const hasPlentyOfRoom = (candidates: readonly WorkerCandidate[]): boolean => {
+    const free = candidates.reduce((sum, candidate) => sum + candidate.freeCpu, 0);
+    const capacity = candidates.reduce((sum, candidate) => sum + candidate.capacityCpu, 0);
+    return free > capacity * plentyOfRoom;
+};
 const scoreOf = (step: Step): Score =>
     step.usesSpareCpu ? scoreSpare : step.tailTarget === undefined ? scoreReserving : scoreServing;
 
 /** The best of the candidates, all of which have room; undefined where the task should wait. */
 export const chooseWorker = (step: Step, candidates: readonly WorkerCandidate[]): WorkerCandidate | undefined => {
     const score = scoreOf(step);
+    const hasPlenty = hasPlentyOfRoom(candidates);
     let best: WorkerCandidate | undefined;
     let bestScore = -Infinity;
     for (const candidate of candidates) {
-        const value = score(step, candidate);
+        const value = score(step, candidate, hasPlenty);
         const total = (value ?? -Infinity)
             + (step.preferredRack === candidate.rack ? rackWeight : 0)
             - (candidate.hasFailedBefore ? failureWeight : 0);
