Take a silent holder's cell after one silence, not two

Change: a holder that was heard under the row's epoch needs one silence only; the silent host is left out of the order. Case: a new holder gives orders within 1.8 s. Settled starts are told apart from runs without trace in the log.

--- a/packages/bench/tests/workflow/workflow-cluster.test.ts
+++ b/packages/bench/tests/workflow/workflow-cluster.test.ts
@@ -323,4 +323,14 @@
         expect(startsOf(1)).toBe(1);
         expect(breach()).toBeUndefined();
     });
+
+    it("has a new holder that gives orders within 2 s of the silence of the old one", async () => {
+        const dead = cluster.holder() ?? "";
+        const host = otherThan(dead);
+        cluster.kill(dead);
+        expect(await time.advanceUntil(() => cluster.holder() !== dead, 1_600)).toBe(true);
+        await time.advance(200);
+        expect(await submit(host, 1, [{}])).toBe("accepted");
+        expect(startsOf(1)).toBe(1);
+    });
 });
--- a/packages/workflow/src/cell/run-keeper.ts
+++ b/packages/workflow/src/cell/run-keeper.ts
@@ -61,6 +61,8 @@
 
 /** Run numbers that one holder may give a task; a later holder's numbers are higher without being stored. */
 const numbersPerEpoch = 4_096;
+/** Why a run is stopped whose start was not answered. */
+const unansweredStart = "start without answer";
 /** Milliseconds between attempts to settle a start without answer. */
 const settleInterval = 300;
 
@@ -120,7 +122,7 @@
                 // The next look tells whether it had started; without a trace it never will.
                 run.answeredAt = performance.now();
                 run.phase = "stopping";
-                run.stopReason ??= "start without answer";
+                run.stopReason ??= unansweredStart;
                 return;
             }
             await sleep(settleInterval);
@@ -343,7 +345,13 @@
             const isTold = run.phase !== "unsettled" && run.answeredAt < sentAt;
             if (!listed.has(run) && isTold) {
                 const { job } = run.position;
-                logger.warn({ job, task: run.task, run: run.number, worker: session.id }, "run without trace");
+                const details = { job, task: run.task, run: run.number, worker: session.id, reason: run.stopReason };
+                if (run.stopReason === unansweredStart) {
+                    logger.info(details, "start settled: it did not take place and never will");
+                }
+                else {
+                    logger.warn(details, "run without trace");
+                }
                 removeRun({ run, outcome: "lost" });
             }
         }
--- a/packages/workflow/src/entry/cell-claims.ts
+++ b/packages/workflow/src/entry/cell-claims.ts
@@ -18,8 +18,8 @@
     readonly doubt: (host: EntryHostRecord) => void;
     /** The last claim that was heard recently enough. */
     readonly fresh: (cell: CellId) => CellClaim | undefined;
-    /** Steady ms at which a holder was last heard. */
-    readonly heardAt: (cell: CellId) => number | undefined;
+    /** The last claim, however long ago it was heard. */
+    readonly last: (cell: CellId) => CellClaim | undefined;
     readonly allFresh: () => readonly CellClaim[];
     /** The cell of a workflow, where this host has learned it. */
     readonly cellOf: (id: JobId) => CellId | undefined;
@@ -71,7 +71,7 @@
             const claim = claims.get(cell);
             return claim !== undefined && isFresh(claim) ? claim : undefined;
         },
-        heardAt: cell => claims.get(cell)?.heardAt,
+        last: cell => claims.get(cell),
         allFresh: () => [...claims.values()].filter(isFresh),
     };
 };
--- a/packages/workflow/src/entry/cell-keeper.ts
+++ b/packages/workflow/src/entry/cell-keeper.ts
@@ -96,12 +96,14 @@
         onChange();
         return true;
     };
-    const silence = (cell: CellId): number => Math.round(performance.now() - (claims.heardAt(cell) ?? startedAt));
+    const silence = (cell: CellId): number => Math.round(performance.now() - (claims.last(cell)?.heardAt ?? startedAt));
     /** Time without holder after which this host takes the cell. */
     const patience = (cell: CellId, failureDomains: readonly FailureDomainId[]): number => {
         const heldBy = new Map<string, number>();
         claims.allFresh().forEach(({ host }) => heldBy.set(host.id, (heldBy.get(host.id) ?? 0) + 1));
-        const hosts: HostCandidate[] = [self, ...registry.peers()].map(host => ({
+        const silent = claims.last(cell)?.host.id;
+        const candidates = [self, ...registry.peers()].filter(host => host.id === self.id || host.id !== silent);
+        const hosts: HostCandidate[] = candidates.map(host => ({
             id: host.id,
             failureDomain: host.failureDomain,
             storeDelay: host.storeDelay,
@@ -110,7 +112,7 @@
         return claimTimeout + rankHosts(cell, failureDomains, hosts).indexOf(self.id) * rankDelay;
     };
     const reviewFree = async (cell: CellId, failureDomains: readonly FailureDomainId[]): Promise<void> => {
-        const isFirstLook = !seenRows.has(cell) && claims.heardAt(cell) === undefined;
+        const isFirstLook = !seenRows.has(cell) && claims.last(cell) === undefined;
         // At the first start of all, the host that is nearest to the store should come first.
         const isTooSoon = isFirstLook
             ? performance.now() - ranSince < firstLookWait + self.storeDelay * firstLookFactor
@@ -130,8 +132,10 @@
         // A holder's own next life, and a host of a domain whose cell nobody ever held, need not wait for silence.
         const isOwn = holder?.host === self.id
             || holder === undefined && failureDomains.includes(self.failureDomain);
-        const isFreshRow = seen === undefined || seen.version !== version
-            || performance.now() - seen.at < patience(cell, failureDomains);
+        // The silence that was waited for is that of the row's holder only where it was heard under this epoch.
+        const isHeardHolder = claims.last(cell)?.summary.epoch === holder?.epoch;
+        const isFreshRow = !isHeardHolder
+            && (seen?.version !== version || performance.now() - seen.at < patience(cell, failureDomains));
         if (isOwn || !isFreshRow) {
             await take(cell, row.value, isOwn ? "held before" : "holder silent");
         }
