--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -5,7 +5,7 @@
     createPlatformWorkers,
 } from "@jayfront/platform-adapter";
 import type { ProtocolPlatform } from "@jayfront/platform-stand-in";
-import { createProtocolPlatform } from "@jayfront/platform-stand-in";
+import { createProtocolPlatform, deskConfiguration } from "@jayfront/platform-stand-in";
 import type {
     CellTiming,
     EntryHostRecord,
@@ -16,7 +16,7 @@
     WorkflowHost,
     WorkflowNetwork,
 } from "@jayfront/workflow";
-import { createWorkflowHost, createWorkflowMetrics } from "@jayfront/workflow";
+import { createStep, createWorkflowHost, createWorkflowMetrics } from "@jayfront/workflow";
 import type { FailureDomainId, HostId, JobId, ServiceId } from "@jayfront/world";
 import type { Logger } from "pino";
 import pino from "pino";
@@ -67,20 +67,6 @@
     checkpointInterval: 2_000,
     tolerableHarm: 4_000,
 };
-const configuration = {
-    version: 1,
-    routes: [{
-        name: "r-urgent",
-        host: "desk.example",
-        pathPrefix: "/urgent/",
-        service: "desk",
-        priority: 0,
-        maxAttempts: 3,
-        slackFactor: 2,
-        targetLatencyMs: 500,
-    }],
-    services: [{ name: "desk", admissionCheck: true }],
-};
 /** Queue of the workflows that {@link WorkflowCluster.submit} hands in. */
 const queue: Queue = {
     name: "r-urgent",
@@ -92,20 +78,6 @@
     slackFactor: 2,
     latencyTarget: 500,
 };
-const plainStep: Step = {
-    count: 1,
-    cpu: 1_000,
-    memory: 100,
-    accelerators: 0,
-    expectedRunTime: 500,
-    after: [],
-    isCheckpointing: false,
-    isGang: false,
-    needsOneRack: false,
-    isSpeculative: false,
-    isLasting: false,
-    usesSpareCpu: false,
-};
 /** Milliseconds; what an adapter makes of a usual deadline of 3 s. */
 const submissionPatience = 1_350;
 const peerLatency = 3;
@@ -124,7 +96,7 @@
         longestLease,
         ...(cpuOf === undefined ? {} : { cpuOf }),
     });
-    platform.configure(configuration);
+    platform.configure(deskConfiguration);
     const hosts = new Map<string, WorkflowHost>();
     const domains = new Map<string, string>();
     const isolated = new Set<string>();
@@ -233,7 +205,7 @@
                 id: id as JobId,
                 queue,
                 payload: JSON.stringify(payload),
-                steps: steps.map(step => ({ ...plainStep, ...step })),
+                steps: steps.map(createStep),
                 acceptedAt: Date.now(),
             };
             const found = hosts.get(host);
--- a/packages/platform-stand-in/src/index.ts
+++ b/packages/platform-stand-in/src/index.ts
@@ -4,6 +4,7 @@
 export type * from "./hidden-world.js";
 export * from "./journal.js";
 export * from "./live-list-service.js";
+export * from "./protocol/desk-configuration.js";
 export * from "./protocol/find-breach.js";
 export type * from "./protocol/protocol-answer.js";
 export * from "./protocol/protocol-journal.js";
--- /dev/null
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -0,0 +1,182 @@
+import type { WorkerId } from "@jayfront/world";
+import { createStopSignal, sleep } from "@jayfront/world";
+import type { Logger } from "pino";
+
+import type { WorkerEntry } from "../model/worker-entry.js";
+import type { StateStore } from "../port/state-store.js";
+import type { WorkerDirectory } from "../port/worker-directory.js";
+import type { WorkerGateway } from "../port/worker-gateway.js";
+import type { CellLease } from "./cell-lease.js";
+import type { CellTiming } from "./cell-timing.js";
+import type { CellWorkers } from "./cell-workers.js";
+import type { LoadedCell } from "./load-cell.js";
+import { createRoomAccount } from "./room-account.js";
+import type { RunBook } from "./run-book.js";
+import type { Run } from "./run.js";
+import { tables } from "./tables.js";
+import type { SessionEvents } from "./worker-session.js";
+import { createWorkerSession } from "./worker-session.js";
+
+/** The workers of a cell: follows the platform's list, and keeps the roster of those on which tasks may run. */
+export interface WorkerRoster {
+    /** Takes over the roster of earlier holders; their tasks may still run on its workers. */
+    readonly inherit: (loaded: LoadedCell) => void;
+    /** Whether a worker on which earlier holders' tasks may run has not been heard yet. */
+    readonly hasUnknownWorkers: () => boolean;
+    /** Reads the list until `signal` aborts. */
+    readonly run: (signal: AbortSignal) => Promise<void>;
+}
+
+/** Options of {@link createWorkerRoster}. */
+export interface WorkerRosterOptions {
+    /** Filled and emptied by the pool. */
+    readonly workers: CellWorkers;
+    readonly lease: CellLease;
+    readonly store: StateStore;
+    readonly directory: WorkerDirectory;
+    readonly gateway: WorkerGateway;
+    readonly timing: CellTiming;
+    readonly logger: Logger;
+    readonly book: RunBook;
+    readonly events: SessionEvents;
+    /** Ends all sessions. */
+    readonly signal: AbortSignal;
+    /** Whether the worker belongs to this cell. */
+    readonly isOwn: (worker: WorkerEntry) => boolean;
+    /** Whether the runs may disturb each other. */
+    readonly isWatched: (runs: readonly Run[]) => boolean;
+    readonly hasLateOrders: () => boolean;
+    /** Steady ms by which leases that earlier holders gave have run out. */
+    readonly inheritedUntil: number;
+    readonly onChange: () => void;
+}
+
+/** Milliseconds between reads of the list of workers; a fifth of the time in which a draining worker must be left. */
+const directoryInterval = 500;
+
+/** Creates a roster without workers. */
+export const createWorkerRoster = (options: WorkerRosterOptions): WorkerRoster => {
+    const { workers, lease, store, directory, gateway, timing, logger, book, events, signal } = options;
+    const { isOwn, isWatched, hasLateOrders, inheritedUntil, onChange } = options;
+    const { cell, epoch } = lease;
+    const rosterIds = new Set<WorkerId>();
+    let rosterVersion = 0;
+
+    const addWorker = (entry: WorkerEntry): void => {
+        const isNew = !rosterIds.has(entry.id);
+        const sessionStop = createStopSignal(signal);
+        const session = createWorkerSession({
+            entry,
+            epoch,
+            gateway,
+            timing,
+            logger,
+            events,
+            isBusy: () => book.ofWorker(entry.id).size > 0,
+            isWatched: () => isWatched([...book.ofWorker(entry.id)]),
+            hasLateOrders,
+            // A worker that no roster names can't have been given anything.
+            inheritedUntil: isNew ? 0 : inheritedUntil,
+        });
+        workers.set(entry.id, {
+            session,
+            room: createRoomAccount(entry.capacity),
+            isOnRoster: !isNew,
+            unlistedSince: undefined,
+            drainsSince: undefined,
+            stop: sessionStop.abort,
+        });
+        void session.run(sessionStop.signal);
+    };
+    const takeDirectory = (entries: readonly WorkerEntry[]): void => {
+        const listed = new Map(entries.filter(isOwn).map(entry => [entry.id, entry]));
+        for (const entry of listed.values()) {
+            const known = workers.get(entry.id);
+            if (known === undefined) {
+                addWorker(entry);
+            }
+            known?.room.setCapacity(entry.capacity);
+        }
+        for (const [id, worker] of workers) {
+            const entry = listed.get(id);
+            const isGone = entry === undefined && worker.session.contact() === "lapsed"
+                && book.ofWorker(id).size === 0;
+            if (isGone) {
+                logger.info({ cell, worker: id }, "worker gone");
+                worker.stop();
+                workers.delete(id);
+                continue;
+            }
+            worker.session.setEntry(entry);
+            worker.unlistedSince = entry === undefined ? worker.unlistedSince ?? performance.now() : undefined;
+            if (entry?.isDraining === false) {
+                // Another life under the same id.
+                worker.drainsSince = undefined;
+            }
+            if (entry?.isDraining === true && worker.drainsSince === undefined) {
+                worker.drainsSince = performance.now();
+                logger.info({ cell, worker: id, remaining: entry.remaining }, "worker drains");
+            }
+        }
+        onChange();
+    };
+    const writeRoster = async (): Promise<void> => {
+        const wanted = [...workers.values()].filter(worker =>
+            worker.unlistedSince === undefined || book.ofWorker(worker.session.id).size > 0
+            || worker.session.contact() !== "lapsed"
+        );
+        const isSame = wanted.every(worker => rosterIds.has(worker.session.id)) && wanted.length === rosterIds.size;
+        if (isSame) {
+            return;
+        }
+        const key = tables.roster(cell);
+        const proven = lease.noteSent();
+        const written = await store.commit({
+            checks: [lease.check, { ...key, version: rosterVersion }],
+            writes: [{ ...key, value: JSON.stringify(wanted.map(worker => worker.session.entry())) }],
+        });
+        if (written.isErr) {
+            if (written.error.kind === "conflict") {
+                const current = written.error.rows.find(found => found.key === key.key);
+                rosterVersion = current?.version ?? 0;
+                await lease.renew();
+            }
+            return;
+        }
+        proven();
+        rosterVersion = written.value;
+        rosterIds.clear();
+        for (const worker of wanted) {
+            rosterIds.add(worker.session.id);
+            worker.isOnRoster = true;
+        }
+        for (const [id, worker] of workers) {
+            if (!rosterIds.has(id)) {
+                worker.isOnRoster = false;
+            }
+        }
+        logger.info({ cell, epoch, workers: rosterIds.size }, "roster written");
+        onChange();
+    };
+    return {
+        inherit: ({ roster, rosterVersion: version }) => {
+            rosterVersion = version;
+            roster.forEach(entry => {
+                rosterIds.add(entry.id);
+            });
+            roster.forEach(addWorker);
+        },
+        hasUnknownWorkers: () =>
+            [...workers.values()].some(({ session }) => rosterIds.has(session.id) && session.contact() === "unknown"),
+        run: async until => {
+            while (!until.aborted) {
+                const read = await directory.read();
+                if (read.isOk && !until.aborted) {
+                    takeDirectory(read.value);
+                    await writeRoster();
+                }
+                await sleep(directoryInterval, until);
+            }
+        },
+    };
+};
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -1,6 +1,4 @@
-import type { SizeEstimate, WorkerHealth } from "@jayfront/policy";
-import { createSizeEstimate, createWorkerHealth } from "@jayfront/policy";
-import type { CellId, JobId, WorkerId } from "@jayfront/world";
+import type { CellId, JobId } from "@jayfront/world";
 import { createStopSignal, createWakeUp, sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 
@@ -8,7 +6,6 @@
 import { createWorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { Configuration } from "../model/configuration.js";
 import type { Queue } from "../model/queue.js";
-import type { TaskName } from "../model/task-name.js";
 import type { WorkerEntry } from "../model/worker-entry.js";
 import type { Workflow, WorkflowState } from "../model/workflow.js";
 import { createPressureModel } from "../policy/pressure-model.js";
@@ -17,6 +14,7 @@
 import type { WorkerGateway } from "../port/worker-gateway.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import { acceptWorkflow } from "./accept-workflow.js";
+import { createCellLearning } from "./cell-learning.js";
 import type { CellLease } from "./cell-lease.js";
 import { createCellLease } from "./cell-lease.js";
 import type { CellSummary } from "./cell-summary.js";
@@ -26,17 +24,15 @@
 import { createCellWriter } from "./cell-writer.js";
 import { loadCell } from "./load-cell.js";
 import { createNeighbourWatch } from "./neighbour-watch.js";
-import { createRoomAccount } from "./room-account.js";
 import { createRunBook } from "./run-book.js";
-import type { RunEnd } from "./run-keeper.js";
 import { createRunKeeper } from "./run-keeper.js";
 import { createRunWatch } from "./run-watch.js";
 import type { Run } from "./run.js";
 import { createStageScheduler } from "./stage-scheduler.js";
-import { tables } from "./tables.js";
+import { summarizeCell } from "./summarize-cell.js";
 import type { CellRow } from "./take-cell.js";
+import { createWorkerRoster } from "./worker-roster.js";
 import type { SessionEvents } from "./worker-session.js";
-import { createWorkerSession } from "./worker-session.js";
 
 /** What came of handing a workflow in. */
 export type Submission = "accepted" | "unknown" | "refused";
@@ -84,8 +80,6 @@
 const renewalInterval = 1_000;
 /** As `renewalInterval`, while the store does not answer: its return should be noticed at once. */
 const troubledInterval = 200;
-/** Milliseconds between reads of the list of workers; a fifth of the time in which a draining worker must be left. */
-const directoryInterval = 500;
 /** Milliseconds in which news gather before the next placement pass. */
 const passGatherTime = 15;
 /** Milliseconds after which a pass runs without news, for work that becomes due. */
@@ -94,16 +88,8 @@
 const watchInterval = 250;
 /** Milliseconds before a failed read of the predecessor's rows is tried again. */
 const loadRetry = 200;
-/** Milliseconds of the first quarantine of a worker that fails what it runs; a few run times. */
-const quarantine = 2_000;
-/** Milliseconds of the longest quarantine; workers recover within some ten seconds or are replaced. */
-const quarantineLimit = 8_000;
-/** Milliseconds of work after which the failure of a lasting task does not tell against its worker. */
-const earlyFailure = 1_500;
 /** Milliseconds for which orders without answer count as possibly late once one of them was seen to be. */
 const lateOrderMemory = 60_000;
-/** Starts a worker may get before it has shown successes; placement bounds them by room. */
-const startLimit = 1_000;
 
 /** Runs a cell that was just taken. */
 export const createWorkflowCell = (options: WorkflowCellOptions): WorkflowCell => {
@@ -119,12 +105,7 @@
     const workers: CellWorkers = new Map();
     const book = createRunBook();
     const passWanted = createWakeUp();
-    const runTimes: SizeEstimate = createSizeEstimate({ quantile: 0.5 });
-    const health: WorkerHealth = createWorkerHealth({ failureLimit: 3, quarantine, quarantineLimit, startLimit });
     const pressure = createPressureModel();
-    const failedOn = new Map<TaskName, Set<WorkerId>>();
-    const rosterIds = new Set<WorkerId>();
-    let rosterVersion = 0;
     let isActive = false;
     let lateOrdersUntil = -Infinity;
     let accepted: JobId[] = [];
@@ -173,26 +154,7 @@
     });
     const queueOf = (ledger: WorkflowLedger): Queue =>
         configuration()?.queues.find(queue => queue.name === ledger.workflow.queue.name) ?? ledger.workflow.queue;
-    const learn = ({ run, outcome, error }: RunEnd): void => {
-        const { step, position, worker, ledger } = run;
-        metrics.runEnds.inc({ queue: ledger.workflow.queue.name, outcome: error ?? outcome });
-        // Tasks that last never end well, so that only an early failure says something of their worker.
-        const isEarly = performance.now() - run.startedAt < earlyFailure;
-        if (outcome === "failed" && (!step.isLasting || isEarly)) {
-            const tried = failedOn.get(run.task) ?? new Set();
-            failedOn.set(run.task, tried.add(worker));
-            health.recordEnd(worker, position.job, true);
-        }
-        if (outcome === "done") {
-            failedOn.delete(run.task);
-            health.recordEnd(worker, position.job, false);
-            const queue = queueOf(ledger);
-            const kind = `${queue.name}/${String(position.step)}/${String(step.isGang)}`;
-            if (step.expectedRunTime > 0 && run.checkpoint === "") {
-                runTimes.record(kind, queue.name, (performance.now() - run.startedAt) / step.expectedRunTime);
-            }
-        }
-    };
+    const { learn, runTimes, health, hasFailedOn } = createCellLearning({ metrics, queueOf });
     const keeper = createRunKeeper({
         epoch,
         book,
@@ -210,8 +172,6 @@
         onChange: passWanted.notify,
         ticketOf: () => undefined,
     });
-    const hasUnknownWorkers = (): boolean =>
-        [...workers.values()].some(({ session }) => rosterIds.has(session.id) && session.contact() === "unknown");
     const neighbours = createNeighbourWatch({
         model: pressure,
         throttle: (run: Run, percent: number) => {
@@ -230,9 +190,9 @@
         health,
         logger,
         queueOf,
-        isHeldBack: ledger => inherited.has(ledger.workflow.id) && hasUnknownWorkers(),
+        isHeldBack: ledger => inherited.has(ledger.workflow.id) && roster.hasUnknownWorkers(),
         neighbours,
-        hasFailedOn: (task, worker) => failedOn.get(task)?.has(worker.session.id) === true,
+        hasFailedOn: (task, worker) => hasFailedOn(task, worker.session.id),
     });
     const watch = createRunWatch({
         book,
@@ -267,108 +227,23 @@
             lateOrdersUntil = performance.now() + lateOrderMemory;
         },
     };
-    const addWorker = (entry: WorkerEntry): void => {
-        const isNew = !rosterIds.has(entry.id);
-        const sessionStop = createStopSignal(signal);
-        const session = createWorkerSession({
-            entry,
-            epoch,
-            gateway,
-            timing,
-            logger,
-            events,
-            isBusy: () => book.ofWorker(entry.id).size > 0,
-            isWatched: () => neighbours.isNeeded([...book.ofWorker(entry.id)]),
-            hasLateOrders: () => performance.now() < lateOrdersUntil,
-            // A worker that no roster names can't have been given anything.
-            inheritedUntil: isNew ? 0 : inheritedUntil,
-        });
-        workers.set(entry.id, {
-            session,
-            room: createRoomAccount(entry.capacity),
-            isOnRoster: !isNew,
-            unlistedSince: undefined,
-            drainsSince: undefined,
-            stop: sessionStop.abort,
-        });
-        void session.run(sessionStop.signal);
-    };
-    const takeDirectory = (entries: readonly WorkerEntry[]): void => {
-        const listed = new Map(entries.filter(isOwn).map(entry => [entry.id, entry]));
-        for (const entry of listed.values()) {
-            const known = workers.get(entry.id);
-            if (known === undefined) {
-                addWorker(entry);
-            }
-            known?.room.setCapacity(entry.capacity);
-        }
-        for (const [id, worker] of workers) {
-            const entry = listed.get(id);
-            const isGone = entry === undefined && worker.session.contact() === "lapsed"
-                && book.ofWorker(id).size === 0;
-            if (isGone) {
-                logger.info({ cell, worker: id }, "worker gone");
-                worker.stop();
-                workers.delete(id);
-                continue;
-            }
-            worker.session.setEntry(entry);
-            worker.unlistedSince = entry === undefined ? worker.unlistedSince ?? performance.now() : undefined;
-            if (entry?.isDraining === true && worker.drainsSince === undefined) {
-                worker.drainsSince = performance.now();
-                logger.info({ cell, worker: id, remaining: entry.remaining }, "worker drains");
-            }
-        }
-        passWanted.notify();
-    };
-    const writeRoster = async (): Promise<void> => {
-        const wanted = [...workers.values()].filter(worker =>
-            worker.unlistedSince === undefined || book.ofWorker(worker.session.id).size > 0
-            || worker.session.contact() !== "lapsed"
-        );
-        const isSame = wanted.every(worker => rosterIds.has(worker.session.id)) && wanted.length === rosterIds.size;
-        if (isSame) {
-            return;
-        }
-        const key = tables.roster(cell);
-        const proven = lease.noteSent();
-        const written = await store.commit({
-            checks: [lease.check, { ...key, version: rosterVersion }],
-            writes: [{ ...key, value: JSON.stringify(wanted.map(worker => worker.session.entry())) }],
-        });
-        if (written.isErr) {
-            if (written.error.kind === "conflict") {
-                const current = written.error.rows.find(found => found.key === key.key);
-                rosterVersion = current?.version ?? 0;
-                await lease.renew();
-            }
-            return;
-        }
-        proven();
-        rosterVersion = written.value;
-        rosterIds.clear();
-        for (const worker of wanted) {
-            rosterIds.add(worker.session.id);
-            worker.isOnRoster = true;
-        }
-        for (const [id, worker] of workers) {
-            if (!rosterIds.has(id)) {
-                worker.isOnRoster = false;
-            }
-        }
-        logger.info({ cell, epoch, workers: rosterIds.size }, "roster written");
-        passWanted.notify();
-    };
-    const runDirectory = async (): Promise<void> => {
-        while (!signal.aborted) {
-            const read = await directory.read();
-            if (read.isOk && !signal.aborted) {
-                takeDirectory(read.value);
-                await writeRoster();
-            }
-            await sleep(directoryInterval, signal);
-        }
-    };
+    const roster = createWorkerRoster({
+        workers,
+        lease,
+        store,
+        directory,
+        gateway,
+        timing,
+        logger,
+        book,
+        events,
+        signal,
+        isOwn,
+        isWatched: neighbours.isNeeded,
+        hasLateOrders: () => performance.now() < lateOrdersUntil,
+        inheritedUntil,
+        onChange: passWanted.notify,
+    });
     const runRenewals = async (): Promise<void> => {
         while (!signal.aborted) {
             const isRecent = performance.now() - lease.provenAt() < renewalInterval / 2;
@@ -414,11 +289,7 @@
             inherited.add(ledger.workflow.id);
             writer.noteVersion(ledger.workflow.id, progressVersion);
         }
-        rosterVersion = loaded.value.rosterVersion;
-        loaded.value.roster.forEach(entry => {
-            rosterIds.add(entry.id);
-        });
-        loaded.value.roster.forEach(addWorker);
+        roster.inherit(loaded.value);
         isActive = true;
         logger.info({
             cell,
@@ -434,7 +305,7 @@
         while (!signal.aborted && !await load()) {
             await sleep(loadRetry, signal);
         }
-        void runDirectory();
+        void roster.run(signal);
         void runRenewals();
         void runPasses();
         while (!signal.aborted) {
@@ -457,22 +328,6 @@
         }
         return outcome.kind === "elsewhere" ? "accepted" : outcome.kind;
     };
-    const backlogOf = (): number[] => {
-        const backlog: number[] = [];
-        for (const ledger of ledgers.values()) {
-            if (ledger.isSettled()) {
-                continue;
-            }
-            const queue = queueOf(ledger);
-            const work = ledger.workflow.steps.reduce(
-                (sum, step, number) =>
-                    sum + (step.isLasting ? 0 : step.count * step.cpu * scheduler.runTime(queue, step, number)),
-                0,
-            );
-            backlog[queue.priority] = (backlog[queue.priority] ?? 0) + work;
-        }
-        return Array.from(backlog, (value: number | undefined) => Math.round(value ?? 0));
-    };
     return {
         cell,
         epoch,
@@ -502,30 +357,17 @@
             return !ledger.isDirty();
         },
         summary: () => {
-            const pending: Record<string, number> = {};
-            for (const ledger of ledgers.values()) {
-                if (ledger.state() === "queued") {
-                    const { name } = ledger.workflow.queue;
-                    pending[name] = (pending[name] ?? 0) + 1;
-                }
-            }
-            const usable = [...workers.values()].filter(worker =>
-                worker.session.contact() === "known" && !worker.session.entry().isDraining
-            );
             const told = accepted;
             accepted = [];
-            return {
-                cell,
-                epoch,
+            return summarizeCell({
+                lease,
                 isActive,
-                provenAgo: performance.now() - lease.provenAt(),
-                pending,
-                racks: [...new Set(usable.map(worker => worker.session.entry().rack))],
-                capacityCpu: usable.reduce((sum, worker) => sum + worker.room.capacity().cpu, 0),
-                usedCpu: usable.reduce((sum, worker) => sum + worker.room.capacity().cpu - worker.room.spareCpu(), 0),
-                backlog: backlogOf(),
                 accepted: told,
-            };
+                ledgers: ledgers.values(),
+                workers: workers.values(),
+                queueOf,
+                runTime: scheduler.runTime,
+            });
         },
         stop: () => {
             stop.abort();
--- a/packages/workflow/tests/test-step.ts
+++ b/packages/workflow/src/model/create-step.ts
@@ -1,7 +1,7 @@
-import type { Step } from "../src/model/step.js";
+import type { Step } from "./step.js";
 
-/** A plain step of one task, with what a test needs changed. */
-export const testStep = (changes: Partial<Step> = {}): Step => ({
+/** A step with documented defaults: one task of one core and 100 MB that is expected to take half a second. */
+export const createStep = (changes: Partial<Step> = {}): Step => ({
     count: 1,
     cpu: 1_000,
     memory: 100,
--- a/packages/workflow/tests/choose-cell.test.ts
+++ b/packages/workflow/tests/choose-cell.test.ts
@@ -3,9 +3,9 @@
 import { describe, expect, it } from "@jest/globals";
 
 import { rankHosts } from "../src/entry/rank-hosts.js";
+import { createStep } from "../src/model/create-step.js";
 import type { CellCandidate } from "../src/policy/choose-cell.js";
 import { rankCells } from "../src/policy/choose-cell.js";
-import { testStep } from "./test-step.js";
 
 const cell = (id: string, changes: Partial<CellCandidate> = {}): CellCandidate => ({
     cell: id as CellId,
@@ -31,11 +31,11 @@
         ],
         ["the near one at equal load", [cell("a", { isNear: false }), cell("b")], 0, "b"],
     ])("%s", (...[, candidates, priority, expected]) => {
-        expect(rankCells([testStep()], priority, candidates)[0]).toBe(expected);
+        expect(rankCells([createStep()], priority, candidates)[0]).toBe(expected);
     });
 
     it("puts the rack of the data before load", () => {
-        const steps = [testStep({ preferredRack: "r-a" })];
+        const steps = [createStep({ preferredRack: "r-a" })];
         expect(rankCells(steps, 0, [cell("a", { usedCpu: 99_000 }), cell("b", { usedCpu: 0 })])[0]).toBe("a");
     });
 });
--- a/packages/workflow/tests/choose-worker.test.ts
+++ b/packages/workflow/tests/choose-worker.test.ts
@@ -1,9 +1,9 @@
 import type { WorkerId } from "@jayfront/world";
 import { describe, expect, it } from "@jest/globals";
 
+import { createStep } from "../src/model/create-step.js";
 import { chooseWorker } from "../src/policy/choose-worker.js";
 import type { WorkerCandidate } from "../src/policy/worker-candidate.js";
-import { testStep } from "./test-step.js";
 
 const candidate = (id: string, changes: Partial<WorkerCandidate> = {}): WorkerCandidate => ({
     id: id as WorkerId,
@@ -18,11 +18,11 @@
 });
 
 describe("the choice of a worker", () => {
-    const serving = testStep({ isLasting: true, tailTarget: 50, image: "a" });
-    const spare = testStep({ usesSpareCpu: true, image: "x" });
+    const serving = createStep({ isLasting: true, tailTarget: 50, image: "a" });
+    const spare = createStep({ usesSpareCpu: true, image: "x" });
 
     it.each([
-        ["the tightest fit for plain tasks, so that large ones find room", testStep(), [
+        ["the tightest fit for plain tasks, so that large ones find room", createStep(), [
             candidate("w1"),
             candidate("w2", { freeCpu: 1_500 }),
         ], "w2"],
@@ -30,15 +30,15 @@
             candidate("w1", { servingImages: new Map([["a", 1]]) }),
             candidate("w2", { freeCpu: 2_000, servingImages: new Map([["a", 1]]) }),
         ], "w2"],
-        ["the rack of the data before room", testStep({ preferredRack: "r-2" }), [
+        ["the rack of the data before room", createStep({ preferredRack: "r-2" }), [
             candidate("w1", { freeCpu: 9_000 }),
             candidate("w2", { rack: "r-2" }),
         ], "w2"],
-        ["another worker after a failure", testStep(), [
+        ["another worker after a failure", createStep(), [
             candidate("w1", { freeCpu: 9_000, hasFailedBefore: true }),
             candidate("w2"),
         ], "w2"],
-        ["the failed one where there is no other", testStep(), [candidate("w1", { hasFailedBefore: true })], "w1"],
+        ["the failed one where there is no other", createStep(), [candidate("w1", { hasFailedBefore: true })], "w1"],
         ["serving tasks of one image together", serving, [
             candidate("w1", { servingImages: new Map([["b", 1]]) }),
             candidate("w2", { freeCpu: 3_000, servingImages: new Map([["a", 2]]) }),
--- a/packages/workflow/tests/urgency.test.ts
+++ b/packages/workflow/tests/urgency.test.ts
@@ -1,10 +1,10 @@
 import { describe, expect, it } from "@jest/globals";
 
+import { createStep } from "../src/model/create-step.js";
 import { criticalPath } from "../src/policy/critical-path.js";
 import { remainingPath } from "../src/policy/remaining-path.js";
 import type { Urgency } from "../src/policy/urgency.js";
 import { compareUrgency } from "../src/policy/urgency.js";
-import { testStep } from "./test-step.js";
 
 const urgency = (changes: Partial<Urgency>): Urgency => ({
     lasting: "no",
@@ -35,10 +35,10 @@
 
 describe("chains of steps", () => {
     const steps = [
-        testStep({ expectedRunTime: 100 }),
-        testStep({ expectedRunTime: 300 }),
-        testStep({ expectedRunTime: 50, after: [0, 1] }),
-        testStep({ expectedRunTime: 10, after: [0] }),
+        createStep({ expectedRunTime: 100 }),
+        createStep({ expectedRunTime: 300 }),
+        createStep({ expectedRunTime: 50, after: [0, 1] }),
+        createStep({ expectedRunTime: 10, after: [0] }),
     ];
     const runTime = (step: { expectedRunTime: number; }): number => step.expectedRunTime;
 
--- a/packages/workflow/tests/workflow-ledger.test.ts
+++ b/packages/workflow/tests/workflow-ledger.test.ts
@@ -4,9 +4,9 @@
 import type { TaskPosition, WorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { createWorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { workflowProgress } from "../src/ledger/workflow-progress.js";
+import { createStep } from "../src/model/create-step.js";
 import type { Step } from "../src/model/step.js";
 import type { Schedule, Workflow } from "../src/model/workflow.js";
-import { testStep } from "./test-step.js";
 
 const workflow = (steps: readonly Step[], schedule?: Schedule): Workflow => ({
     id: "00000000000000aa" as JobId,
@@ -37,7 +37,7 @@
 
 describe("a workflow's ledger", () => {
     it("opens a step once all tasks of the steps before it are done and stored", () => {
-        const ledger = createWorkflowLedger(workflow([testStep({ count: 2 }), testStep({ after: [0] })]));
+        const ledger = createWorkflowLedger(workflow([createStep({ count: 2 }), createStep({ after: [0] })]));
         expect(openSteps(ledger)).toEqual(["0.0"]);
         ledger.noteDone(at(0, 0));
         ledger.noteDone(at(0, 1));
@@ -49,7 +49,7 @@
     });
 
     it("fails at the limit of one task's failed runs, not of all tasks together", () => {
-        const ledger = createWorkflowLedger(workflow([testStep({ count: 3 })]));
+        const ledger = createWorkflowLedger(workflow([createStep({ count: 3 })]));
         ledger.noteFailure(at(0, 0), 1);
         ledger.noteFailure(at(0, 1), 1);
         ledger.noteFailure(at(0, 2), 1);
@@ -59,7 +59,7 @@
     });
 
     it("tells submitters of an end only once it is stored, since a new holder would go on without it", () => {
-        const ledger = createWorkflowLedger(workflow([testStep()]));
+        const ledger = createWorkflowLedger(workflow([createStep()]));
         ledger.noteStart(at(0));
         ledger.noteDone(at(0));
         expect([ledger.isSettled(), ledger.state(), ledger.outcome()]).toEqual([true, "running", "completed"]);
@@ -67,7 +67,7 @@
     });
 
     it("counts a failed run once where a worker reports it again to the next holder", () => {
-        const ledger = createWorkflowLedger(workflow([testStep()]));
+        const ledger = createWorkflowLedger(workflow([createStep()]));
         ledger.noteFailure(at(0), 4_097);
         const next = reload(ledger);
         next.noteFailure(at(0), 4_097);
@@ -77,17 +77,17 @@
     });
 
     it("counts failed runs of a gang together and takes one end for all", () => {
-        const failed = createWorkflowLedger(workflow([testStep({ count: 3, isGang: true })]));
+        const failed = createWorkflowLedger(workflow([createStep({ count: 3, isGang: true })]));
         failed.noteFailure(at(0, 0), 1);
         failed.noteFailure(at(0, 2), 2);
         expect(written(failed).state()).toBe("failed");
-        const done = createWorkflowLedger(workflow([testStep({ count: 3, isGang: true })]));
+        const done = createWorkflowLedger(workflow([createStep({ count: 3, isGang: true })]));
         done.noteDone(at(0, 1));
         expect(written(done).state()).toBe("completed");
     });
 
     it("never ends a step that lasts, however its tasks end", () => {
-        const ledger = createWorkflowLedger(workflow([testStep({ isLasting: true })]));
+        const ledger = createWorkflowLedger(workflow([createStep({ isLasting: true })]));
         ledger.noteStart(at(0));
         for (let run = 0; run < 5; run += 1) {
             ledger.noteFailure(at(0), run);
@@ -100,7 +100,7 @@
 
     it("opens occurrences when they are due, also beside earlier ones", () => {
         const ledger = createWorkflowLedger(
-            workflow([testStep()], { repetitions: 3, firstDue: 1_000, interval: 500 }),
+            workflow([createStep()], { repetitions: 3, firstDue: 1_000, interval: 500 }),
         );
         expect(openSteps(ledger, 999)).toEqual([]);
         expect(openSteps(ledger, 1_500)).toEqual(["0.0", "1.0"]);
@@ -113,7 +113,7 @@
 
     it("comes back from its stored progress as it was", () => {
         const ledger = createWorkflowLedger(
-            workflow([testStep({ count: 3, isCheckpointing: true }), testStep({ after: [0] })]),
+            workflow([createStep({ count: 3, isCheckpointing: true }), createStep({ after: [0] })]),
         );
         ledger.noteStart(at(0, 0));
         ledger.noteDone(at(0, 0));
