--- /dev/null
+++ b/packages/bench/src/workflow/play-random-day.ts
@@ -0,0 +1,202 @@
+import type { NetworkCall, ProtocolEvent } from "@jayfront/platform-stand-in";
+import { findBreach } from "@jayfront/platform-stand-in";
+import type { JobId } from "@jayfront/world";
+import type { Logger } from "pino";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+import type { FakeTime } from "../util/fake-time.js";
+import type { WorkflowCluster } from "./workflow-cluster.js";
+import { createWorkflowCluster } from "./workflow-cluster.js";
+
+/** What a random day showed. */
+export interface RandomDay {
+    /** All that workers did. */
+    readonly events: readonly ProtocolEvent[];
+    /** The first broken promise; undefined where all were kept. */
+    readonly breach: string | undefined;
+    /** Workflows that were accepted, and of these those that had not completed when the day ended. */
+    readonly accepted: number;
+    readonly unfinished: readonly string[];
+    /** Workflows that ran although every answer to their submission said that they never would. */
+    readonly ranThoughRefused: readonly string[];
+    /** Faults that struck, in order. */
+    readonly faults: readonly string[];
+}
+
+/** Options of {@link playRandomDay}. */
+export interface RandomDayOptions {
+    readonly seed: number;
+    readonly time: FakeTime;
+    /** Seconds of faults; as much again passes without. Default 20. */
+    readonly seconds?: number;
+    /** Where the hosts log. Default: nowhere. */
+    readonly logger?: Logger;
+}
+
+/** Milliseconds from the start of all hosts to the first submission. */
+const warmUp = 3_000;
+/** Milliseconds between two events of the day. */
+const spacing = 400;
+/** Milliseconds without faults in which all that was accepted has to complete. */
+const calm = 25_000;
+
+interface Play {
+    readonly cluster: WorkflowCluster;
+    readonly draw: () => number;
+    readonly pick: <Item>(items: readonly Item[]) => Item | undefined;
+    /** Runs `heal` when the fault ends. */
+    readonly later: (milliseconds: number, heal: () => void) => void;
+}
+
+const isWrite = (call: NetworkCall): boolean => call.path === "/api/rows-tx";
+const toStore = (play: Play, call: NetworkCall): boolean => call.address === play.cluster.platform.storeAddress;
+
+/** Faults by name; each heals after a few seconds. */
+const faultKinds: Record<string, (play: Play) => void> = {
+    "kill a host": ({ cluster, pick, later, draw }) => {
+        const host = pick([...cluster.hosts.keys()]) ?? "";
+        cluster.kill(host);
+        later(300 + draw() * 3_000, () => {
+            cluster.start(host);
+        });
+    },
+    "kill all hosts": ({ cluster, later }) => {
+        const hosts = [...cluster.hosts.keys()];
+        hosts.forEach(cluster.kill);
+        later(1_000, () => {
+            hosts.forEach(cluster.start);
+        });
+    },
+    "cut a host off": ({ cluster, pick, later, draw }) => {
+        later(draw() * 6_000, cluster.isolate(pick([...cluster.hosts.keys()]) ?? ""));
+    },
+    "start a worker anew": ({ cluster, pick }) => {
+        pick([...cluster.platform.workers.values()])?.restart();
+    },
+    "cut a worker off": ({ cluster, pick, later, draw }) => {
+        const address = cluster.platform.addressOf(pick([...cluster.platform.workers.keys()]) ?? "");
+        later(
+            draw() * 9_000,
+            cluster.platform.network.addFault({ matches: (...[, call]) => call.address === address, action: "cut" }),
+        );
+    },
+    "carry orders out late": play => {
+        const { cluster, draw, later } = play;
+        later(
+            3_000,
+            cluster.platform.network.addFault({
+                matches: (...[, call]) => !toStore(play, call) && draw() < 0.2,
+                action: "late",
+                delay: 2_000 + draw() * 10_000,
+            }),
+        );
+    },
+    "lose answers of workers": play => {
+        const { cluster, draw, later } = play;
+        later(
+            3_000,
+            cluster.platform.network.addFault({
+                matches: (...[, call]) => !toStore(play, call) && draw() < 0.2,
+                action: "lose-answer",
+            }),
+        );
+    },
+    "silence the store": play => {
+        const { cluster, draw, later } = play;
+        later(
+            draw() * 5_000,
+            cluster.platform.network.addFault({ matches: (...[, call]) => toStore(play, call), action: "cut" }),
+        );
+    },
+    "turn some hosts away from the store": play => {
+        const { cluster, draw, later } = play;
+        const turned = new Set([...cluster.hosts.keys()].filter(() => draw() < 0.5));
+        later(
+            draw() * 6_000,
+            cluster.platform.network.addFault({
+                matches: (from, call) => turned.has(from) && toStore(play, call),
+                action: "refuse",
+            }),
+        );
+    },
+    "write late": play => {
+        const { cluster, draw, later } = play;
+        later(
+            3_000,
+            cluster.platform.network.addFault({
+                matches: (...[, call]) => isWrite(call) && draw() < 0.35,
+                action: "late",
+                delay: 1_000 + draw() * 5_000,
+            }),
+        );
+    },
+    "forget the store's history": ({ cluster }) => {
+        cluster.platform.store.compact();
+    },
+};
+
+/** Plays a day of random faults and submissions in fake time; the same seed gives the same day. */
+export const playRandomDay = async ({ seed, time, seconds = 20, logger }: RandomDayOptions): Promise<RandomDay> => {
+    const random = xoroshiro128plus(seed);
+    const draw = (): number => uniformFloat64(random);
+    const pick = <Item>(items: readonly Item[]): Item | undefined => items[Math.floor(draw() * items.length)];
+    const cluster = createWorkflowCluster({
+        hosts: { "east-a": 2, "east-b": 2 },
+        workers: { "east-a": 3, "east-b": 3 },
+        cpuOf: () => 1_000,
+        ...(logger === undefined ? {} : { logger }),
+    });
+    const later = (milliseconds: number, heal: () => void): void => {
+        setTimeout(heal, milliseconds);
+    };
+    const play: Play = { cluster, draw, pick, later };
+    const faults: string[] = [];
+    const answers = new Map<string, string[]>();
+    const submit = (): void => {
+        const id = Math.floor(draw() * 2 ** 48).toString(16).padStart(16, "0");
+        const host = pick([...cluster.hosts.keys()]);
+        const steps = [{ count: 1 + Math.floor(draw() * 4) }, { count: 1 + Math.floor(draw() * 3), after: [0] }];
+        const told = answers.get(id) ?? [];
+        answers.set(id, told);
+        if (host !== undefined) {
+            told.push("no answer");
+            void cluster.submit(host, id, steps, { work: 200 + Math.floor(draw() * 2_500) }).then(({ kind }) => {
+                told[told.length - 1] = kind;
+            });
+        }
+    };
+    await time.advance(warmUp);
+    for (let passed = 0; passed < seconds * 1_000; passed += spacing) {
+        submit();
+        if (draw() < 0.3) {
+            const kind = pick(Object.keys(faultKinds)) ?? "";
+            faults.push(`${String(passed)} ms: ${kind}`);
+            faultKinds[kind]?.(play);
+        }
+        await time.advance(spacing);
+    }
+    await time.advance(calm);
+    const { events } = cluster.platform.journal;
+    const ran = new Set(events.filter(event => event.kind === "started").map(event => event.task.split(".")[0] ?? ""));
+    const accepted = [...answers].filter(([, told]) => told.includes("accepted")).map(([id]) => id);
+    const unfinished: string[] = [];
+    for (const id of accepted) {
+        const asked = [...cluster.hosts.values()][0]?.desk.state(id as JobId);
+        await time.advance(50);
+        const state = await asked;
+        if (state?.kind !== "known" || state.value !== "completed") {
+            unfinished.push(`${id}: ${state?.kind === "known" ? state.value : String(state?.kind)}`);
+        }
+    }
+    const refused = [...answers].filter(([, told]) => told.every(kind => kind === "unavailable")).map(([id]) => id);
+    cluster.stop();
+    return {
+        events,
+        breach: findBreach(events),
+        accepted: accepted.length,
+        unfinished,
+        ranThoughRefused: refused.filter(id => ran.has(id)),
+        faults,
+    };
+};
--- /dev/null
+++ b/packages/bench/tests/workflow/random-day.test.ts
@@ -0,0 +1,29 @@
+import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
+
+import type { FakeTime } from "../../src/util/fake-time.js";
+import { installFakeTime } from "../../src/util/fake-time.js";
+import { playRandomDay } from "../../src/workflow/play-random-day.js";
+
+/** Accepted workflows without which a day would prove nothing. */
+const leastAccepted = 10;
+
+describe("a day of random faults", () => {
+    let time: FakeTime;
+    beforeEach(() => {
+        time = installFakeTime();
+    });
+    afterEach(() => {
+        time.restore();
+    });
+    it.each([...Array(12).keys()])("keeps all promises (seed %i)", async seed => {
+        const day = await playRandomDay({ seed, time });
+        const { breach, unfinished, ranThoughRefused, faults } = day;
+        expect({ breach, unfinished, ranThoughRefused, faults }).toEqual({
+            breach: undefined,
+            unfinished: [],
+            ranThoughRefused: [],
+            faults,
+        });
+        expect(day.accepted).toBeGreaterThanOrEqual(leastAccepted);
+    });
+});
--- a/packages/workflow/src/cell/run-keeper.ts
+++ b/packages/workflow/src/cell/run-keeper.ts
@@ -38,7 +38,7 @@
     readonly stopWorkflow: (job: JobId, reason: string) => void;
     readonly takeReport: (session: WorkerSession, report: WorkerReport, sentAt: number, isFirst: boolean) => void;
     /** Nothing that ran on the worker goes on. */
-    readonly clearWorker: (session: WorkerSession, reason: "reborn" | "lapsed") => void;
+    readonly clearWorker: (session: WorkerSession) => void;
 }
 
 /** Options of {@link createRunKeeper}. */
@@ -356,17 +356,10 @@
             }
         }
     };
-    const clearWorker: RunKeeper["clearWorker"] = (session, reason) => {
+    const clearWorker: RunKeeper["clearWorker"] = session => {
         for (const run of [...book.ofWorker(session.id)]) {
-            // An order under way may still reach the worker's next life.
-            const isUnderWay = reason === "reborn" && (run.phase === "unsettled" || run.answeredAt === Infinity);
-            if (isUnderWay) {
-                continue;
-            }
-            logger.info(
-                { job: run.position.job, task: run.task, run: run.number, worker: session.id, reason },
-                "run lost",
-            );
+            const { job } = run.position;
+            logger.info({ job, task: run.task, run: run.number, worker: session.id }, "run lost with its lease");
             removeRun({ run, outcome: "lost" });
         }
     };
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -49,8 +49,10 @@
 export interface SessionEvents {
     /** `sentAt`: time of the steady clock at which the look was sent. `isFirst`: the first one under this epoch and life. */
     readonly onReport: (session: WorkerSession, report: WorkerReport, sentAt: number, isFirst: boolean) => void;
-    /** Nothing that ran there goes on: the worker has started anew, or its leases have run out. */
-    readonly onCleared: (session: WorkerSession, reason: "reborn" | "lapsed") => void;
+    /** The worker has started anew; its next report tells what runs there. */
+    readonly onReborn: (session: WorkerSession) => void;
+    /** Nothing that ran there goes on: its leases have run out. */
+    readonly onLapsed: (session: WorkerSession) => void;
     /** The worker obeys a higher epoch. */
     readonly onFenced: (session: WorkerSession) => void;
     readonly onContact: (session: WorkerSession) => void;
@@ -131,19 +133,23 @@
             events.onContact(session);
         }
     };
-    const clear = (reason: "reborn" | "lapsed"): void => {
+    const forgetLife = (): void => {
         clock.reset();
         recordedEnd = 0;
         listedEnd = 0;
         grantedDeadline = 0;
-        bornAt = undefined;
-        horizon = newHorizon(0);
-        events.onCleared(session, reason);
     };
+    /**
+     * Takes note of a new life. What we believe to run may run there all the same, since orders reach whoever lives
+     * under the id; the next report tells. An older birth comes from an entry or an answer that is late.
+     */
     const noteBirth = (born: number): void => {
-        if (bornAt !== undefined && bornAt !== born) {
+        if (bornAt !== undefined && born > bornAt) {
             setContact("unknown", { reason: "the worker has started anew", bornAt, born });
-            clear("reborn");
+            forgetLife();
+            bornAt = born;
+            events.onReborn(session);
+            wake.notify();
         }
     };
     const noteFailure = (error: OrderError): void => {
@@ -159,11 +165,17 @@
         const isOver = performance.now() > horizon.until() + lapseMargin;
         if (isOver && (contact === "silent" || contact === "unknown")) {
             setContact("lapsed", { error: error.kind, reason: "no answer until its leases ran out" });
-            clear("lapsed");
+            forgetLife();
+            bornAt = undefined;
+            horizon = newHorizon(0);
+            events.onLapsed(session);
         }
     };
     const takeReport = (report: WorkerReport, sentAt: number): void => {
         noteBirth(report.bornAt);
+        if (report.bornAt < (bornAt ?? 0)) {
+            return;
+        }
         bornAt = report.bornAt;
         failures = 0;
         if (contact === "known" && performance.now() - unansweredAt < lateOrderSign) {
@@ -257,8 +269,7 @@
             return result;
         },
         stop: async (task, run) => {
-            const life = bornAt;
-            while (contact !== "lapsed" && bornAt === life) {
+            while (contact !== "lapsed") {
                 const result = await gateway.stop(entry, { task, run, epoch });
                 if (result.isOk) {
                     wake.notify();
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -210,8 +210,11 @@
                 neighbours.review(worker, [...book.ofWorker(session.id)]);
             }
         },
-        onCleared: (session, reason) => {
-            keeper.clearWorker(session, reason);
+        onReborn: session => {
+            health.forget(session.id);
+        },
+        onLapsed: session => {
+            keeper.clearWorker(session);
             health.forget(session.id);
         },
         onFenced: () => {
