Acknowledge ends once; take a run's end for done also after its lease was waited out

Change: looks name a recorded end until one of them is answered, then none; a new life is told again to stop what was not answered; an end that says 'done' counts where the task is not done yet.

--- a/packages/bench/tests/workflow/random-day.test.ts
+++ b/packages/bench/tests/workflow/random-day.test.ts
@@ -4,6 +4,8 @@
 import { installFakeTime } from "../../src/util/fake-time.js";
 import { playRandomDay } from "../../src/workflow/play-random-day.js";
 
+/** Seeds that have failed: a run closed by its waited-out lease (92, 98, 145), late orders in a new life (55, 71). */
+const formerFailures = [55, 71, 92, 98, 145];
 /** Accepted workflows without which a day would prove nothing. */
 const leastAccepted = 10;
 
@@ -15,7 +17,7 @@
     afterEach(() => {
         time.restore();
     });
-    it.each([...Array(12).keys()])("keeps all promises (seed %i)", async seed => {
+    it.each([...Array(12).keys(), ...formerFailures])("keeps all promises (seed %i)", async seed => {
         const day = await playRandomDay({ seed, time });
         const { breach, unfinished, ranThoughRefused, faults } = day;
         expect({ breach, unfinished, ranThoughRefused, faults }).toEqual({
--- a/packages/workflow/src/cell/run-keeper.ts
+++ b/packages/workflow/src/cell/run-keeper.ts
@@ -37,6 +37,8 @@
     readonly stop: (run: Run, reason: string) => void;
     readonly stopWorkflow: (job: JobId, reason: string) => void;
     readonly takeReport: (session: WorkerSession, report: WorkerReport, sentAt: number, isFirst: boolean) => void;
+    /** The worker has begun a new life, which knows nothing of stops that were ordered before. */
+    readonly noteReborn: (session: WorkerSession) => void;
     /** Nothing that ran on the worker goes on. */
     readonly clearWorker: (session: WorkerSession) => void;
 }
@@ -44,6 +46,8 @@
 /** Options of {@link createRunKeeper}. */
 export interface RunKeeperOptions {
     readonly epoch: number;
+    /** Milliseconds after which an order without answer is not carried out any more. */
+    readonly lateOrderTime: number;
     readonly book: RunBook;
     readonly writer: CellWriter;
     readonly logger: Logger;
@@ -68,10 +72,13 @@
 
 /** Creates the keeper of an empty book. */
 export const createRunKeeper = (options: RunKeeperOptions): RunKeeper => {
-    const { epoch, book, writer, logger, ledgerOf, sessionOf, onAdded, onRemoved, onChange, ticketOf } = options;
+    const { epoch, lateOrderTime, book, writer, logger, ledgerOf, sessionOf, onAdded, onRemoved, onChange, ticketOf } =
+        options;
     /** Highest number of a task's run that has ended, or can't count any more. */
     const closedNumbers = new Map<TaskName, number>();
     const lastNumbers = new Map<TaskName, number>();
+    /** Runs whose start had no answer; the worker may still carry it out, also in a new life. */
+    const unansweredStarts = new Set<Run>();
 
     const endQueues = new Map<WorkerId, { readonly bornAt: number; readonly queue: EndQueue; }>();
 
@@ -113,6 +120,14 @@
         run.ledger.noteStart(run.position);
         onAdded(run);
     };
+    const noteUnanswered = (run: Run): void => {
+        for (const older of unansweredStarts) {
+            if (performance.now() - older.orderedAt > lateOrderTime) {
+                unansweredStarts.delete(older);
+            }
+        }
+        unansweredStarts.add(run);
+    };
     /** Makes sure that a start without answer can't take place any more. */
     const settle = async (run: Run): Promise<void> => {
         run.phase = "unsettled";
@@ -159,6 +174,7 @@
         const { kind, message } = result.error;
         logger.info({ ...details, error: kind, message }, "start not done");
         if (kind === "unknown") {
+            noteUnanswered(run);
             void settle(run);
             return;
         }
@@ -223,7 +239,8 @@
         const position = parseTaskName(row.task);
         const ledger = position === undefined ? undefined : ledgerOf(position.job);
         const run = book.find(session.id, row.task, row.run);
-        const isClosed = row.run <= (closedNumbers.get(row.task) ?? 0) && run === undefined;
+        // A run that was waited out counts no more, unless it is done after all: that is true, and saves its work.
+        const isClosed = row.run <= (closedNumbers.get(row.task) ?? 0) && run === undefined && row.outcome !== "done";
         if (position === undefined || ledger === undefined || isClosed) {
             return undefined;
         }
@@ -356,6 +373,13 @@
             }
         }
     };
+    const noteReborn: RunKeeper["noteReborn"] = session => {
+        for (const run of unansweredStarts) {
+            if (run.worker === session.id && performance.now() - run.orderedAt < lateOrderTime) {
+                void session.stop(run.task, run.number);
+            }
+        }
+    };
     const clearWorker: RunKeeper["clearWorker"] = session => {
         for (const run of [...book.ofWorker(session.id)]) {
             const { job } = run.position;
@@ -368,5 +392,5 @@
             stop(run, reason);
         });
     };
-    return { start, nextNumber, stop, stopWorkflow, takeReport, clearWorker };
+    return { start, nextNumber, stop, stopWorkflow, takeReport, noteReborn, clearWorker };
 };
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -120,6 +120,8 @@
     let bornAt: number | undefined;
     let recordedEnd = 0;
     let listedEnd = 0;
+    /** Number of the last end that the worker is known to have forgotten. */
+    let acknowledgedEnd = 0;
     /** Deadline that the worker is known to have. */
     let grantedDeadline = 0;
     let failures = 0;
@@ -137,6 +139,7 @@
         clock.reset();
         recordedEnd = 0;
         listedEnd = 0;
+        acknowledgedEnd = 0;
         grantedDeadline = 0;
     };
     /**
@@ -192,9 +195,11 @@
     const look = async (wait: number, deadline?: number): Promise<boolean> => {
         const sentAt = performance.now();
         const answered = deadline === undefined ? undefined : horizon.noteSent(clock.timeUntil(deadline));
+        // Said once only: a look that is carried out late, in a new life, would make it forget ends of its own.
+        const newlyRecorded = recordedEnd > acknowledgedEnd ? recordedEnd : 0;
         const report = await gateway.look(entry, {
             epoch,
-            recordedEnd,
+            recordedEnd: newlyRecorded,
             ...(wait > 0 ? { wait } : {}),
             ...(deadline === undefined ? {} : { deadline }),
         });
@@ -203,6 +208,7 @@
             return false;
         }
         answered?.();
+        acknowledgedEnd = Math.max(acknowledgedEnd, newlyRecorded);
         if (deadline !== undefined) {
             grantedDeadline = Math.max(grantedDeadline, deadline);
         }
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -157,6 +157,7 @@
     const { learn, runTimes, health, hasFailedOn } = createCellLearning({ metrics, queueOf });
     const keeper = createRunKeeper({
         epoch,
+        lateOrderTime: timing.lateOrderTime,
         book,
         writer,
         logger,
@@ -211,6 +212,7 @@
             }
         },
         onReborn: session => {
+            keeper.noteReborn(session);
             health.forget(session.id);
         },
         onLapsed: session => {
--- a/packages/workflow/src/port/worker-gateway.ts
+++ b/packages/workflow/src/port/worker-gateway.ts
@@ -42,7 +42,7 @@
 /** Asks what a worker runs and what has ended there. */
 export interface LookOrder {
     readonly epoch: number;
-    /** Number of the last end that is recorded; the worker forgets ends up to it. */
+    /** Number of the last end that is recorded; the worker forgets ends up to it. 0 for none. */
     readonly recordedEnd: number;
     /** Extends the lease to this time on the worker's clock. */
     readonly deadline?: number;
