--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -125,6 +125,10 @@
     /** Deadline that the worker is known to have. */
     let grantedDeadline = 0;
     let failures = 0;
+    /** Steady ms of the last look without answer that acknowledged ends. */
+    let unansweredAcknowledgementAt = -Infinity;
+    /** Steady ms until which a look of the former life may still make this one forget ends that nobody has read. */
+    let barredUntil = -Infinity;
     /** Steady ms of the last call without answer. */
     let unansweredAt = -Infinity;
 
@@ -151,6 +155,7 @@
             setContact("unknown", { reason: "the worker has started anew", bornAt, born });
             forgetLife();
             bornAt = born;
+            barredUntil = unansweredAcknowledgementAt + timing.lateOrderTime;
             events.onReborn(session);
             wake.notify();
         }
@@ -204,6 +209,9 @@
             ...(deadline === undefined ? {} : { deadline }),
         });
         if (report.isErr) {
+            if (newlyRecorded > 0 && report.error.kind === "unknown") {
+                unansweredAcknowledgementAt = sentAt;
+            }
             noteFailure(report.error);
             return false;
         }
@@ -248,6 +256,9 @@
         },
         deadline: () => {
             const deadline = clock.deadline();
+            if (performance.now() < barredUntil && hasLateOrders()) {
+                return undefined;
+            }
             // A start close to its deadline would arrive late.
             return contact === "known" && deadline !== undefined
                     && clock.timeUntil(deadline) > lease * (1 - extensionShare)
