--- a/packages/bench/src/workflow/play-random-day.ts
+++ b/packages/bench/src/workflow/play-random-day.ts
@@ -1,5 +1,5 @@
 import type { NetworkCall, ProtocolEvent } from "@jayfront/platform-stand-in";
-import { findBreach } from "@jayfront/platform-stand-in";
+import { findBreach, isWriteCall } from "@jayfront/platform-stand-in";
 import type { JobId } from "@jayfront/world";
 import type { Logger } from "pino";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
@@ -49,7 +49,6 @@
     readonly later: (milliseconds: number, heal: () => void) => void;
 }
 
-const isWrite = (call: NetworkCall): boolean => call.path === "/api/rows-tx";
 const toStore = (play: Play, call: NetworkCall): boolean => call.address === play.cluster.platform.storeAddress;
 
 /** Faults by name; each heals after a few seconds. */
@@ -125,7 +124,7 @@
         later(
             3_000,
             cluster.platform.network.addFault({
-                matches: (...[, call]) => isWrite(call) && draw() < 0.35,
+                matches: (...[, call]) => isWriteCall(call) && draw() < 0.35,
                 action: "late",
                 delay: 1_000 + draw() * 5_000,
             }),
