--- a/packages/jayfrontd/src/index.ts
+++ b/packages/jayfrontd/src/index.ts
@@ -48,5 +48,7 @@
 export * from "./util/equal-secrets.js";
 export * from "./util/jitter.js";
 export * from "./util/limit-body.js";
+export * from "./util/listen.js";
 export * from "./util/read-body.js";
 export * from "./util/replayable-body.js";
+export * from "./util/stop-on-signal.js";
--- a/packages/jayfrontd/src/main.ts
+++ b/packages/jayfrontd/src/main.ts
@@ -3,6 +3,7 @@
 
 import { loadSettings } from "./load-settings.js";
 import { runHost } from "./run-host.js";
+import { stopOnSignal } from "./util/stop-on-signal.js";
 
 const exitBadSettings = 2;
 
@@ -41,17 +42,4 @@
 const { host, log } = settings.value;
 const logger = pino({ level: log.level, base: { host: host.id, failureDomain: host.failureDomain } });
 const running = await runHost(settings.value, logger);
-let isStopping = false;
-const stop = (signal: NodeJS.Signals): void => {
-    if (isStopping) {
-        return;
-    }
-    isStopping = true;
-    logger.info({ signal }, "stopping gracefully");
-    void running.stop().then(() => {
-        logger.info("stopped");
-        process.exit(0);
-    });
-};
-process.on("SIGTERM", stop);
-process.on("SIGINT", stop);
+stopOnSignal({ logger, stop: running.stop });
--- a/packages/jayfrontd/src/run-host.ts
+++ b/packages/jayfrontd/src/run-host.ts
@@ -21,6 +21,7 @@
 import { createRequestSignature, signatureHeader } from "./peer/request-signature.js";
 import { attachPeerServer } from "./peer/ws-peer-server.js";
 import type { Settings } from "./settings.js";
+import { listen } from "./util/listen.js";
 
 /** A running daemon. */
 export interface RunningHost {
@@ -43,12 +44,6 @@
             rejectUnauthorized: needsClientCertificate,
         });
 };
-const listen = (server: Server, address: string): Promise<void> =>
-    new Promise((resolve, reject) => {
-        const separator = address.lastIndexOf(":");
-        server.once("error", reject);
-        server.listen(Number(address.slice(separator + 1)), address.slice(0, separator), resolve);
-    });
 const close = (server: Server): Promise<void> =>
     new Promise(resolve => {
         server.close(() => {
--- a/packages/workflow/src/cell/run-keeper.ts
+++ b/packages/workflow/src/cell/run-keeper.ts
@@ -9,9 +9,11 @@
 import { taskName } from "../model/task-name.js";
 import type { EndedRow, OrderError, RunningRow, WorkerReport } from "../port/worker-gateway.js";
 import type { CellWriter } from "./cell-writer.js";
+import { createRun } from "./create-run.js";
 import type { EndQueue } from "./end-queue.js";
 import { createEndQueue } from "./end-queue.js";
 import type { RunBook } from "./run-book.js";
+import { createRunNumbers } from "./run-numbers.js";
 import type { Run } from "./run.js";
 import type { WorkerSession } from "./worker-session.js";
 
@@ -63,8 +65,6 @@
     readonly ticketOf: (run: Run) => string | undefined;
 }
 
-/** Run numbers that one holder may give a task; a later holder's numbers are higher without being stored. */
-const numbersPerEpoch = 4_096;
 /** Why a run is stopped whose start was not answered. */
 const unansweredStart = "start without answer";
 /** Milliseconds between attempts to settle a start without answer. */
@@ -74,9 +74,7 @@
 export const createRunKeeper = (options: RunKeeperOptions): RunKeeper => {
     const { epoch, lateOrderTime, book, writer, logger, ledgerOf, sessionOf, onAdded, onRemoved, onChange, ticketOf } =
         options;
-    /** Highest number of a task's run that has ended, or can't count any more. */
-    const closedNumbers = new Map<TaskName, number>();
-    const lastNumbers = new Map<TaskName, number>();
+    const numbers = createRunNumbers(epoch);
     /** Runs whose start had no answer; the worker may still carry it out, also in a new life. */
     const unansweredStarts = new Set<Run>();
 
@@ -96,18 +94,11 @@
         endQueues.set(session.id, { bornAt, queue });
         return queue;
     };
-    const nextNumber = (task: TaskName): number => {
-        const first = (epoch - 1) * numbersPerEpoch + 1;
-        return Math.max(first, (lastNumbers.get(task) ?? 0) + 1, (closedNumbers.get(task) ?? 0) + 1);
-    };
-    const closeNumber = (task: TaskName, number: number): void => {
-        closedNumbers.set(task, Math.max(number, closedNumbers.get(task) ?? 0));
-    };
     /** Takes a run out of the book; its task waits again unless it is done or runs elsewhere. */
     const removeRun = (end: RunEnd): void => {
         const { run } = end;
         book.remove(run);
-        closeNumber(run.task, run.number);
+        numbers.close(run.task, run.number);
         if (book.ofTask(run.task).length === 0) {
             run.ledger.noteIdle(run.position);
         }
@@ -116,7 +107,7 @@
     };
     const addRun = (run: Run): void => {
         book.add(run);
-        lastNumbers.set(run.task, Math.max(run.number, lastNumbers.get(run.task) ?? 0));
+        numbers.note(run.task, run.number);
         run.ledger.noteStart(run.position);
         onAdded(run);
     };
@@ -183,26 +174,15 @@
     const start: RunKeeper["start"] = (ledger, stage, index, session, number) => {
         const position = { job: ledger.workflow.id, occurrence: stage.occurrence, step: stage.number, index };
         const task = taskName(position);
-        const now = performance.now();
-        const run: Run = {
+        const run = createRun({
             task,
             position,
-            number: number ?? nextNumber(task),
+            number: number ?? numbers.next(task),
             worker: session.id,
             ledger,
             step: stage.step,
-            orderedAt: now,
-            phase: "starting",
-            answeredAt: Infinity,
-            startedAt: now,
-            percent: 0,
-            percentChangedAt: now,
-            reportedAt: now,
-            measure: 0,
             checkpoint: stage.record.checkpoints.get(index) ?? "",
-            pace: 100,
-            stopReason: undefined,
-        };
+        });
         addRun(run);
         void send(run, session);
     };
@@ -240,7 +220,7 @@
         const ledger = position === undefined ? undefined : ledgerOf(position.job);
         const run = book.find(session.id, row.task, row.run);
         // A run that was waited out counts no more, unless it is done after all: that is true, and saves its work.
-        const isClosed = row.run <= (closedNumbers.get(row.task) ?? 0) && run === undefined && row.outcome !== "done";
+        const isClosed = numbers.isClosed(row.task, row.run) && run === undefined && row.outcome !== "done";
         if (position === undefined || ledger === undefined || isClosed) {
             return undefined;
         }
@@ -259,7 +239,7 @@
             reason: run?.stopReason,
             state: ledger.outcome(),
         }, "run ended");
-        closeNumber(row.task, row.run);
+        numbers.close(row.task, row.run);
         if (run !== undefined) {
             removeRun({ run, outcome: row.outcome });
         }
@@ -300,33 +280,28 @@
             && stage !== undefined
             && !ledger.isSettled()
             && !ledger.isDone(position)
-            && row.run > (closedNumbers.get(row.task) ?? 0)
+            && !numbers.isClosed(row.task, row.run)
             && (stage.step.isSpeculative || book.ofTask(row.task).length === 0);
         logger.info({ job: position?.job, task: row.task, run: row.run, worker: session.id, isWanted }, "run found");
         if (!isWanted) {
             void session.stop(row.task, row.run);
             return;
         }
-        const now = performance.now();
-        addRun({
+        const run = createRun({
             task: row.task,
             position,
             number: row.run,
             worker: session.id,
             ledger,
             step: stage.step,
-            orderedAt: now,
-            phase: "running",
-            answeredAt: -Infinity,
-            startedAt: now,
-            percent: row.percent,
-            percentChangedAt: now,
-            reportedAt: now,
-            measure: row.measure,
             checkpoint: row.checkpoint,
-            pace: 100,
-            stopReason: undefined,
         });
+        run.phase = "running";
+        // The first report that does not list it tells of its end.
+        run.answeredAt = -Infinity;
+        run.percent = row.percent;
+        run.measure = row.measure;
+        addRun(run);
     };
     const updateRun = (run: Run, row: RunningRow, now: number): void => {
         if (row.percent !== run.percent) {
@@ -392,5 +367,5 @@
             stop(run, reason);
         });
     };
-    return { start, nextNumber, stop, stopWorkflow, takeReport, noteReborn, clearWorker };
+    return { start, nextNumber: numbers.next, stop, stopWorkflow, takeReport, noteReborn, clearWorker };
 };
--- a/packages/workflow/src/entry/cell-keeper.ts
+++ b/packages/workflow/src/entry/cell-keeper.ts
@@ -39,8 +39,6 @@
     readonly claims: CellClaims;
     readonly metrics: WorkflowMetrics;
     readonly logger: Logger;
-    /** Steady ms of the last answer of the store. */
-    readonly storeHeardAt: () => number;
     readonly openCell: (cell: CellId, row: CellRow, takenAt: number, onLost: (reason: string) => void) => WorkflowCell;
     /** Called when the set of held cells has changed. */
     readonly onChange: () => void;
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -107,7 +107,6 @@
         claims,
         metrics,
         logger,
-        storeHeardAt,
         openCell: (cell, row, takenAt, onLost) =>
             createWorkflowCell({
                 cell,
--- a/packages/workflow/src/workflow-metrics.ts
+++ b/packages/workflow/src/workflow-metrics.ts
@@ -18,8 +18,6 @@
     readonly throttles: Counter<"direction">;
     /** Cells taken and lost. */
     readonly cellChanges: Counter<"change">;
-    /** Log lines that were dropped since they came faster than they could be written. */
-    readonly droppedLogLines: Counter;
     /** Version of the configuration in force. */
     readonly configurationVersion: Gauge;
 }
@@ -76,11 +74,6 @@
             labelNames: ["change"],
             registers,
         }),
-        droppedLogLines: new Counter({
-            name: "jayfront_dropped_log_lines_total",
-            help: "Log lines dropped since they came faster than they could be written",
-            registers,
-        }),
         configurationVersion: new Gauge({
             name: "jayfront_configuration_version",
             help: "Version of the configuration in force",
