Keep run times in one place; drop what nobody reads

Cause: the last read of the change: the key of learned run times was built in two modules; five times of a cell, two members of a session and one fact of a run had no reader. Change: cell-learning both learns and tells run times; the unread parts are gone. No behaviour, no check of settings changed.

--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -58,14 +58,9 @@
 const timing: CellTiming = {
     longestLease,
     stopTime: 200,
-    gangTime: 3_000,
     retention: 120_000,
     clockDrift: 0.02,
     lateOrderTime: 12_000,
-    restoreTime: 0,
-    remotePenalty: 2,
-    checkpointInterval: 2_000,
-    tolerableHarm: 4_000,
 };
 /** Queue of the workflows that {@link WorkflowCluster.submit} hands in. */
 const queue: Queue = {
--- a/packages/workflow/src/cell/cell-learning.ts
+++ b/packages/workflow/src/cell/cell-learning.ts
@@ -1,9 +1,10 @@
-import type { SizeEstimate, WorkerHealth } from "@jayfront/policy";
+import type { WorkerHealth } from "@jayfront/policy";
 import { createSizeEstimate, createWorkerHealth } from "@jayfront/policy";
 import type { WorkerId } from "@jayfront/world";
 
 import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { Queue } from "../model/queue.js";
+import type { Step } from "../model/step.js";
 import type { TaskName } from "../model/task-name.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { RunEnd } from "./run-keeper.js";
@@ -11,8 +12,8 @@
 /** What a cell's holder learns from the ends of runs. */
 export interface CellLearning {
     readonly learn: (end: RunEnd) => void;
-    /** Actual run times as multiples of what submitters expect. */
-    readonly runTimes: SizeEstimate;
+    /** Milliseconds that a task of step `number` is expected to run. */
+    readonly runTime: (queue: Queue, step: Step, number: number) => number;
     readonly health: WorkerHealth;
     readonly hasFailedOn: (task: TaskName, worker: WorkerId) => boolean;
 }
@@ -34,6 +35,10 @@
 /** Milliseconds of work after which the failure of a lasting task does not tell against its worker. */
 const earlyFailure = 1_500;
 
+/** Steps whose estimates are off alike. */
+const kindOf = (queue: Queue, step: Step, number: number): string =>
+    `${queue.name}/${String(number)}/${String(step.isGang)}`;
+
 /** Creates a record of nothing. */
 export const createCellLearning = ({ metrics, queueOf }: CellLearningOptions): CellLearning => {
     const runTimes = createSizeEstimate({ quantile: 0.5 });
@@ -53,15 +58,17 @@
             failedOn.delete(run.task);
             health.recordEnd(worker, position.job, false);
             const queue = queueOf(ledger);
-            const kind = `${queue.name}/${String(position.step)}/${String(step.isGang)}`;
             if (step.expectedRunTime > 0 && run.checkpoint === "") {
-                runTimes.record(kind, queue.name, (performance.now() - run.startedAt) / step.expectedRunTime);
+                const ratio = (performance.now() - run.startedAt) / step.expectedRunTime;
+                runTimes.record(kindOf(queue, step, position.step), queue.name, ratio);
             }
         }
     };
     return {
         learn,
-        runTimes,
+        // Estimates are off by a factor that a queue's submitters share; it is learned as a ratio.
+        runTime: (queue, step, number) =>
+            step.expectedRunTime * runTimes.predict(kindOf(queue, step, number), queue.name, 1),
         health,
         hasFailedOn: (task, worker) => failedOn.get(task)?.has(worker) === true,
     };
--- a/packages/workflow/src/cell/cell-timing.ts
+++ b/packages/workflow/src/cell/cell-timing.ts
@@ -4,22 +4,12 @@
     readonly longestLease: number;
     /** Time within which a worker has stopped a task. */
     readonly stopTime: number;
-    /** Time in which members of a gang wait for each other. */
-    readonly gangTime: number;
     /** How long workflows are known after they have ended. */
     readonly retention: number;
     /** Share by which a worker's clock may be slow. */
     readonly clockDrift: number;
     /** Longest delay with which a worker may carry out an order that it never answered. */
     readonly lateOrderTime: number;
-    /** Time to a resumed task's first progress. */
-    readonly restoreTime: number;
-    /** Factor on the run time of a task away from its data. */
-    readonly remotePenalty: number;
-    /** Work between two checkpoints. */
-    readonly checkpointInterval: number;
-    /** Time for which a serving task may be over its target because of its neighbours. */
-    readonly tolerableHarm: number;
 }
 
 /** Milliseconds that a lease lasts at most: an outage of the store this long costs no work, a lost worker this much time. */
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -1,4 +1,4 @@
-import type { SizeEstimate, WorkerHealth } from "@jayfront/policy";
+import type { WorkerHealth } from "@jayfront/policy";
 import type { WorkerId } from "@jayfront/world";
 import type { Logger } from "pino";
 
@@ -23,8 +23,6 @@
 export interface StageScheduler {
     /** Starts all that can start now. */
     readonly pass: () => void;
-    /** Milliseconds that a task of the step is expected to run. */
-    readonly runTime: (queue: Queue, step: Step, number: number) => number;
 }
 
 /** Options of {@link createStageScheduler}. */
@@ -33,7 +31,8 @@
     readonly workers: CellWorkers;
     readonly book: RunBook;
     readonly keeper: RunKeeper;
-    readonly runTimes: SizeEstimate;
+    /** Milliseconds that a task of step `number` is expected to run. */
+    readonly runTime: (queue: Queue, step: Step, number: number) => number;
     readonly health: WorkerHealth;
     readonly logger: Logger;
     /** The queue as the configuration in force has it. */
@@ -59,18 +58,13 @@
 
 /** Creates the scheduler of a cell. */
 export const createStageScheduler = (options: StageSchedulerOptions): StageScheduler => {
-    const { ledgers, workers, book, keeper, runTimes, health, logger, queueOf, isHeldBack, hasFailedOn, neighbours } =
+    const { ledgers, workers, book, keeper, runTime, health, logger, queueOf, isHeldBack, hasFailedOn, neighbours } =
         options;
 
     /** What stands on workers, and sizes that found no worker; both hold for one pass. */
     const surveys = new Map<WorkerId, WorkerSurvey>();
     const blockedSizes = new Map<string, Pick<Step, "cpu" | "memory">>();
 
-    const runTime = (queue: Queue, step: Step, number: number): number => {
-        const kind = `${queue.name}/${String(number)}/${String(step.isGang)}`;
-        // Estimates are off by a factor that a queue's submitters share; it is learned as a ratio.
-        return step.expectedRunTime * runTimes.predict(kind, queue.name, 1);
-    };
     const urgencyOf = (ledger: WorkflowLedger, stage: Stage, queue: Queue): Urgency => {
         const { steps, acceptedAt, schedule } = ledger.workflow;
         const time = (step: Step, number: number): number => runTime(queue, step, number);
@@ -232,7 +226,6 @@
         }
     };
     return {
-        runTime,
         pass: () => {
             surveys.clear();
             blockedSizes.clear();
--- a/packages/workflow/src/cell/summarize-cell.ts
+++ b/packages/workflow/src/cell/summarize-cell.ts
@@ -2,10 +2,10 @@
 
 import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { Queue } from "../model/queue.js";
+import type { CellLearning } from "./cell-learning.js";
 import type { CellLease } from "./cell-lease.js";
 import type { CellSummary } from "./cell-summary.js";
 import type { CellWorker } from "./cell-workers.js";
-import type { StageScheduler } from "./stage-scheduler.js";
 
 /** What a cell's summary is made from. */
 export interface CellSummaryOptions {
@@ -16,7 +16,7 @@
     readonly ledgers: Iterable<WorkflowLedger>;
     readonly workers: Iterable<CellWorker>;
     readonly queueOf: (ledger: WorkflowLedger) => Queue;
-    readonly runTime: StageScheduler["runTime"];
+    readonly runTime: CellLearning["runTime"];
 }
 
 /** Sums up a cell for all entry hosts. */
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -24,8 +24,6 @@
     readonly entry: () => WorkerEntry;
     /** Steady ms at which the entry was read. */
     readonly entryAt: () => number;
-    /** Whether the platform lists the worker now. */
-    readonly isListed: () => boolean;
     readonly setEntry: (entry: WorkerEntry | undefined) => void;
     readonly contact: () => Contact;
     /** Deadline for starts on the worker's clock; undefined where it may not start anything. */
@@ -40,8 +38,6 @@
     readonly noteProofSent: () => () => void;
     /** Sends a new deadline where the one that the worker has runs out soon. */
     readonly extend: () => Promise<void>;
-    /** Looks soon instead of at the next turn. */
-    readonly lookSoon: () => void;
     readonly run: (signal: AbortSignal) => Promise<void>;
 }
 
@@ -115,7 +111,6 @@
     let horizon = newHorizon(options.inheritedUntil);
     let entry = options.entry;
     let entryAt = performance.now();
-    let isListed = true;
     let contact: Contact = "unknown";
     let bornAt: number | undefined;
     let recordedEnd = 0;
@@ -241,12 +236,9 @@
         id: entry.id,
         entry: () => entry,
         entryAt: () => entryAt,
-        isListed: () => isListed,
         contact: () => contact,
         noteProofSent: clock.noteProofSent,
-        lookSoon: wake.notify,
         setEntry: next => {
-            isListed = next !== undefined;
             if (next !== undefined) {
                 // An entry that stays the same still tells of the moment at which it was written.
                 entryAt = next.remaining === entry.remaining ? entryAt : performance.now();
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -154,7 +154,7 @@
     });
     const queueOf = (ledger: WorkflowLedger): Queue =>
         configuration()?.queues.find(queue => queue.name === ledger.workflow.queue.name) ?? ledger.workflow.queue;
-    const { learn, runTimes, health, hasFailedOn } = createCellLearning({ metrics, queueOf });
+    const { learn, runTime, health, hasFailedOn } = createCellLearning({ metrics, queueOf });
     const keeper = createRunKeeper({
         epoch,
         lateOrderTime: timing.lateOrderTime,
@@ -187,7 +187,7 @@
         workers,
         book,
         keeper,
-        runTimes,
+        runTime,
         health,
         logger,
         queueOf,
@@ -200,7 +200,7 @@
         keeper,
         workers,
         health,
-        runTime: scheduler.runTime,
+        runTime,
         queueOf: run => queueOf(run.ledger),
     });
     const events: SessionEvents = {
@@ -371,7 +371,7 @@
                 ledgers: ledgers.values(),
                 workers: workers.values(),
                 queueOf,
-                runTime: scheduler.runTime,
+                runTime,
             });
         },
         stop: () => {
--- a/packages/workflow/src/policy/run-fate.ts
+++ b/packages/workflow/src/policy/run-fate.ts
@@ -1,7 +1,6 @@
 /** What decides whether a run should go on where it is. */
 export interface RunFacts {
     readonly isLasting: boolean;
-    readonly isCheckpointing: boolean;
     /** Whether its members wait for each other, so that standing still says nothing. */
     readonly isGang: boolean;
     /** Milliseconds since the start. */
--- a/packages/workflow/tests/run-fate.test.ts
+++ b/packages/workflow/tests/run-fate.test.ts
@@ -5,7 +5,6 @@
 
 const facts = (changes: Partial<RunFacts>): RunFacts => ({
     isLasting: false,
-    isCheckpointing: false,
     isGang: false,
     age: 1_000,
     stillFor: 100,
