Tell workers that left from silent ones; keep late orders out of new lives

Its worker had drained and left. Three seconds before, answers had been lost, and for 60 s after such a sign every grant without answer was taken for one that may arrive 12 s late: the worker's leases seemed to last 17.7 s (log: leasedFor 17700). Beside it the entry's remaining time was read up to 1.3 s late, so that the tasks were not stopped before the worker went.

A start that the worker lists though its answer was lost goes on instead of being stopped. The bar on new lives goes: tokens do its work without idle workers.

--- a/packages/bench/tests/workflow/random-day.test.ts
+++ b/packages/bench/tests/workflow/random-day.test.ts
@@ -4,8 +4,8 @@
 import { installFakeTime } from "../../src/util/fake-time.js";
 import { playRandomDay } from "../../src/workflow/play-random-day.js";
 
-/** Seeds that have failed: a run closed by its waited-out lease (92, 98, 145), late orders in a new life (55, 71). */
-const formerFailures = [55, 71, 92, 98, 145];
+/** Seeds that have failed: a run closed by its waited-out lease (92, 98, 145), late orders in a new life (55, 71, 457). */
+const formerFailures = [55, 71, 92, 98, 145, 457];
 /** Accepted workflows without which a day would prove nothing. */
 const leastAccepted = 10;
 
--- a/packages/bench/tests/workflow/workflow-cluster.test.ts
+++ b/packages/bench/tests/workflow/workflow-cluster.test.ts
@@ -227,6 +227,20 @@
         expect(new Set(workers)).toEqual(new Set(["w-east-a-0"]));
     });
 
+    it("lets a run go on whose start alone was not answered", async () => {
+        const heal = cluster.platform.network.addFault({
+            matches: (...[, call]) => call.path === "/api/run-start",
+            action: "lose-answer",
+        });
+        await submit(cluster.holder() ?? "", 1, [{ count: 2 }], { work: 4_000 });
+        await time.advance(2_500);
+        heal();
+        await time.advance(3_000);
+        expect(await stateOf(cluster.holder() ?? "", 1)).toBe("completed");
+        expect(startsOf(1)).toBe(2);
+        expect(breach()).toBeUndefined();
+    });
+
     it("moves what can't end in time off a worker that leaves, and leaves the rest there", async () => {
         await submit(cluster.holder() ?? "", 1, [{ count: 6, expectedRunTime: 8_000 }], { work: 8_000 });
         await submit(cluster.holder() ?? "", 2, [{ count: 6, expectedRunTime: 3_000 }], { work: 3_000 });
--- a/packages/platform-stand-in/src/protocol/protocol-network.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-network.ts
@@ -23,6 +23,7 @@
 /** No answer came. */
 export interface NetworkFailure {
     readonly isSent: boolean;
+    readonly isRefused: boolean;
     readonly message: string;
 }
 
@@ -42,6 +43,8 @@
 /** Links between clients and doors, in the memory of one process. */
 export interface ProtocolNetwork {
     readonly addDoor: (address: string, door: ProtocolDoor) => void;
+    /** Nobody listens at the address any more; calls to it are refused. */
+    readonly removeDoor: (address: string) => void;
     /** A client that calls from `from`. */
     readonly clientOf: (from: string) => {
         readonly call: (call: NetworkCall) => Promise<Result<NetworkAnswer, NetworkFailure>>;
@@ -83,7 +86,7 @@
     };
     const giveUp = async (timeout: number): Promise<Result<NetworkAnswer, NetworkFailure>> => {
         await pause(timeout);
-        return Result.err({ isSent: true, message: `no answer within ${String(timeout)} ms` });
+        return Result.err({ isSent: true, isRefused: false, message: `no answer within ${String(timeout)} ms` });
     };
     const strike = async (
         fault: NetworkFault,
@@ -110,7 +113,7 @@
         counts.set(name, (counts.get(name) ?? 0) + 1);
         if (!doors.has(made.address)) {
             await pause(latency);
-            return Result.err({ isSent: false, message: `nobody listens on ${made.address}` });
+            return Result.err({ isSent: false, isRefused: true, message: `nobody listens on ${made.address}` });
         }
         const fault = [...faults].find(candidate => candidate.matches(from, made));
         if (fault !== undefined) {
@@ -127,6 +130,9 @@
         addDoor: (address, door) => {
             doors.set(address, door);
         },
+        removeDoor: address => {
+            doors.delete(address);
+        },
         addFault: fault => {
             faults.add(fault);
             return () => {
--- a/packages/workflow/src/cell/lease-horizon.ts
+++ b/packages/workflow/src/cell/lease-horizon.ts
@@ -13,8 +13,11 @@
     /** Longest time for which the worker accepts a deadline, in ms. */
     readonly longestLease: number;
     readonly drift: number;
-    /** Longest delay in ms with which a deadline that was never answered may still arrive; its time counts from then. */
-    readonly lateOrderTime: () => number;
+    /**
+     * Longest delay in ms with which a deadline that was sent at `sentAt` and never answered may still arrive; its time
+     * counts from then.
+     */
+    readonly lateOrderTime: (sentAt: number) => number;
     /** First value: until when deadlines of an earlier holder may hold. */
     readonly initial: number;
 }
@@ -23,17 +26,18 @@
 export const createLeaseHorizon = (options: LeaseHorizonOptions): LeaseHorizon => {
     const { longestLease, drift, lateOrderTime } = options;
     let until = options.initial;
-    const unanswered = new Set<{ readonly until: number; }>();
+    const unanswered = new Set<{ readonly sentAt: number; readonly until: number; }>();
     return {
         noteSent: length => {
             const bounded = Math.min(Math.max(0, length), longestLease) / (1 - drift);
-            const sent = { until: performance.now() + bounded };
+            const sentAt = performance.now();
+            const sent = { sentAt, until: sentAt + bounded };
             unanswered.add(sent);
             return () => {
                 unanswered.delete(sent);
                 until = Math.max(until, performance.now() + bounded);
             };
         },
-        until: () => Math.max(until, ...[...unanswered].map(sent => sent.until + lateOrderTime())),
+        until: () => Math.max(until, ...[...unanswered].map(sent => sent.until + lateOrderTime(sent.sentAt))),
     };
 };
--- a/packages/workflow/src/cell/room-account.ts
+++ b/packages/workflow/src/cell/room-account.ts
@@ -11,6 +11,8 @@
     readonly freeCpu: () => number;
     /** As `freeCpu`, less what tasks that use spare processor time would like to have. */
     readonly spareCpu: () => number;
+    /** MB that no task reserves. */
+    readonly freeMemory: () => number;
     readonly capacity: () => Capacity;
     readonly setCapacity: (capacity: Capacity) => void;
 }
@@ -41,6 +43,7 @@
             && accelerators + step.accelerators <= capacity.accelerators,
         freeCpu: () => capacity.cpu - cpu,
         spareCpu: () => capacity.cpu - cpu - wantedSpare,
+        freeMemory: () => capacity.memory - memory,
         capacity: () => capacity,
         setCapacity: next => {
             capacity = next;
--- a/packages/workflow/src/cell/run-keeper.ts
+++ b/packages/workflow/src/cell/run-keeper.ts
@@ -15,6 +15,7 @@
 import type { RunBook } from "./run-book.js";
 import { createRunNumbers } from "./run-numbers.js";
 import type { Run } from "./run.js";
+import type { UnansweredStarts } from "./unanswered-starts.js";
 import type { WorkerSession } from "./worker-session.js";
 
 /** What happened to a run, for those that learn from it. */
@@ -39,8 +40,6 @@
     readonly stop: (run: Run, reason: string) => void;
     readonly stopWorkflow: (job: JobId, reason: string) => void;
     readonly takeReport: (session: WorkerSession, report: WorkerReport, sentAt: number, isFirst: boolean) => void;
-    /** The worker has begun a new life, which knows nothing of stops that were ordered before. */
-    readonly noteReborn: (session: WorkerSession) => void;
     /** Nothing that ran on the worker goes on. */
     readonly clearWorker: (session: WorkerSession) => void;
 }
@@ -48,8 +47,7 @@
 /** Options of {@link createRunKeeper}. */
 export interface RunKeeperOptions {
     readonly epoch: number;
-    /** Milliseconds after which an order without answer is not carried out any more. */
-    readonly lateOrderTime: number;
+    readonly unansweredStarts: UnansweredStarts;
     readonly book: RunBook;
     readonly writer: CellWriter;
     readonly logger: Logger;
@@ -72,12 +70,20 @@
 
 /** Creates the keeper of an empty book. */
 export const createRunKeeper = (options: RunKeeperOptions): RunKeeper => {
-    const { epoch, lateOrderTime, book, writer, logger, ledgerOf, sessionOf, onAdded, onRemoved, onChange, ticketOf } =
-        options;
+    const {
+        epoch,
+        unansweredStarts,
+        book,
+        writer,
+        logger,
+        ledgerOf,
+        sessionOf,
+        onAdded,
+        onRemoved,
+        onChange,
+        ticketOf,
+    } = options;
     const numbers = createRunNumbers(epoch);
-    /** Runs whose start had no answer; the worker may still carry it out, also in a new life. */
-    const unansweredStarts = new Set<Run>();
-
     const endQueues = new Map<WorkerId, { readonly bornAt: number; readonly queue: EndQueue; }>();
 
     const endQueueOf = (session: WorkerSession, bornAt: number): EndQueue => {
@@ -111,14 +117,6 @@
         run.ledger.noteStart(run.position);
         onAdded(run);
     };
-    const noteUnanswered = (run: Run): void => {
-        for (const older of unansweredStarts) {
-            if (performance.now() - older.orderedAt > lateOrderTime) {
-                unansweredStarts.delete(older);
-            }
-        }
-        unansweredStarts.add(run);
-    };
     /** Makes sure that a start without answer can't take place any more. */
     const settle = async (run: Run): Promise<void> => {
         run.phase = "unsettled";
@@ -165,7 +163,12 @@
         const { kind, message } = result.error;
         logger.info({ ...details, error: kind, message }, "start not done");
         if (kind === "unknown") {
-            noteUnanswered(run);
+            if (run.reportedAt > run.orderedAt) {
+                // Only the answer was lost: the worker lists the run.
+                run.phase = run.phase === "starting" ? "running" : run.phase;
+                return;
+            }
+            unansweredStarts.note(run);
             void settle(run);
             return;
         }
@@ -323,6 +326,7 @@
             const run = book.find(session.id, row.task, row.run);
             if (run !== undefined) {
                 listed.add(run);
+                unansweredStarts.noteSeen(run);
                 updateRun(run, row, now);
             }
             else if (isFirst) {
@@ -348,14 +352,8 @@
             }
         }
     };
-    const noteReborn: RunKeeper["noteReborn"] = session => {
-        for (const run of unansweredStarts) {
-            if (run.worker === session.id && performance.now() - run.orderedAt < lateOrderTime) {
-                void session.stop(run.task, run.number);
-            }
-        }
-    };
     const clearWorker: RunKeeper["clearWorker"] = session => {
+        unansweredStarts.noteGone(session.id);
         for (const run of [...book.ofWorker(session.id)]) {
             const { job } = run.position;
             logger.info({ job, task: run.task, run: run.number, worker: session.id }, "run lost with its lease");
@@ -367,5 +365,5 @@
             stop(run, reason);
         });
     };
-    return { start, nextNumber: numbers.next, stop, stopWorkflow, takeReport, noteReborn, clearWorker };
+    return { start, nextNumber: numbers.next, stop, stopWorkflow, takeReport, clearWorker };
 };
--- a/packages/workflow/src/cell/run-watch.ts
+++ b/packages/workflow/src/cell/run-watch.ts
@@ -46,6 +46,7 @@
         const { step } = run;
         const reason = judgeRun({
             isLasting: step.isLasting,
+            isCheckpointing: step.isCheckpointing,
             isGang: step.isGang,
             age: now - run.startedAt,
             stillFor: now - run.percentChangedAt,
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -18,6 +18,7 @@
 import type { NeighbourWatch, WorkerSurvey } from "./neighbour-watch.js";
 import type { RunBook } from "./run-book.js";
 import type { RunKeeper } from "./run-keeper.js";
+import type { UnansweredStarts } from "./unanswered-starts.js";
 
 /** Decides which waiting tasks start where. */
 export interface StageScheduler {
@@ -41,6 +42,8 @@
     readonly isHeldBack: (ledger: WorkflowLedger) => boolean;
     /** Whether the task failed on the worker before. */
     readonly hasFailedOn: (task: TaskName, worker: CellWorker) => boolean;
+    /** See `UnansweredStarts.placeOf`. */
+    readonly placeOf: UnansweredStarts["placeOf"];
     readonly neighbours: Pick<NeighbourWatch, "survey" | "slackWith">;
 }
 
@@ -51,6 +54,9 @@
     readonly urgency: Urgency;
 }
 
+const taskOf = ({ ledger, stage }: Candidate, index: number): TaskName =>
+    taskName({ job: ledger.workflow.id, occurrence: stage.occurrence, step: stage.number, index });
+
 /** Share of what serving tasks reserve that lies idle: they are sized for their peak. */
 const idleShareOfServing = 0.55;
 /** A workflow that takes longer than this multiple of its objective is of no use any more; from the users' rules. */
@@ -58,8 +64,20 @@
 
 /** Creates the scheduler of a cell. */
 export const createStageScheduler = (options: StageSchedulerOptions): StageScheduler => {
-    const { ledgers, workers, book, keeper, runTime, health, logger, queueOf, isHeldBack, hasFailedOn, neighbours } =
-        options;
+    const {
+        ledgers,
+        workers,
+        book,
+        keeper,
+        runTime,
+        health,
+        logger,
+        queueOf,
+        isHeldBack,
+        hasFailedOn,
+        placeOf,
+        neighbours,
+    } = options;
 
     /** What stands on workers, and sizes that found no worker; both hold for one pass. */
     const surveys = new Map<WorkerId, WorkerSurvey>();
@@ -124,16 +142,12 @@
         };
     };
     const choose = (candidate: Candidate, index: number, rack?: string): CellWorker | undefined => {
-        const { ledger, stage, queue } = candidate;
-        const { step } = stage;
-        const task = taskName({
-            job: ledger.workflow.id,
-            occurrence: stage.occurrence,
-            step: stage.number,
-            index,
-        });
+        const { queue, stage: { step } } = candidate;
+        const task = taskOf(candidate, index);
+        const place = placeOf(task);
         const fitting = [...workers.values()].filter(worker =>
-            mayStartOn(worker, queue.service, step)
+            (place === undefined || place === worker.session.id)
+            && mayStartOn(worker, queue.service, step)
             && (rack === undefined || worker.session.entry().rack === rack)
             && (step.perWorkerLimit === undefined || tasksOfStageOn(worker, candidate) < step.perWorkerLimit)
         );
@@ -152,6 +166,8 @@
             step: stage.number,
             index,
             worker: worker.session.id,
+            image: stage.step.image,
+            cpu: stage.step.cpu,
             waited: Math.round(performance.now() - (stage.record.readySince ?? 0)),
             laxity: Math.round(urgency.laxity),
             freeCpu: worker.room.freeCpu(),
@@ -178,8 +194,7 @@
     };
     const racks = (): string[] => [...new Set([...workers.values()].map(worker => worker.session.entry().rack))];
     const startGang = (candidate: Candidate): void => {
-        const { ledger, stage } = candidate;
-        const { step, record } = stage;
+        const { step, record } = candidate.stage;
         if (record.waiting.size < step.count) {
             return;
         }
@@ -191,11 +206,7 @@
             return;
         }
         const indices = [...record.waiting];
-        const numbers = indices.map(index =>
-            keeper.nextNumber(
-                taskName({ job: ledger.workflow.id, occurrence: stage.occurrence, step: stage.number, index }),
-            )
-        );
+        const numbers = indices.map(index => keeper.nextNumber(taskOf(candidate, index)));
         const number = Math.max(...numbers);
         indices.forEach((index, place) => {
             const worker = plan[place];
@@ -216,6 +227,9 @@
         }
         for (const index of [...record.waiting]) {
             const worker = choose(candidate, index);
+            if (worker === undefined && placeOf(taskOf(candidate, index)) !== undefined) {
+                continue;
+            }
             if (worker === undefined) {
                 if (step.perWorkerLimit === undefined) {
                     blockedSizes.set(shape, step);
--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -9,6 +9,7 @@
 import type { CellLease } from "./cell-lease.js";
 import type { CellTiming } from "./cell-timing.js";
 import type { CellWorkers } from "./cell-workers.js";
+import type { LateOrders } from "./late-orders.js";
 import type { LoadedCell } from "./load-cell.js";
 import { createRoomAccount } from "./room-account.js";
 import type { RunBook } from "./run-book.js";
@@ -45,7 +46,7 @@
     readonly isOwn: (worker: WorkerEntry) => boolean;
     /** Whether the runs may disturb each other. */
     readonly isWatched: (runs: readonly Run[]) => boolean;
-    readonly hasLateOrders: () => boolean;
+    readonly lateOrders: LateOrders;
     /** Steady ms by which leases that earlier holders gave have run out. */
     readonly inheritedUntil: number;
     readonly onChange: () => void;
@@ -57,7 +58,7 @@
 /** Creates a roster without workers. */
 export const createWorkerRoster = (options: WorkerRosterOptions): WorkerRoster => {
     const { workers, lease, store, directory, gateway, timing, logger, book, events, signal } = options;
-    const { isOwn, isWatched, hasLateOrders, inheritedUntil, onChange } = options;
+    const { isOwn, isWatched, lateOrders, inheritedUntil, onChange } = options;
     const { cell, epoch } = lease;
     const rosterIds = new Set<WorkerId>();
     let rosterVersion = 0;
@@ -74,7 +75,7 @@
             events,
             isBusy: () => book.ofWorker(entry.id).size > 0,
             isWatched: () => isWatched([...book.ofWorker(entry.id)]),
-            hasLateOrders,
+            lateOrders,
             // A worker that no roster names can't have been given anything.
             inheritedUntil: isNew ? 0 : inheritedUntil,
         });
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -8,6 +8,7 @@
 import type { OrderError, StartOrder, WorkerGateway, WorkerReport } from "../port/worker-gateway.js";
 import type { CellTiming } from "./cell-timing.js";
 import { leaseLength } from "./cell-timing.js";
+import type { LateOrders } from "./late-orders.js";
 import type { LeaseHorizon } from "./lease-horizon.js";
 import { createLeaseHorizon } from "./lease-horizon.js";
 import { createWorkerClock } from "./worker-clock.js";
@@ -28,7 +29,7 @@
     readonly contact: () => Contact;
     /** Deadline for starts on the worker's clock; undefined where it may not start anything. */
     readonly deadline: () => number | undefined;
-    readonly start: (order: Omit<StartOrder, "epoch" | "deadline">) => Promise<Result<number, OrderError>>;
+    readonly start: (order: Omit<StartOrder, "token" | "deadline">) => Promise<Result<number, OrderError>>;
     /** Orders a stop until the worker has answered or can't run the task any more; true where it answered. */
     readonly stop: (task: TaskName, run: number) => Promise<boolean>;
     readonly throttle: (task: TaskName, run: number, percent: number) => Promise<boolean>;
@@ -52,8 +53,6 @@
     /** The worker obeys a higher epoch. */
     readonly onFenced: (session: WorkerSession) => void;
     readonly onContact: (session: WorkerSession) => void;
-    /** A call stayed without answer although the worker answers others: it may still be carried out. */
-    readonly onLateOrder: (session: WorkerSession) => void;
 }
 
 /** Options of {@link createWorkerSession}. */
@@ -68,8 +67,7 @@
     readonly isBusy: () => boolean;
     /** Whether tasks on the worker may disturb each other, so that its figures have to be fresh. */
     readonly isWatched: () => boolean;
-    /** Whether orders without answer are carried out late in these minutes. */
-    readonly hasLateOrders: () => boolean;
+    readonly lateOrders: LateOrders;
     /** Milliseconds on the steady clock until which an earlier holder's leases may last. */
     readonly inheritedUntil: number;
 }
@@ -88,6 +86,8 @@
 const recordWait = 500;
 /** Milliseconds between attempts at a stop without answer. */
 const stopInterval = 300;
+/** Tokens of one epoch, one for each life of a worker under one holder; a later holder's are all higher. */
+const tokensPerEpoch = 1_024;
 /** Remaining share of a lease below which it is extended. */
 const extensionShare = 0.6;
 /** Milliseconds after a call without answer within which another answer shows that the worker was not away. */
@@ -97,7 +97,7 @@
 
 /** Creates the session of a worker; `run` starts it. */
 export const createWorkerSession = (options: WorkerSessionOptions): WorkerSession => {
-    const { epoch, gateway, timing, logger, events, isBusy, isWatched, hasLateOrders } = options;
+    const { epoch, gateway, timing, logger, events, isBusy, isWatched, lateOrders } = options;
     const lease = leaseLength(timing);
     const clock = createWorkerClock(lease, timing.clockDrift);
     const wake = createWakeUp();
@@ -105,12 +105,13 @@
         createLeaseHorizon({
             longestLease: timing.longestLease,
             drift: timing.clockDrift,
-            lateOrderTime: () => hasLateOrders() ? timing.lateOrderTime : 0,
+            lateOrderTime: sentAt => lateOrders.mayInclude(sentAt) ? timing.lateOrderTime : 0,
             initial,
         });
     let horizon = newHorizon(options.inheritedUntil);
     let entry = options.entry;
     let entryAt = performance.now();
+    let isUnlisted = false;
     let contact: Contact = "unknown";
     let bornAt: number | undefined;
     let recordedEnd = 0;
@@ -120,10 +121,7 @@
     /** Deadline that the worker is known to have. */
     let grantedDeadline = 0;
     let failures = 0;
-    /** Steady ms of the last look without answer that acknowledged ends. */
-    let unansweredAcknowledgementAt = -Infinity;
-    /** Steady ms until which a look of the former life may still make this one forget ends that nobody has read. */
-    let barredUntil = -Infinity;
+    let lives = 0;
     /** Steady ms of the last call without answer. */
     let unansweredAt = -Infinity;
 
@@ -134,7 +132,13 @@
             events.onContact(session);
         }
     };
+    /**
+     * Token of orders to the present life. It rises with each life, so that an order to a former one that is carried out
+     * late does nothing once the present one has been called.
+     */
+    const token = (): number => epoch * tokensPerEpoch + Math.min(lives, tokensPerEpoch - 1);
     const forgetLife = (): void => {
+        lives += 1;
         clock.reset();
         recordedEnd = 0;
         listedEnd = 0;
@@ -150,11 +154,14 @@
             setContact("unknown", { reason: "the worker has started anew", bornAt, born });
             forgetLife();
             bornAt = born;
-            barredUntil = unansweredAcknowledgementAt + timing.lateOrderTime;
             events.onReborn(session);
             wake.notify();
         }
     };
+    /** Whether a worker that said it would leave has done so, which ends all that it ran, whatever its leases say. */
+    const hasLeftAsAnnounced = (error: OrderError): boolean =>
+        error.kind === "closed" && isUnlisted && entry.isDraining
+        && performance.now() - entryAt > (entry.remaining ?? Infinity);
     const noteFailure = (error: OrderError): void => {
         if (error.kind === "fenced") {
             events.onFenced(session);
@@ -165,9 +172,11 @@
         if (failures >= 2 && contact === "known") {
             setContact("silent", { error: error.kind, leasedFor: Math.round(horizon.until() - performance.now()) });
         }
-        const isOver = performance.now() > horizon.until() + lapseMargin;
+        const hasLeft = hasLeftAsAnnounced(error);
+        const isOver = hasLeft || performance.now() > horizon.until() + lapseMargin;
         if (isOver && (contact === "silent" || contact === "unknown")) {
-            setContact("lapsed", { error: error.kind, reason: "no answer until its leases ran out" });
+            const reason = hasLeft ? "it left as it had announced" : "no answer until its leases ran out";
+            setContact("lapsed", { error: error.kind, reason });
             forgetLife();
             bornAt = undefined;
             horizon = newHorizon(0);
@@ -182,7 +191,7 @@
         bornAt = report.bornAt;
         failures = 0;
         if (contact === "known" && performance.now() - unansweredAt < lateOrderSign) {
-            events.onLateOrder(session);
+            lateOrders.note();
         }
         unansweredAt = -Infinity;
         clock.note(report.clock);
@@ -195,18 +204,14 @@
     const look = async (wait: number, deadline?: number): Promise<boolean> => {
         const sentAt = performance.now();
         const answered = deadline === undefined ? undefined : horizon.noteSent(clock.timeUntil(deadline));
-        // Said once only: a look that is carried out late, in a new life, would make it forget ends of its own.
         const newlyRecorded = recordedEnd > acknowledgedEnd ? recordedEnd : 0;
         const report = await gateway.look(entry, {
-            epoch,
+            token: token(),
             recordedEnd: newlyRecorded,
             ...(wait > 0 ? { wait } : {}),
             ...(deadline === undefined ? {} : { deadline }),
         });
         if (report.isErr) {
-            if (newlyRecorded > 0 && report.error.kind === "unknown") {
-                unansweredAcknowledgementAt = sentAt;
-            }
             noteFailure(report.error);
             return false;
         }
@@ -239,6 +244,7 @@
         contact: () => contact,
         noteProofSent: clock.noteProofSent,
         setEntry: next => {
+            isUnlisted = next === undefined;
             if (next !== undefined) {
                 // An entry that stays the same still tells of the moment at which it was written.
                 entryAt = next.remaining === entry.remaining ? entryAt : performance.now();
@@ -248,9 +254,6 @@
         },
         deadline: () => {
             const deadline = clock.deadline();
-            if (performance.now() < barredUntil && hasLateOrders()) {
-                return undefined;
-            }
             // A start close to its deadline would arrive late.
             return contact === "known" && deadline !== undefined
                     && clock.timeUntil(deadline) > lease * (1 - extensionShare)
@@ -260,7 +263,7 @@
         start: async order => {
             const deadline = clock.deadline() ?? 0;
             const answered = horizon.noteSent(clock.timeUntil(deadline));
-            const result = await gateway.start(entry, { ...order, epoch, deadline });
+            const result = await gateway.start(entry, { ...order, token: token(), deadline });
             if (result.isOk || result.error.kind !== "unknown") {
                 answered();
             }
@@ -279,7 +282,7 @@
         },
         stop: async (task, run) => {
             while (contact !== "lapsed") {
-                const result = await gateway.stop(entry, { task, run, epoch });
+                const result = await gateway.stop(entry, { task, run, token: token() });
                 if (result.isOk) {
                     wake.notify();
                     return true;
@@ -292,7 +295,8 @@
             }
             return false;
         },
-        throttle: async (task, run, percent) => (await gateway.throttle(entry, { task, run, epoch, percent })).isOk,
+        throttle: async (task, run, percent) =>
+            (await gateway.throttle(entry, { task, run, token: token(), percent })).isOk,
         recordEnds: number => {
             recordedEnd = Math.max(recordedEnd, number);
             wake.notify();
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -22,6 +22,7 @@
 import { leaseLength } from "./cell-timing.js";
 import type { CellWorkers } from "./cell-workers.js";
 import { createCellWriter } from "./cell-writer.js";
+import { createLateOrders } from "./late-orders.js";
 import { loadCell } from "./load-cell.js";
 import { createNeighbourWatch } from "./neighbour-watch.js";
 import { createRunBook } from "./run-book.js";
@@ -31,6 +32,7 @@
 import { createStageScheduler } from "./stage-scheduler.js";
 import { summarizeCell } from "./summarize-cell.js";
 import type { CellRow } from "./take-cell.js";
+import { createUnansweredStarts } from "./unanswered-starts.js";
 import { createWorkerRoster } from "./worker-roster.js";
 import type { SessionEvents } from "./worker-session.js";
 
@@ -88,8 +90,6 @@
 const watchInterval = 250;
 /** Milliseconds before a failed read of the predecessor's rows is tried again. */
 const loadRetry = 200;
-/** Milliseconds for which orders without answer count as possibly late once one of them was seen to be. */
-const lateOrderMemory = 60_000;
 
 /** Runs a cell that was just taken. */
 export const createWorkflowCell = (options: WorkflowCellOptions): WorkflowCell => {
@@ -106,8 +106,8 @@
     const book = createRunBook();
     const passWanted = createWakeUp();
     const pressure = createPressureModel();
+    const lateOrders = createLateOrders();
     let isActive = false;
-    let lateOrdersUntil = -Infinity;
     let accepted: JobId[] = [];
     /** Steady ms by which leases that earlier holders gave have run out. */
     const inheritedUntil = options.takenAt
@@ -155,9 +155,10 @@
     const queueOf = (ledger: WorkflowLedger): Queue =>
         configuration()?.queues.find(queue => queue.name === ledger.workflow.queue.name) ?? ledger.workflow.queue;
     const { learn, runTime, health, hasFailedOn } = createCellLearning({ metrics, queueOf });
+    const unansweredStarts = createUnansweredStarts({ lateOrderTime: timing.lateOrderTime, lateOrders });
     const keeper = createRunKeeper({
         epoch,
-        lateOrderTime: timing.lateOrderTime,
+        unansweredStarts,
         book,
         writer,
         logger,
@@ -193,6 +194,7 @@
         queueOf,
         isHeldBack: ledger => inherited.has(ledger.workflow.id) && roster.hasUnknownWorkers(),
         neighbours,
+        placeOf: unansweredStarts.placeOf,
         hasFailedOn: (task, worker) => hasFailedOn(task, worker.session.id),
     });
     const watch = createRunWatch({
@@ -212,7 +214,7 @@
             }
         },
         onReborn: session => {
-            keeper.noteReborn(session);
+            unansweredStarts.noteReborn(session);
             health.forget(session.id);
         },
         onLapsed: session => {
@@ -225,12 +227,6 @@
         onContact: () => {
             passWanted.notify();
         },
-        onLateOrder: session => {
-            if (performance.now() >= lateOrdersUntil) {
-                logger.info({ cell, worker: session.id }, "orders without answer may be carried out late");
-            }
-            lateOrdersUntil = performance.now() + lateOrderMemory;
-        },
     };
     const roster = createWorkerRoster({
         workers,
@@ -245,7 +241,7 @@
         signal,
         isOwn,
         isWatched: neighbours.isNeeded,
-        hasLateOrders: () => performance.now() < lateOrdersUntil,
+        lateOrders,
         inheritedUntil,
         onChange: passWanted.notify,
     });
--- a/packages/workflow/src/policy/run-fate.ts
+++ b/packages/workflow/src/policy/run-fate.ts
@@ -1,6 +1,8 @@
 /** What decides whether a run should go on where it is. */
 export interface RunFacts {
     readonly isLasting: boolean;
+    /** Whether a stop saves what was done. */
+    readonly isCheckpointing: boolean;
     /** Whether its members wait for each other, so that standing still says nothing. */
     readonly isGang: boolean;
     /** Milliseconds since the start. */
@@ -23,6 +25,8 @@
 
 /** Milliseconds that a stop and the next start take together. */
 const moveTime = 400;
+/** Milliseconds by which a worker may leave sooner than thought: its entry lags, and is read every half second. */
+const entryAge = 1_300;
 /** Milliseconds without progress after which a task stands still: some reports, and a start with a checkpoint. */
 const stallTime = 1_800;
 /** Milliseconds after which a task that lasts has to serve. */
@@ -34,14 +38,16 @@
     if (facts.workerStays === undefined) {
         return false;
     }
+    // A stop that saves its work is better early than too late; of other work only the end helps.
+    const stays = facts.isLasting || facts.isCheckpointing ? facts.workerStays - entryAge : facts.workerStays;
     if (facts.isLasting) {
-        return facts.hasRoomElsewhere || facts.workerStays < moveTime;
+        return facts.hasRoomElsewhere || stays < moveTime;
     }
     const reportedAge = facts.age - facts.reportAge;
     const left = facts.percent > 0
         ? reportedAge * (100 - facts.percent) / facts.percent - facts.reportAge
         : Math.max(0, facts.expectedTime - facts.age);
-    return left + moveTime > facts.workerStays;
+    return left + moveTime > stays;
 };
 const isStalled = (facts: RunFacts): boolean => {
     if (facts.isGang || facts.pace === 0 || facts.reportAge > freshReport) {
--- a/packages/workflow/src/port/worker-gateway.ts
+++ b/packages/workflow/src/port/worker-gateway.ts
@@ -7,7 +7,7 @@
 /** Why a worker did not do what it was told. After `unknown` it may have, or may still do so seconds later. */
 export interface OrderError {
     readonly kind:
-        | "fenced" // a higher epoch has been seen
+        | "fenced" // a higher token has been seen
         | "superseded" // this or a later run of the task was stopped or ended there
         | "late" // the order's deadline has passed there
         | "no-room"
@@ -15,6 +15,7 @@
         | "reborn" // another life of the worker answered
         | "unhealthy" // nothing was done
         | "invalid"
+        | "closed" // nobody listens at the worker's address
         | "not-sent"
         | "unknown";
     readonly message: string;
@@ -25,7 +26,8 @@
     readonly task: TaskName;
     readonly run: number;
     readonly payload: string;
-    readonly epoch: number;
+    /** Workers do nothing for a lower token than the highest that they have seen. */
+    readonly token: number;
     /** Milliseconds on the worker's clock until which all that it runs may go on. */
     readonly deadline: number;
     readonly checkpoint: string;
@@ -36,12 +38,12 @@
 export interface StopOrder {
     readonly task: TaskName;
     readonly run: number;
-    readonly epoch: number;
+    readonly token: number;
 }
 
 /** Asks what a worker runs and what has ended there. */
 export interface LookOrder {
-    readonly epoch: number;
+    readonly token: number;
     /** Number of the last end that is recorded; the worker forgets ends up to it. 0 for none. */
     readonly recordedEnd: number;
     /** Extends the lease to this time on the worker's clock. */
--- a/packages/workflow/tests/run-fate.test.ts
+++ b/packages/workflow/tests/run-fate.test.ts
@@ -5,6 +5,7 @@
 
 const facts = (changes: Partial<RunFacts>): RunFacts => ({
     isLasting: false,
+    isCheckpointing: false,
     isGang: false,
     age: 1_000,
     stillFor: 100,
@@ -43,6 +44,10 @@
             workerStays: 200,
             hasRoomElsewhere: false,
         }, "worker leaves"],
+        ["one that saves its work is stopped before its worker may have left", {
+            isCheckpointing: true,
+            workerStays: 2_300,
+        }, "worker leaves"],
         ["one that stands still is stopped", { stillFor: 2_500 }, "stands still"],
         ["one that was halted may stand still", { stillFor: 9_000, pace: 0 }, undefined],
         ["one that was slowed gets more time", { stillFor: 2_500, pace: 40 }, undefined],
