Forecast serving loads, keep images apart, leave urgent work its room

The measured speeds of each workflow are clean waves (14 and 20 s, 1.4 to 3.8 times the target), one phase each. Lasting tasks took each hole at once: 2 to 3% of the processors were free, and urgent work waited for holes of its size. Ruled out: idle processors (28 of 33 workers had enough), memory (33 of 33).

`hosting-value` weighs what spare work a worker loses by another serving image; serving tasks of one workflow stay together. The first task of a lasting step goes before urgent work. Late work is ordered by its last use.

Tasks on spare time remain the largest loss.

--- a/packages/workflow/src/cell/neighbour-watch.ts
+++ b/packages/workflow/src/cell/neighbour-watch.ts
@@ -1,7 +1,8 @@
-import type { WorkerId } from "@jayfront/world";
+import type { JobId, WorkerId } from "@jayfront/world";
 import type { Logger } from "pino";
 
 import type { Step } from "../model/step.js";
+import { hostingValue } from "../policy/hosting-value.js";
 import type { ServingNeed, SpareTask } from "../policy/pace-plan.js";
 import { planPaces } from "../policy/pace-plan.js";
 import type { PressureModel, ServingSample } from "../policy/pressure-model.js";
@@ -21,6 +22,8 @@
     /** What stands on a worker now. */
     readonly survey: (worker: CellWorker, runs: readonly Run[]) => WorkerSurvey;
     /** Slack of the worker's serving tasks once a task of the step is added; see `servingSlack`. */
+    /** Share of the spare work that the worker can't take any more once a serving task of the step is added. */
+    readonly hostingLoss: (survey: WorkerSurvey, step: Step) => number;
     readonly slackWith: (worker: CellWorker, survey: WorkerSurvey, step: Step) => number;
 }
 
@@ -28,6 +31,8 @@
 export interface WorkerSurvey {
     /** Serving tasks by image. */
     readonly servingImages: ReadonlyMap<string, number>;
+    /** Workflows that they belong to. */
+    readonly servingWorkflows: ReadonlySet<JobId>;
     /** Thousandths of cores that they reserve. */
     readonly servingCpu: number;
     /** The serving tasks beside all that is there, at the load to be expected soon. */
@@ -43,6 +48,8 @@
 
 /** Milliseconds between two reviews of a worker; its figures cover the last half second. */
 const reviewInterval = 450;
+/** Milliseconds that a new neighbour should leave serving tasks their targets without being slowed; a usual run. */
+const placementHorizon = 2_500;
 /** Smallest change of a pace in percent that is worth an order. */
 const leastChange = 12;
 /** Pressure below which a neighbour is known to be harmless, so that the brake leaves it alone. */
@@ -50,10 +57,17 @@
 /** Percent below which a task is halted: its work would not pay for the disturbance. */
 const leastPace = 10;
 
+/** Share of the known demand that is kept from one report to the next; some thousand reports come in half a minute. */
+const demandMemory = 0.999;
+/** Demand while nothing has been seen: one image of which nothing is known. */
+const unknownDemand: ReadonlyMap<string, number> = new Map([["", 1]]);
+
 /** Creates a watch that has seen nothing. */
 export const createNeighbourWatch = ({ model, throttle, logger }: NeighbourWatchOptions): NeighbourWatch => {
     const reviewedAt = new Map<WorkerId, number>();
     const brakes = new Map<WorkerId, TailBrake>();
+    /** How much of each image runs on spare processor time, over the latest reports. */
+    const spareDemand = new Map<string, number>();
 
     const servingRuns = (runs: readonly Run[]): readonly Run[] =>
         runs.filter(run => run.step.tailTarget !== undefined && run.phase === "running" && run.percent >= 100);
@@ -63,16 +77,17 @@
         image: step.image ?? "",
         share: step.cpu / worker.room.capacity().cpu,
     });
-    const needOf = (run: Run, speed: "ownSpeed" | "floorSpeed"): ServingNeed => ({
-        image: run.step.image ?? "",
-        ownSpeed: model[speed](run.position.job),
-    });
+    const needOf = (run: Run, ownSpeed: number): ServingNeed => ({ image: run.step.image ?? "", ownSpeed });
     const learn = (worker: CellWorker, runs: readonly Run[], now: number): void => {
         const mix = new Map<string, number>();
+        spareDemand.forEach((demand, image) => {
+            spareDemand.set(image, demand * demandMemory);
+        });
         for (const run of spareRuns(runs)) {
             const { image, share } = spareTask(worker, run.step);
             const used = run.measure > 0 ? run.measure / worker.room.capacity().cpu : share * run.pace / 100;
             mix.set(image, (mix.get(image) ?? 0) + used);
+            spareDemand.set(image, (spareDemand.get(image) ?? 0) + share);
         }
         const samples = servingRuns(runs).filter(run => run.measure > 0).map((run): ServingSample => ({
             job: run.position.job,
@@ -88,7 +103,7 @@
         brakes.set(worker.session.id, brake);
         const tails = servingRuns(runs).map(run => run.measure / (run.step.tailTarget ?? Infinity));
         const level = brake.note(Math.max(0, ...tails));
-        const needs = servingRuns(runs).map(run => needOf(run, "ownSpeed"));
+        const needs = servingRuns(runs).map(run => needOf(run, model.ownSpeed(run.position.job)));
         const paces = planPaces(needs, spare.map(run => spareTask(worker, run.step)), model.pressure);
         const isHarmless = (run: Run): boolean =>
             needs.every(need => model.pressure(need.image, run.step.image ?? "") < harmlessPressure);
@@ -124,14 +139,26 @@
             }
             return {
                 servingImages,
+                servingWorkflows: new Set(serving.map(run => run.position.job)),
                 servingCpu: serving.reduce((sum, run) => sum + run.step.cpu, 0),
                 pressed: pressTasks(
-                    serving.map(run => needOf(run, "floorSpeed")),
+                    serving.map(run =>
+                        needOf(run, model.speedAhead(run.position.job, performance.now(), placementHorizon))
+                    ),
                     spareRuns(runs).map(run => spareTask(worker, run.step)),
                     model.pressure,
                 ),
             };
         },
+        hostingLoss: ({ servingImages }, { image = "" }) => {
+            if (servingImages.size === 0 || servingImages.has(image)) {
+                return 0;
+            }
+            const demand = spareDemand.size > 0 ? spareDemand : unknownDemand;
+            const images = [...servingImages.keys()];
+            return hostingValue(images, demand, model.harmlessness)
+                - hostingValue([...images, image], demand, model.harmlessness);
+        },
         slackWith: (worker, { pressed }, step) => servingSlack(pressed, spareTask(worker, step), model.pressure),
     };
 };
--- /dev/null
+++ b/packages/workflow/src/cell/room-gate.ts
@@ -0,0 +1,123 @@
+import type { Step } from "../model/step.js";
+import { mayStartLasting } from "../policy/lasting-gate.js";
+import { createUrgentReserve } from "../policy/urgent-reserve.js";
+import type { CellWorker, CellWorkers } from "./cell-workers.js";
+import { mayStartOn } from "./cell-workers.js";
+import type { RunBook } from "./run-book.js";
+import type { StageCandidate } from "./stage-candidate.js";
+
+/** Keeps new tasks that last from taking the room in which urgent work comes and goes. */
+export interface RoomGate {
+    /** Takes in all that waits; to be called at the start of each pass. */
+    readonly beginPass: (candidates: readonly StageCandidate[]) => void;
+    /** Whether one more task of the step may take room; true for all that does not last. */
+    readonly mayStart: (candidate: StageCandidate) => boolean;
+}
+
+/** Options of {@link createRoomGate}. */
+export interface RoomGateOptions {
+    readonly workers: CellWorkers;
+    readonly book: RunBook;
+}
+
+/** Priority of urgent work. */
+const urgentPriority = 0;
+/** Milliseconds between two counts of what urgent work holds. */
+const countInterval = 50;
+
+/** Whether tasks of the step come and go in room of their own. */
+const isPassing = (step: Step): boolean => !step.isLasting && !step.usesSpareCpu;
+const stageKey = ({ ledger, stage }: StageCandidate): string =>
+    `${ledger.workflow.id}.${String(stage.occurrence)}.${String(stage.number)}`;
+
+/** Creates a gate that has seen nothing. */
+export const createRoomGate = ({ workers, book }: RoomGateOptions): RoomGate => {
+    const reserve = createUrgentReserve();
+    /** Steady ms since which there has been room for two tasks of a step. */
+    const roomySince = new Map<string, number>();
+    let held = 0;
+    let countedAt = -Infinity;
+    /** Thousandths of cores of the largest urgent task that holds room or waits. */
+    let urgentSize = 1;
+
+    const countUrgent = (candidates: readonly StageCandidate[], now: number): void => {
+        countedAt = now;
+        held = 0;
+        let largest = 0;
+        for (const run of book.all()) {
+            if (isPassing(run.step) && run.ledger.workflow.queue.priority === urgentPriority) {
+                held += run.step.cpu;
+                largest = Math.max(largest, run.step.cpu);
+            }
+        }
+        let waiting = 0;
+        for (const { stage: { step }, queue, urgency, indices } of candidates) {
+            if (isPassing(step) && queue.priority === urgentPriority && urgency.lateLaxity >= 0) {
+                waiting += step.cpu * indices.length;
+                largest = Math.max(largest, step.cpu);
+            }
+        }
+        urgentSize = largest > 0 ? largest : urgentSize;
+        reserve.note(held + waiting, now);
+    };
+    /** Tasks of the step for which there is room, up to `limit`. */
+    const placesFor = ({ queue, stage: { step } }: StageCandidate, limit: number): number => {
+        let places = 0;
+        for (const worker of workers.values()) {
+            if (mayStartOn(worker, queue.service, step)) {
+                places += Math.min(
+                    step.perWorkerLimit ?? Infinity,
+                    Math.floor(worker.room.freeCpu() / step.cpu),
+                    Math.floor(worker.room.freeMemory() / step.memory),
+                );
+                if (places >= limit) {
+                    return places;
+                }
+            }
+        }
+        return places;
+    };
+    /** Room in pieces that urgent tasks fit. */
+    const usable = (worker: CellWorker): number => Math.floor(worker.room.freeCpu() / urgentSize) * urgentSize;
+    return {
+        beginPass: candidates => {
+            const now = performance.now();
+            if (now - countedAt >= countInterval) {
+                countUrgent(candidates, now);
+            }
+            const lasting = candidates.filter(({ urgency }) => urgency.lasting === "new");
+            const keys = new Set(lasting.map(stageKey));
+            for (const key of roomySince.keys()) {
+                if (!keys.has(key)) {
+                    roomySince.delete(key);
+                }
+            }
+            for (const candidate of lasting) {
+                const key = stageKey(candidate);
+                if (placesFor(candidate, 2) < 2) {
+                    roomySince.delete(key);
+                }
+                else if (!roomySince.has(key)) {
+                    roomySince.set(key, now);
+                }
+            }
+        },
+        mayStart: candidate => {
+            const { stage: { step, record }, urgency } = candidate;
+            if (urgency.lasting !== "new") {
+                return true;
+            }
+            const now = performance.now();
+            const since = roomySince.get(stageKey(candidate));
+            const places = placesFor(candidate, 2);
+            const free = [...workers.values()].reduce((sum, worker) => sum + usable(worker), 0);
+            return mayStartLasting({
+                places,
+                roomyFor: since === undefined || places < 2 ? undefined : now - since,
+                waitsFor: now - (record.readySince ?? now),
+                reachAfter: held + free - step.cpu,
+                reserve: reserve.wanted(now),
+            });
+        },
+    };
+};
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -16,8 +16,10 @@
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
 import { mayStartOn } from "./cell-workers.js";
 import type { NeighbourWatch, WorkerSurvey } from "./neighbour-watch.js";
+import { createRoomGate } from "./room-gate.js";
 import type { RunBook } from "./run-book.js";
 import type { RunKeeper } from "./run-keeper.js";
+import type { StageCandidate } from "./stage-candidate.js";
 import type { UnansweredStarts } from "./unanswered-starts.js";
 
 /** Decides which waiting tasks start where. */
@@ -44,19 +46,28 @@
     readonly hasFailedOn: (task: TaskName, worker: CellWorker) => boolean;
     /** See `UnansweredStarts.placeOf`. */
     readonly placeOf: UnansweredStarts["placeOf"];
-    readonly neighbours: Pick<NeighbourWatch, "survey" | "slackWith">;
+    readonly neighbours: Pick<NeighbourWatch, "survey" | "slackWith" | "hostingLoss">;
 }
 
-interface Candidate {
-    readonly ledger: WorkflowLedger;
-    readonly stage: Stage;
-    readonly queue: Queue;
-    readonly urgency: Urgency;
-}
-
-const taskOf = ({ ledger, stage }: Candidate, index: number): TaskName =>
+const taskOf = ({ ledger, stage }: StageCandidate, index: number): TaskName =>
     taskName({ job: ledger.workflow.id, occurrence: stage.occurrence, step: stage.number, index });
 
+/** Indices that wait, by what is missing of a step that lasts. */
+const groupWaiting = ({ step, record }: Stage): [Urgency["lasting"], readonly number[]][] => {
+    const waiting = [...record.waiting];
+    if (!step.isLasting) {
+        return [["no", waiting]];
+    }
+    const first = waiting.length === step.count ? waiting.slice(0, 1) : [];
+    const rest = waiting.slice(first.length);
+    const groups: [Urgency["lasting"], readonly number[]][] = [
+        ["first", first],
+        ["again", rest.filter(index => record.started.has(index))],
+        ["new", rest.filter(index => !record.started.has(index))],
+    ];
+    return groups.filter(([, indices]) => indices.length > 0);
+};
+
 /** Share of what serving tasks reserve that lies idle: they are sized for their peak. */
 const idleShareOfServing = 0.55;
 /** A workflow that takes longer than this multiple of its objective is of no use any more; from the users' rules. */
@@ -79,41 +90,48 @@
         neighbours,
     } = options;
 
+    const gate = createRoomGate({ workers, book });
     /** What stands on workers, and sizes that found no worker; both hold for one pass. */
     const surveys = new Map<WorkerId, WorkerSurvey>();
     const blockedSizes = new Map<string, Pick<Step, "cpu" | "memory">>();
 
-    const urgencyOf = (ledger: WorkflowLedger, stage: Stage, queue: Queue): Urgency => {
+    const urgencyOf = (
+        ledger: WorkflowLedger,
+        stage: Stage,
+        queue: Queue,
+        lasting: Urgency["lasting"],
+    ): Urgency => {
         const { steps, acceptedAt, schedule } = ledger.workflow;
         const time = (step: Step, number: number): number => runTime(queue, step, number);
         const dueAt = schedule === undefined ? acceptedAt : schedule.firstDue + stage.occurrence * schedule.interval;
         const objective = queue.slackFactor * criticalPath(steps, time) + queue.latencyTarget;
         const spare = dueAt - Date.now() - remainingPath(steps, stage.number, time);
         return {
-            lasting: !stage.step.isLasting ? "no" : stage.record.hasStarted ? "again" : "new",
+            lasting,
             priority: queue.priority,
             laxity: spare + objective,
             lateLaxity: spare + objective * uselessFactor,
         };
     };
-    const candidates = (): Candidate[] => {
+    const candidates = (): StageCandidate[] => {
         const now = Date.now();
         const steadyNow = performance.now();
-        const found: Candidate[] = [];
+        const found: StageCandidate[] = [];
         for (const ledger of ledgers()) {
             if (ledger.isSettled() || isHeldBack(ledger)) {
                 continue;
             }
             const queue = queueOf(ledger);
             for (const stage of ledger.openStages(now, steadyNow)) {
-                if (stage.record.waiting.size > 0) {
-                    found.push({ ledger, stage, queue, urgency: urgencyOf(ledger, stage, queue) });
+                for (const [lasting, indices] of stage.record.waiting.size > 0 ? groupWaiting(stage) : []) {
+                    const urgency = urgencyOf(ledger, stage, queue, lasting);
+                    found.push({ ledger, stage, queue, urgency, indices });
                 }
             }
         }
         return found.sort((left, right) => compareUrgency(left.urgency, right.urgency));
     };
-    const tasksOfStageOn = (worker: CellWorker, { ledger, stage }: Candidate): number => {
+    const tasksOfStageOn = (worker: CellWorker, { ledger, stage }: StageCandidate): number => {
         let count = 0;
         for (const run of book.ofWorker(worker.session.id)) {
             const { job, occurrence, step } = run.position;
@@ -127,7 +145,11 @@
         surveys.set(id, known);
         return known;
     };
-    const describe = (worker: CellWorker, step: Step, task: TaskName): WorkerCandidate => {
+    const describe = (
+        worker: CellWorker,
+        { ledger, stage: { step } }: StageCandidate,
+        task: TaskName,
+    ): WorkerCandidate => {
         const { session, room } = worker;
         const survey = surveyOf(worker);
         return {
@@ -137,11 +159,13 @@
             freeCpu: room.freeCpu(),
             idleCpu: room.spareCpu() + survey.servingCpu * idleShareOfServing,
             servingImages: survey.servingImages,
+            otherWorkflows: survey.servingWorkflows.size - (survey.servingWorkflows.has(ledger.workflow.id) ? 1 : 0),
             servingSlack: step.usesSpareCpu ? neighbours.slackWith(worker, survey, step) : Infinity,
+            hostingLoss: step.tailTarget === undefined ? 0 : neighbours.hostingLoss(survey, step),
             hasFailedBefore: hasFailedOn(task, worker),
         };
     };
-    const choose = (candidate: Candidate, index: number, rack?: string): CellWorker | undefined => {
+    const choose = (candidate: StageCandidate, index: number, rack?: string): CellWorker | undefined => {
         const { queue, stage: { step } } = candidate;
         const task = taskOf(candidate, index);
         const place = placeOf(task);
@@ -154,10 +178,10 @@
         const trusted = fitting.filter(worker => health.allowance(worker.session.id) > 0);
         // A task that lasts rather tries a worker in quarantine than stay away.
         const considered = trusted.length === 0 && step.isLasting ? fitting : trusted;
-        const best = chooseWorker(step, considered.map(worker => describe(worker, step, task)));
+        const best = chooseWorker(step, considered.map(worker => describe(worker, candidate, task)));
         return best === undefined ? undefined : workers.get(best.id);
     };
-    const startOne = (candidate: Candidate, index: number, worker: CellWorker, number?: number): void => {
+    const startOne = (candidate: StageCandidate, index: number, worker: CellWorker, number?: number): void => {
         health.recordStart(worker.session.id);
         surveys.delete(worker.session.id);
         const { ledger, stage, urgency } = candidate;
@@ -176,7 +200,7 @@
         keeper.start(ledger, stage, index, worker.session, number);
     };
     /** Workers for all members at once, or none. */
-    const planGang = (candidate: Candidate, rack?: string): CellWorker[] | undefined => {
+    const planGang = (candidate: StageCandidate, rack?: string): CellWorker[] | undefined => {
         const { step, record } = candidate.stage;
         const plan: CellWorker[] = [];
         for (const index of record.waiting) {
@@ -193,7 +217,7 @@
         return plan.length === record.waiting.size ? plan : undefined;
     };
     const racks = (): string[] => [...new Set([...workers.values()].map(worker => worker.session.entry().rack))];
-    const startGang = (candidate: Candidate): void => {
+    const startGang = (candidate: StageCandidate): void => {
         const { step, record } = candidate.stage;
         if (record.waiting.size < step.count) {
             return;
@@ -216,16 +240,19 @@
         });
     };
     /** What decides, besides its size, whether a step finds a worker. */
-    const shapeOf = ({ queue, stage: { step } }: Candidate): string =>
+    const shapeOf = ({ queue, stage: { step } }: StageCandidate): string =>
         [queue.service, step.requiredLabel, step.usesSpareCpu, step.isLasting, step.image].join(" ");
-    const startTasks = (candidate: Candidate): void => {
-        const { step, record } = candidate.stage;
+    const startTasks = (candidate: StageCandidate): void => {
+        const { stage: { step }, indices } = candidate;
         const shape = shapeOf(candidate);
         const blocked = blockedSizes.get(shape);
         if (blocked !== undefined && step.cpu >= blocked.cpu && step.memory >= blocked.memory) {
             return;
         }
-        for (const index of [...record.waiting]) {
+        for (const index of indices) {
+            if (!gate.mayStart(candidate)) {
+                return;
+            }
             const worker = choose(candidate, index);
             if (worker === undefined && placeOf(taskOf(candidate, index)) !== undefined) {
                 continue;
@@ -243,7 +270,9 @@
         pass: () => {
             surveys.clear();
             blockedSizes.clear();
-            for (const candidate of candidates()) {
+            const waiting = candidates();
+            gate.beginPass(waiting);
+            for (const candidate of waiting) {
                 if (candidate.stage.step.isGang) {
                     startGang(candidate);
                 }
--- a/packages/workflow/src/ledger/step-record.ts
+++ b/packages/workflow/src/ledger/step-record.ts
@@ -7,8 +7,8 @@
     readonly checkpoints: Map<number, string>;
     /** Tasks that have neither a run nor an end. */
     readonly waiting: Set<number>;
-    /** Whether any task has been started by this holder. */
-    hasStarted: boolean;
+    /** Indices of tasks that have run under this holder. */
+    readonly started: Set<number>;
     /** Time at which the step's tasks could first start, in ms of the steady clock; undefined before. */
     readySince: number | undefined;
 }
@@ -19,6 +19,6 @@
     failures: new Map(),
     checkpoints: new Map(),
     waiting: new Set(Array(count).keys()),
-    hasStarted: false,
+    started: new Set(),
     readySince: undefined,
 });
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -151,7 +151,7 @@
             const found = stage(position);
             if (found !== undefined) {
                 found.record.waiting.delete(position.index);
-                found.record.hasStarted = true;
+                found.record.started.add(position.index);
             }
             hasStarted = true;
         },
--- a/packages/workflow/src/policy/choose-worker.ts
+++ b/packages/workflow/src/policy/choose-worker.ts
@@ -5,14 +5,16 @@
 const rackWeight = 100;
 /** Weight against a worker on which the same task has failed; larger than that of data. */
 const failureWeight = 1_000;
-/** Weight of serving tasks of the same image: kept together, they leave other workers to what would disturb them. */
-const sameImageWeight = 0.6;
-/** Weight against serving tasks of other images: that there are any, and each of them. */
-const otherImageWeight = { any: 0.3, each: 0.1 } as const;
+/** Weight against a worker without serving tasks: those of one image together leave others for other images. */
+const emptyWeight = 0.1;
+/** Weight of what a worker can't host any more; larger than that of room, so that images mix only where they must. */
+const hostingWeight = 3;
+/** Weight against each other workflow: serving tasks whose loads rise and fall together leave more to neighbours. */
+const otherWorkflowWeight = 0.15;
 /** Weight of room that would be left over beside serving tasks; small holes fit no large task. */
 const leftoverWeight = 0.5;
 /** Least slack, as a share of the target's speed, that serving tasks keep beside a new neighbour. */
-const leastSlack = 0.1;
+const leastSlack = 0.2;
 /** Largest slack that still makes a difference, as a share of the target's speed. */
 const enoughSlack = 1;
 /** Least share of the processor time asked for that has to lie idle for a task on spare time. */
@@ -30,15 +32,11 @@
     }
     return Math.min(enoughSlack, servingSlack) + idleCpu / capacityCpu;
 };
-const scoreServing: Score = (step, { freeCpu, capacityCpu, servingImages }) => {
-    const image = step.image ?? "";
-    const same = servingImages.get(image) ?? 0;
-    const others = [...servingImages.values()].reduce((sum, count) => sum + count, 0) - same;
-    return (same > 0 ? sameImageWeight : 0)
-        - (others > 0 ? otherImageWeight.any : 0)
-        - others * otherImageWeight.each
-        - (freeCpu - step.cpu) / capacityCpu * leftoverWeight;
-};
+const scoreServing: Score = (step, { freeCpu, capacityCpu, servingImages, otherWorkflows, hostingLoss }) =>
+    -hostingLoss * hostingWeight
+    - otherWorkflows * otherWorkflowWeight
+    - (servingImages.size === 0 ? emptyWeight : 0)
+    - (freeCpu - step.cpu) / capacityCpu * leftoverWeight;
 /** The tightest fit where room is scarce: what several small tasks would break up stays whole for large ones. */
 const scoreReserving: Score = (step, { freeCpu, capacityCpu }, hasPlenty) =>
     (freeCpu - step.cpu) / capacityCpu * (hasPlenty ? 1 : -1);
--- a/packages/workflow/src/policy/share-regression.ts
+++ b/packages/workflow/src/policy/share-regression.ts
@@ -6,6 +6,8 @@
     /** Learns that the shares together made `value`, give or take the standard deviation `noise`. */
     readonly learn: (shares: ReadonlyMap<string, number>, value: number, noise: number) => void;
     readonly weight: (name: string) => number;
+    /** Standard deviation of that weight. */
+    readonly deviation: (name: string) => number;
     /** Expected sum for the shares. */
     readonly predict: (shares: ReadonlyMap<string, number>) => number;
     /** Variance of that expectation. */
@@ -57,6 +59,10 @@
     const spread = (vector: readonly number[]): number[] => covariance.map(row => dot(row, vector));
     return {
         weight: name => weights[positions.get(name) ?? -1] ?? initialWeight,
+        deviation: name => {
+            const position = positions.get(name);
+            return position === undefined ? initialDeviation : Math.sqrt(covariance[position]?.[position] ?? 0);
+        },
         predict: shares => dot(weights, vectorOf(shares)),
         variance: shares => {
             const vector = vectorOf(shares);
--- a/packages/workflow/src/policy/urgency.ts
+++ b/packages/workflow/src/policy/urgency.ts
@@ -1,7 +1,10 @@
 /** What decides in which order steps get workers. */
 export interface Urgency {
-    /** Whether tasks that are to last are missing: `again` where they have run before, and left the room they need. */
-    readonly lasting: "no" | "new" | "again";
+    /**
+     * Whether tasks that are to last are missing: `again` where they have run before, and left the room they need; `first`
+     * where none of their step runs, so that its users have nobody.
+     */
+    readonly lasting: "no" | "new" | "again" | "first";
     /** Priority of the queue; 0 comes first. */
     readonly priority: number;
     /** Milliseconds to spare before the workflow misses its objective; negative where it will. */
@@ -16,7 +19,7 @@
 /** Lasting tasks go back to their room first; urgent work in time goes before new ones; then what is late, but of use. */
 const rankOf = ({ lasting, priority, laxity, lateLaxity }: Urgency): number => {
     if (lasting !== "no") {
-        return lasting === "again" ? 0 : 2;
+        return lasting === "new" ? 2 : 0;
     }
     if (laxity >= 0) {
         return priority === urgentPriority ? 1 : 3;
@@ -26,4 +29,6 @@
 
 /** Orders steps: the smaller first. */
 export const compareUrgency = (left: Urgency, right: Urgency): number =>
-    rankOf(left) - rankOf(right) || left.priority - right.priority || left.laxity - right.laxity;
+    rankOf(left) - rankOf(right)
+    || left.priority - right.priority
+    || (left.laxity < 0 && right.laxity < 0 ? left.lateLaxity - right.lateLaxity : left.laxity - right.laxity);
--- a/packages/workflow/src/policy/worker-candidate.ts
+++ b/packages/workflow/src/policy/worker-candidate.ts
@@ -13,6 +13,10 @@
     readonly servingImages: ReadonlyMap<string, number>;
     /** Slack of the serving tasks there once the task is added, for tasks that could disturb them. */
     readonly servingSlack: number;
+    /** Other workflows with serving tasks there; the load of each swings in a phase of its own. */
+    readonly otherWorkflows: number;
+    /** Share of the spare work that the worker could not take any more once the task is added; see `hostingValue`. */
+    readonly hostingLoss: number;
     /** Whether the same task has failed there. */
     readonly hasFailedBefore: boolean;
 }
--- a/packages/workflow/tests/urgency.test.ts
+++ b/packages/workflow/tests/urgency.test.ts
@@ -17,11 +17,16 @@
 describe("the order of work under overload", () => {
     it.each<[string, Partial<Urgency>, Partial<Urgency>]>([
         ["lasting tasks that lost their run before all else", { lasting: "again", priority: 2 }, { priority: 0 }],
+        ["the first of tasks that are to last before urgent work", { lasting: "first", priority: 2 }, { priority: 0 }],
         ["urgent work in time before new lasting tasks", { priority: 0 }, { lasting: "new", priority: 0 }],
         ["new lasting tasks before other work in time", { lasting: "new", priority: 2 }, { priority: 1 }],
         ["lower numbers of priority first", { priority: 0, laxity: 900 }, { priority: 1, laxity: 100 }],
         ["the least laxity within a priority", { laxity: 100 }, { laxity: 900 }],
         ["work in time before work that is late", { laxity: 10, priority: 2 }, { laxity: -10, priority: 0 }],
+        ["what is of no use soonest first among late work", { laxity: -10, lateLaxity: 100 }, {
+            laxity: -900,
+            lateLaxity: 4_000,
+        }],
         ["late work before work of no use any more", { laxity: -10, priority: 2 }, {
             laxity: -10,
             lateLaxity: -1,
