--- a/packages/bench/src/workflow/play-random-day.ts
+++ b/packages/bench/src/workflow/play-random-day.ts
@@ -6,6 +6,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 
 import type { FakeTime } from "../util/fake-time.js";
+import type { PlantedFault } from "./planted-faults.js";
 import type { WorkflowCluster } from "./workflow-cluster.js";
 import { createWorkflowCluster } from "./workflow-cluster.js";
 
@@ -32,6 +33,8 @@
     readonly seconds?: number;
     /** Where the hosts log. Default: nowhere. */
     readonly logger?: Logger;
+    /** Fault of the hosts' contract that the day should show. Default: none. */
+    readonly fault?: PlantedFault;
 }
 
 /** Milliseconds from the start of all hosts to the first submission. */
@@ -136,7 +139,9 @@
 };
 
 /** Plays a day of random faults and submissions in fake time; the same seed gives the same day. */
-export const playRandomDay = async ({ seed, time, seconds = 20, logger }: RandomDayOptions): Promise<RandomDay> => {
+export const playRandomDay = async (
+    { seed, time, seconds = 20, logger, fault }: RandomDayOptions,
+): Promise<RandomDay> => {
     const random = xoroshiro128plus(seed);
     const draw = (): number => uniformFloat64(random);
     const pick = <Item>(items: readonly Item[]): Item | undefined => items[Math.floor(draw() * items.length)];
@@ -145,6 +150,7 @@
         workers: { "east-a": 3, "east-b": 3 },
         cpuOf: () => 1_000,
         ...(logger === undefined ? {} : { logger }),
+        ...(fault === undefined ? {} : { fault }),
     });
     const later = (milliseconds: number, heal: () => void): void => {
         setTimeout(heal, milliseconds);
--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -23,6 +23,8 @@
 import { Registry } from "prom-client";
 import { Result } from "true-myth";
 
+import type { PlantedFault } from "./planted-faults.js";
+
 /** Entry hosts with the daemon's whole code but its sockets, on the platform's stand-in, in one process. */
 export interface WorkflowCluster {
     readonly platform: ProtocolPlatform;
@@ -52,11 +54,14 @@
     readonly workers: Readonly<Record<string, number>>;
     readonly cpuOf?: (task: string) => number;
     readonly logger?: Logger;
+    /** Milliseconds for which workers run tasks without a new deadline. Default 6,000. */
+    readonly longestLease?: number;
+    /** Makes all hosts behave as if their contract had a fault. Default: none. */
+    readonly fault?: PlantedFault;
 }
 
-const longestLease = 6_000;
-const timing: CellTiming = {
-    longestLease,
+const defaultLease = 6_000;
+const timing: Omit<CellTiming, "longestLease"> = {
     stopTime: 200,
     retention: 120_000,
     clockDrift: 0.02,
@@ -85,7 +90,7 @@
 
 /** Creates a cluster whose hosts are all started. */
 export const createWorkflowCluster = (options: WorkflowClusterOptions): WorkflowCluster => {
-    const { logger = pino({ level: "silent" }), cpuOf } = options;
+    const { logger = pino({ level: "silent" }), cpuOf, fault = {}, longestLease = defaultLease } = options;
     const platform = createProtocolPlatform({
         workers: options.workers,
         longestLease,
@@ -145,12 +150,13 @@
         };
         const hostLogger = logger.child({ host: id });
         const store = createPlatformStore({ address: platform.storeAddress, client, metrics, logger: hostLogger });
+        const gateway = createPlatformWorkers(client, metrics);
         const host = createWorkflowHost({
             self,
             regions,
-            timing,
-            store,
-            gateway: createPlatformWorkers(client, metrics),
+            timing: { ...timing, longestLease },
+            store: fault.store?.(store) ?? store,
+            gateway: fault.gateway?.(gateway) ?? gateway,
             directory: createPlatformDirectory(store, hostLogger),
             configurationSource: createPlatformConfiguration(store, hostLogger),
             network: networkOf(id, () => isAlive),
