Pace, place and time spare work by what it costs; suspect workers later

Paces slowed all neighbours alike, so that light ones paid for heavy ones; placement took the most slack instead of the least loss, and looked 2.5 s ahead whatever the run. Own speeds stood at 5 where no wave passes 3.8. Declarations are off by up to nine tenths. And a fault found on the way: one failure (one task in twenty fails by itself) closed a worker to further starts until its next success or 2 s later. A cell's load counts lasting tasks that wait, and work that is left instead of all. `step waits` logs why a step waits.

--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -16,6 +16,8 @@
 export interface WorkerHealthOptions {
     /** Failures without a success between them that bring a worker into quarantine. Default 4. */
     readonly failureLimit?: number;
+    /** Failures without a success between them from which a worker gets few starts at a time. Default 1. */
+    readonly suspectLimit?: number;
     /** Milliseconds of the first quarantine; doubled for each that follows without a success. Default 30,000. */
     readonly quarantine?: number;
     /** Longest quarantine in milliseconds. Default 600,000. */
@@ -52,6 +54,7 @@
 /** Creates a record in which every worker is healthy. */
 export const createWorkerHealth = ({
     failureLimit = 4,
+    suspectLimit = 1,
     quarantine = 30_000,
     quarantineLimit = 600_000,
     quarantinedShare = 0.34,
@@ -148,7 +151,7 @@
             rollWindow(record);
             const cap = record.isProbing
                 ? probeAllowance
-                : record.failuresInRow > 0
+                : record.failuresInRow >= suspectLimit
                 ? suspectAllowance
                 : startLimit + 2 * record.successesInWindow;
             return Math.max(0, cap - record.startsInWindow);
--- a/packages/workflow/src/cell/cell-learning.ts
+++ b/packages/workflow/src/cell/cell-learning.ts
@@ -1,19 +1,24 @@
 import type { WorkerHealth } from "@jayfront/policy";
-import { createSizeEstimate, createWorkerHealth } from "@jayfront/policy";
-import type { WorkerId } from "@jayfront/world";
+import { createWorkerHealth } from "@jayfront/policy";
+import type { JobId, WorkerId } from "@jayfront/world";
 
 import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { Queue } from "../model/queue.js";
 import type { Step } from "../model/step.js";
 import type { TaskName } from "../model/task-name.js";
+import type { RunTimeSubject } from "../policy/run-time-estimate.js";
+import { createRunTimeEstimate } from "../policy/run-time-estimate.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { RunEnd } from "./run-keeper.js";
 
+/** See {@link CellLearning.runTime}. */
+export type RunTime = (job: JobId, queue: Queue, step: Step, number: number) => number;
+
 /** What a cell's holder learns from the ends of runs. */
 export interface CellLearning {
     readonly learn: (end: RunEnd) => void;
-    /** Milliseconds that a task of step `number` is expected to run. */
-    readonly runTime: (queue: Queue, step: Step, number: number) => number;
+    /** Milliseconds that a task of step `number` of the workflow is expected to run. */
+    readonly runTime: RunTime;
     readonly health: WorkerHealth;
     readonly hasFailedOn: (task: TaskName, worker: WorkerId) => boolean;
 }
@@ -30,6 +35,8 @@
 const quarantineLimit = 8_000;
 /** Failures without a success between them that bring a worker into quarantine. */
 const failureLimit = 3;
+/** Failures in a row from which a worker is suspected; one in twenty tasks fails by itself. */
+const suspectLimit = 2;
 /** Starts a worker may get before it has shown successes; placement bounds them by room. */
 const startLimit = 1_000;
 /** Milliseconds of work after which the failure of a lasting task does not tell against its worker. */
@@ -41,8 +48,13 @@
 
 /** Creates a record of nothing. */
 export const createCellLearning = ({ metrics, queueOf }: CellLearningOptions): CellLearning => {
-    const runTimes = createSizeEstimate({ quantile: 0.5 });
-    const health = createWorkerHealth({ failureLimit, quarantine, quarantineLimit, startLimit });
+    const runTimes = createRunTimeEstimate();
+    const subjectOf = (job: JobId, queue: Queue, step: Step, number: number): RunTimeSubject => ({
+        kind: kindOf(queue, step, number),
+        stage: `${job}.${String(number)}`,
+        declared: step.expectedRunTime,
+    });
+    const health = createWorkerHealth({ failureLimit, suspectLimit, quarantine, quarantineLimit, startLimit });
     const failedOn = new Map<TaskName, Set<WorkerId>>();
     const learn = ({ run, outcome, error }: RunEnd): void => {
         const { step, position, worker, ledger } = run;
@@ -58,17 +70,15 @@
             failedOn.delete(run.task);
             health.recordEnd(worker, position.job, false);
             const queue = queueOf(ledger);
-            if (step.expectedRunTime > 0 && run.checkpoint === "") {
-                const ratio = (performance.now() - run.startedAt) / step.expectedRunTime;
-                runTimes.record(kindOf(queue, step, position.step), queue.name, ratio);
+            // A run that was slowed, or went on from a checkpoint, does not show what a whole one takes.
+            if (run.checkpoint === "" && !run.wasSlowed) {
+                runTimes.record(subjectOf(position.job, queue, step, position.step), performance.now() - run.startedAt);
             }
         }
     };
     return {
         learn,
-        // Estimates are off by a factor that a queue's submitters share; it is learned as a ratio.
-        runTime: (queue, step, number) =>
-            step.expectedRunTime * runTimes.predict(kindOf(queue, step, number), queue.name, 1),
+        runTime: (job, queue, step, number) => runTimes.predict(subjectOf(job, queue, step, number)),
         health,
         hasFailedOn: (task, worker) => failedOn.get(task)?.has(worker) === true,
     };
--- a/packages/workflow/src/cell/neighbour-watch.ts
+++ b/packages/workflow/src/cell/neighbour-watch.ts
@@ -6,8 +6,8 @@
 import type { ServingNeed, SpareTask } from "../policy/pace-plan.js";
 import { planPaces } from "../policy/pace-plan.js";
 import type { PressureModel, ServingSample } from "../policy/pressure-model.js";
-import type { PressedTask } from "../policy/serving-slack.js";
-import { pressTasks, servingSlack } from "../policy/serving-slack.js";
+import type { ServingSlack } from "../policy/serving-slack.js";
+import { servingSlack } from "../policy/serving-slack.js";
 import type { TailBrake } from "../policy/tail-brake.js";
 import { createTailBrake } from "../policy/tail-brake.js";
 import type { CellWorker } from "./cell-workers.js";
@@ -21,10 +21,18 @@
     readonly isNeeded: (runs: readonly Run[]) => boolean;
     /** What stands on a worker now. */
     readonly survey: (worker: CellWorker, runs: readonly Run[]) => WorkerSurvey;
-    /** Slack of the worker's serving tasks once a task of the step is added; see `servingSlack`. */
     /** Share of the spare work that the worker can't take any more once a serving task of the step is added. */
     readonly hostingLoss: (survey: WorkerSurvey, step: Step) => number;
-    readonly slackWith: (worker: CellWorker, survey: WorkerSurvey, step: Step) => number;
+    /**
+     * Slack of the worker's serving tasks without a task of the step, and once one is added that runs for `runTime` ms; see
+     * `servingSlack`.
+     */
+    readonly slackWith: (
+        worker: CellWorker,
+        survey: WorkerSurvey,
+        step: Step,
+        runTime: number,
+    ) => ServingSlack;
 }
 
 /** What stands on a worker, as far as neighbours matter. */
@@ -35,8 +43,9 @@
     readonly servingWorkflows: ReadonlySet<JobId>;
     /** Thousandths of cores that they reserve. */
     readonly servingCpu: number;
-    /** The serving tasks beside all that is there, at the load to be expected soon. */
-    readonly pressed: readonly PressedTask[];
+    /** The serving tasks at the load to be expected within so many ms. */
+    readonly needsWithin: (ahead: number) => readonly ServingNeed[];
+    readonly spare: readonly SpareTask[];
 }
 
 /** Options of {@link createNeighbourWatch}. */
@@ -48,8 +57,10 @@
 
 /** Milliseconds between two reviews of a worker; its figures cover the last half second. */
 const reviewInterval = 450;
-/** Milliseconds that a new neighbour should leave serving tasks their targets without being slowed; a usual run. */
-const placementHorizon = 2_500;
+/** Milliseconds ahead for which serving tasks should keep their targets beside a new neighbour: spans of its run. */
+const placementHorizons = [1_500, 3_000, 5_000];
+/** Multiple of a run's expected time that it takes beside others. */
+const runTimeReserve = 1.2;
 /** Smallest change of a pace in percent that is worth an order. */
 const leastChange = 12;
 /** Pressure below which a neighbour is known to be harmless, so that the brake leaves it alone. */
@@ -98,12 +109,15 @@
         model.learn(samples, mix, now);
     };
     const setPaces = (worker: CellWorker, runs: readonly Run[]): void => {
-        const spare = spareRuns(runs).filter(run => run.phase === "running");
+        // Of tasks that disturb alike, those that are furthest go first, so that their steps end.
+        const spare = spareRuns(runs)
+            .filter(run => run.phase === "running")
+            .sort((left, right) => right.percent - left.percent);
         const brake = brakes.get(worker.session.id) ?? createTailBrake();
         brakes.set(worker.session.id, brake);
         const tails = servingRuns(runs).map(run => run.measure / (run.step.tailTarget ?? Infinity));
         const level = brake.note(Math.max(0, ...tails));
-        const needs = servingRuns(runs).map(run => needOf(run, model.ownSpeed(run.position.job)));
+        const needs = servingRuns(runs).map(run => needOf(run, model.ownSpeed(run.position.job, performance.now())));
         const paces = planPaces(needs, spare.map(run => spareTask(worker, run.step)), model.pressure);
         const isHarmless = (run: Run): boolean =>
             needs.every(need => model.pressure(need.image, run.step.image ?? "") < harmlessPressure);
@@ -134,6 +148,7 @@
         survey: (worker, runs) => {
             const serving = runs.filter(run => run.step.tailTarget !== undefined);
             const servingImages = new Map<string, number>();
+            const needs = new Map<number, readonly ServingNeed[]>();
             for (const { step: { image = "" } } of serving) {
                 servingImages.set(image, (servingImages.get(image) ?? 0) + 1);
             }
@@ -141,13 +156,15 @@
                 servingImages,
                 servingWorkflows: new Set(serving.map(run => run.position.job)),
                 servingCpu: serving.reduce((sum, run) => sum + run.step.cpu, 0),
-                pressed: pressTasks(
-                    serving.map(run =>
-                        needOf(run, model.speedAhead(run.position.job, performance.now(), placementHorizon))
-                    ),
-                    spareRuns(runs).map(run => spareTask(worker, run.step)),
-                    model.pressure,
-                ),
+                needsWithin: ahead => {
+                    const known = needs.get(ahead)
+                        ?? serving.map(run =>
+                            needOf(run, model.speedAhead(run.position.job, performance.now(), ahead))
+                        );
+                    needs.set(ahead, known);
+                    return known;
+                },
+                spare: spareRuns(runs).map(run => spareTask(worker, run.step)),
             };
         },
         hostingLoss: ({ servingImages }, { image = "" }) => {
@@ -159,6 +176,10 @@
             return hostingValue(images, demand, model.harmlessness)
                 - hostingValue([...images, image], demand, model.harmlessness);
         },
-        slackWith: (worker, { pressed }, step) => servingSlack(pressed, spareTask(worker, step), model.pressure),
+        slackWith: (worker, survey, step, runTime) => {
+            const wanted = runTime * runTimeReserve;
+            const ahead = placementHorizons.find(horizon => horizon >= wanted) ?? placementHorizons.at(-1) ?? wanted;
+            return servingSlack(survey.needsWithin(ahead), survey.spare, spareTask(worker, step), model.pressure);
+        },
     };
 };
--- a/packages/workflow/src/cell/run-watch.ts
+++ b/packages/workflow/src/cell/run-watch.ts
@@ -1,8 +1,8 @@
 import type { WorkerHealth } from "@jayfront/policy";
 
 import type { Queue } from "../model/queue.js";
-import type { Step } from "../model/step.js";
 import { judgeRun } from "../policy/run-fate.js";
+import type { RunTime } from "./cell-learning.js";
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
 import { mayStartOn } from "./cell-workers.js";
 import type { RunBook } from "./run-book.js";
@@ -20,7 +20,7 @@
     readonly keeper: RunKeeper;
     readonly workers: CellWorkers;
     readonly health: WorkerHealth;
-    readonly runTime: (queue: Queue, step: Step, number: number) => number;
+    readonly runTime: RunTime;
     readonly queueOf: (run: Run) => Queue;
 }
 
@@ -53,7 +53,7 @@
             reportAge: now - run.reportedAt,
             percent: run.percent,
             pace: run.pace,
-            expectedTime: runTime(queue, step, run.position.step),
+            expectedTime: runTime(run.position.job, queue, step, run.position.step),
             ...stay(worker, now),
             hasRoomElsewhere: worker.drainsSince !== undefined && step.isLasting && hasRoomElsewhere(run, queue),
         });
--- a/packages/workflow/src/cell/run.ts
+++ b/packages/workflow/src/cell/run.ts
@@ -34,6 +34,8 @@
     checkpoint: string;
     /** Share of its speed that the run was given last. */
     pace: number;
+    /** Whether it was slowed at any time, so that its run time tells nothing. */
+    wasSlowed: boolean;
     /** Why the run is being stopped. */
     stopReason: string | undefined;
 }
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -13,6 +13,7 @@
 import type { Urgency } from "../policy/urgency.js";
 import { compareUrgency } from "../policy/urgency.js";
 import type { WorkerCandidate } from "../policy/worker-candidate.js";
+import type { RunTime } from "./cell-learning.js";
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
 import { mayStartOn } from "./cell-workers.js";
 import type { NeighbourWatch, WorkerSurvey } from "./neighbour-watch.js";
@@ -35,7 +36,7 @@
     readonly book: RunBook;
     readonly keeper: RunKeeper;
     /** Milliseconds that a task of step `number` is expected to run. */
-    readonly runTime: (queue: Queue, step: Step, number: number) => number;
+    readonly runTime: RunTime;
     readonly health: WorkerHealth;
     readonly logger: Logger;
     /** The queue as the configuration in force has it. */
@@ -73,6 +74,9 @@
 /** A workflow that takes longer than this multiple of its objective is of no use any more; from the users' rules. */
 const uselessFactor = 3;
 
+/** Milliseconds between two lines that say why a step waits; its cause seldom changes sooner. */
+const waitLogInterval = 2_000;
+
 /** Creates the scheduler of a cell. */
 export const createStageScheduler = (options: StageSchedulerOptions): StageScheduler => {
     const {
@@ -102,7 +106,7 @@
         lasting: Urgency["lasting"],
     ): Urgency => {
         const { steps, acceptedAt, schedule } = ledger.workflow;
-        const time = (step: Step, number: number): number => runTime(queue, step, number);
+        const time = (step: Step, number: number): number => runTime(ledger.workflow.id, queue, step, number);
         const dueAt = schedule === undefined ? acceptedAt : schedule.firstDue + stage.occurrence * schedule.interval;
         const objective = queue.slackFactor * criticalPath(steps, time) + queue.latencyTarget;
         const spare = dueAt - Date.now() - remainingPath(steps, stage.number, time);
@@ -145,13 +149,13 @@
         surveys.set(id, known);
         return known;
     };
-    const describe = (
-        worker: CellWorker,
-        { ledger, stage: { step } }: StageCandidate,
-        task: TaskName,
-    ): WorkerCandidate => {
+    const describe = (worker: CellWorker, candidate: StageCandidate, task: TaskName): WorkerCandidate => {
+        const { ledger, queue, stage: { step, number } } = candidate;
         const { session, room } = worker;
         const survey = surveyOf(worker);
+        const slack = step.usesSpareCpu
+            ? neighbours.slackWith(worker, survey, step, runTime(ledger.workflow.id, queue, step, number))
+            : undefined;
         return {
             id: session.id,
             rack: session.entry().rack,
@@ -160,7 +164,8 @@
             idleCpu: room.spareCpu() + survey.servingCpu * idleShareOfServing,
             servingImages: survey.servingImages,
             otherWorkflows: survey.servingWorkflows.size - (survey.servingWorkflows.has(ledger.workflow.id) ? 1 : 0),
-            servingSlack: step.usesSpareCpu ? neighbours.slackWith(worker, survey, step) : Infinity,
+            slackBefore: slack?.before ?? Infinity,
+            slackAfter: slack?.after ?? Infinity,
             hostingLoss: step.tailTarget === undefined ? 0 : neighbours.hostingLoss(survey, step),
             hasFailedBefore: hasFailedOn(task, worker),
         };
@@ -181,6 +186,27 @@
         const best = chooseWorker(step, considered.map(worker => describe(worker, candidate, task)));
         return best === undefined ? undefined : workers.get(best.id);
     };
+    /** Logs what the waiting tasks of a step lack: room, trust in the workers that have it, or calm neighbours. */
+    const logWait = (candidate: StageCandidate): void => {
+        const { ledger, queue, stage: { step, number, record }, urgency, indices } = candidate;
+        const now = performance.now();
+        if (now - record.waitLoggedAt < waitLogInterval) {
+            return;
+        }
+        record.waitLoggedAt = now;
+        const fitting = [...workers.values()].filter(worker => mayStartOn(worker, queue.service, step));
+        logger.info({
+            job: ledger.workflow.id,
+            step: number,
+            tasks: indices.length,
+            waited: Math.round(now - (record.readySince ?? now)),
+            laxity: Math.round(urgency.laxity),
+            workers: workers.size,
+            withRoom: fitting.length,
+            trusted: fitting.filter(worker => health.allowance(worker.session.id) > 0).length,
+            isKeptForUrgent: fitting.length > 0 && !gate.mayStart(candidate),
+        }, "step waits");
+    };
     const startOne = (candidate: StageCandidate, index: number, worker: CellWorker, number?: number): void => {
         health.recordStart(worker.session.id);
         surveys.delete(worker.session.id);
@@ -251,6 +277,7 @@
         }
         for (const index of indices) {
             if (!gate.mayStart(candidate)) {
+                logWait(candidate);
                 return;
             }
             const worker = choose(candidate, index);
@@ -261,6 +288,7 @@
                 if (step.perWorkerLimit === undefined) {
                     blockedSizes.set(shape, step);
                 }
+                logWait(candidate);
                 return;
             }
             startOne(candidate, index, worker);
--- a/packages/workflow/src/cell/summarize-cell.ts
+++ b/packages/workflow/src/cell/summarize-cell.ts
@@ -24,6 +24,7 @@
     const { lease, isActive, accepted, ledgers, workers, queueOf, runTime } = options;
     const pending: Record<string, number> = {};
     const backlog: number[] = [];
+    let waitingLastingCpu = 0;
     for (const ledger of ledgers) {
         if (ledger.isSettled()) {
             continue;
@@ -32,10 +33,17 @@
         if (ledger.state() === "queued") {
             pending[queue.name] = (pending[queue.name] ?? 0) + 1;
         }
-        const work = ledger.workflow.steps.reduce(
-            (sum, step, number) => sum + (step.isLasting ? 0 : step.count * step.cpu * runTime(queue, step, number)),
-            0,
-        );
+        const { id, steps } = ledger.workflow;
+        let work = 0;
+        for (const [number, step] of steps.entries()) {
+            const record = ledger.stage({ occurrence: 0, step: number, index: 0 })?.record;
+            if (step.isLasting) {
+                waitingLastingCpu += (record?.waiting.size ?? step.count) * step.cpu;
+            }
+            else {
+                work += (step.count - (record?.done.size ?? 0)) * step.cpu * runTime(id, queue, step, number);
+            }
+        }
         backlog[queue.priority] = (backlog[queue.priority] ?? 0) + work;
     }
     const usable = [...workers].filter(({ session }) => session.contact() === "known" && !session.entry().isDraining);
@@ -47,7 +55,8 @@
         pending,
         racks: [...new Set(usable.map(({ session }) => session.entry().rack))],
         capacityCpu: usable.reduce((sum, { room }) => sum + room.capacity().cpu, 0),
-        usedCpu: usable.reduce((sum, { room }) => sum + room.capacity().cpu - room.spareCpu(), 0),
+        // What waits to last is as good as there: it will hold its room for long.
+        usedCpu: usable.reduce((sum, { room }) => sum + room.capacity().cpu - room.spareCpu(), waitingLastingCpu),
         backlog: Array.from(backlog, (value: number | undefined) => Math.round(value ?? 0)),
         accepted,
     };
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -182,6 +182,7 @@
         throttle: (run: Run, percent: number) => {
             metrics.throttles.inc({ direction: percent < run.pace ? "down" : "up" });
             run.pace = percent;
+            run.wasSlowed ||= percent < 100;
             void workers.get(run.worker)?.session.throttle(run.task, run.number, percent);
         },
         logger,
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -59,6 +59,7 @@
 export * from "./policy/pressure-model.js";
 export * from "./policy/remaining-path.js";
 export * from "./policy/run-fate.js";
+export * from "./policy/run-time-estimate.js";
 export * from "./policy/serving-slack.js";
 export * from "./policy/share-regression.js";
 export * from "./policy/tail-brake.js";
--- a/packages/workflow/src/ledger/step-record.ts
+++ b/packages/workflow/src/ledger/step-record.ts
@@ -11,6 +11,8 @@
     readonly started: Set<number>;
     /** Time at which the step's tasks could first start, in ms of the steady clock; undefined before. */
     readySince: number | undefined;
+    /** Time at which it was last logged why the step's tasks wait, in ms of the steady clock. */
+    waitLoggedAt: number;
 }
 
 /** Creates the record of a step of `count` tasks, none of which has run. */
@@ -21,4 +23,5 @@
     waiting: new Set(Array(count).keys()),
     started: new Set(),
     readySince: undefined,
+    waitLoggedAt: -Infinity,
 });
--- a/packages/workflow/src/policy/choose-worker.ts
+++ b/packages/workflow/src/policy/choose-worker.ts
@@ -15,8 +15,8 @@
 const leftoverWeight = 0.5;
 /** Least slack, as a share of the target's speed, that serving tasks keep beside a new neighbour. */
 const leastSlack = 0.2;
-/** Largest slack that still makes a difference, as a share of the target's speed. */
-const enoughSlack = 1;
+/** Weight of idle processor time against slack that is taken. */
+const idleWeight = 0.2;
 /** Least share of the processor time asked for that has to lie idle for a task on spare time. */
 const leastIdleShare = 0.5;
 
@@ -26,11 +26,13 @@
 /** How well a worker suits a task; undefined where it must not run there. */
 type Score = (step: Step, candidate: WorkerCandidate, hasPlenty: boolean) => number | undefined;
 
-const scoreSpare: Score = (step, { servingSlack, idleCpu, capacityCpu }) => {
-    if (servingSlack < leastSlack || idleCpu < step.cpu * leastIdleShare) {
+/** Where it takes the least part of what the serving tasks can spare, so that what disturbs nobody keeps to itself. */
+const scoreSpare: Score = (step, { slackBefore, slackAfter, idleCpu, capacityCpu }) => {
+    if (slackAfter < leastSlack || idleCpu < step.cpu * leastIdleShare) {
         return undefined;
     }
-    return Math.min(enoughSlack, servingSlack) + idleCpu / capacityCpu;
+    const taken = Number.isFinite(slackBefore) ? (slackBefore - slackAfter) / slackBefore : 0;
+    return -taken + idleCpu / capacityCpu * idleWeight;
 };
 const scoreServing: Score = (step, { freeCpu, capacityCpu, servingImages, otherWorkflows, hostingLoss }) =>
     -hostingLoss * hostingWeight
--- a/packages/workflow/src/policy/load-forecast.ts
+++ b/packages/workflow/src/policy/load-forecast.ts
@@ -10,6 +10,8 @@
     readonly note: (job: string, speed: number, noise: number, now: number) => void;
     /** Slowest speed expected from `now` until `ahead` ms later, on the safe side; undefined where nothing is known. */
     readonly slowest: (job: string, now: number, ahead: number) => number | undefined;
+    /** Highest speed that the workflow can have now, by all that was seen of it; infinite where too little was. */
+    readonly highest: (job: string, now: number) => number;
     readonly forget: (job: string) => void;
 }
 
@@ -22,6 +24,8 @@
     readonly fits: readonly WaveFit[];
     readonly startedAt: number;
     forecasts: Forecast[];
+    /** Latest answers by how far they look ahead; they hold for a moment. */
+    readonly answers: Map<number, { readonly at: number; readonly speed: number; }>;
 }
 
 /** Milliseconds of the shortest period that is told from noise, and of the longest that is short enough to be followed. */
@@ -50,6 +54,8 @@
 const firstSight = 3_000;
 /** Speed that is expected of an unseen workflow. */
 const unseenSpeed = 2.2;
+/** Milliseconds for which an answer holds; a wave moves by a hundredth of its swing in that time. */
+const answerLife = 60;
 /** Points at which a span is looked at. */
 const spanPoints = [0, 0.25, 0.5, 0.75, 1];
 
@@ -90,6 +96,7 @@
                 fits: periods.map(period => createWaveFit({ period, mean: unseenSpeed })),
                 startedAt: now,
                 forecasts: [],
+                answers: new Map<number, { at: number; speed: number; }>(),
             };
             waves.set(job, wave);
             scorePeriods(wave, speed, noise, now);
@@ -104,7 +111,21 @@
             if (wave === undefined || fit === undefined || now - wave.startedAt < firstSight) {
                 return undefined;
             }
-            return Math.min(...spanPoints.map(point => fit.at(now + ahead * point))) - safety * Math.sqrt(meanSquare);
+            const known = wave.answers.get(ahead);
+            if (known !== undefined && now - known.at < answerLife) {
+                return known.speed;
+            }
+            const least = Math.min(...spanPoints.map(point => fit.at(now + ahead * point)));
+            const speed = least - safety * Math.sqrt(meanSquare);
+            wave.answers.set(ahead, { at: now, speed });
+            return speed;
+        },
+        highest: (job, now) => {
+            const wave = waves.get(job);
+            const fit = wave?.fits[best];
+            return wave === undefined || fit === undefined || now - wave.startedAt < firstSight
+                ? Infinity
+                : fit.at(now) + Math.sqrt(meanSquare);
         },
         forget: job => {
             waves.delete(job);
--- a/packages/workflow/src/policy/serving-slack.ts
+++ b/packages/workflow/src/policy/serving-slack.ts
@@ -1,31 +1,27 @@
 import type { Pressure, ServingNeed, SpareTask } from "./pace-plan.js";
 
-/** A serving task beside what runs on its worker now. */
-export interface PressedTask {
-    readonly image: string;
-    /** Relative speed that is left above the target; negative where the target would be missed. */
-    readonly slack: number;
+/** Relative speeds that serving tasks have left above their targets; negative where a target would be missed. */
+export interface ServingSlack {
+    /** Without the added task. */
+    readonly before: number;
+    /** Beside it. */
+    readonly after: number;
 }
 
-/** What is left to serving tasks beside the tasks that are present. */
-export const pressTasks = (
+/** Least slack of any serving task without and with `added` beside it, infinite where there is none. */
+export const servingSlack = (
     needs: readonly ServingNeed[],
     present: readonly SpareTask[],
+    added: SpareTask,
     pressure: Pressure,
-): readonly PressedTask[] =>
-    needs.map(need => {
-        const loss = present.reduce((sum, task) => sum + pressure(need.image, task.image) * task.share, 0);
-        return { image: need.image, slack: need.ownSpeed - loss - 1 };
-    });
-
-/**
- * Smallest slack of any serving task once `added` runs beside it: negative where a target would be missed, infinite
- * where there is no serving task.
- */
-export const servingSlack = (tasks: readonly PressedTask[], added: SpareTask, pressure: Pressure): number => {
-    let least = Infinity;
-    for (const { image, slack } of tasks) {
-        least = Math.min(least, slack - pressure(image, added.image) * added.share);
+): ServingSlack => {
+    let before = Infinity;
+    let after = Infinity;
+    for (const { image, ownSpeed } of needs) {
+        const loss = present.reduce((sum, task) => sum + pressure(image, task.image) * task.share, 0);
+        const slack = ownSpeed - 1 - loss;
+        before = Math.min(before, slack);
+        after = Math.min(after, slack - pressure(image, added.image) * added.share);
     }
-    return least;
+    return { before, after };
 };
--- a/packages/workflow/src/policy/worker-candidate.ts
+++ b/packages/workflow/src/policy/worker-candidate.ts
@@ -11,8 +11,10 @@
     readonly idleCpu: number;
     /** Serving tasks there, by image. */
     readonly servingImages: ReadonlyMap<string, number>;
-    /** Slack of the serving tasks there once the task is added, for tasks that could disturb them. */
-    readonly servingSlack: number;
+    /** Slack of the serving tasks there without the task. */
+    readonly slackBefore: number;
+    /** As `slackBefore`, once the task is added, for tasks that could disturb them. */
+    readonly slackAfter: number;
     /** Other workflows with serving tasks there; the load of each swings in a phase of its own. */
     readonly otherWorkflows: number;
     /** Share of the spare work that the worker could not take any more once the task is added; see `hostingValue`. */
