Bind lasting tasks to a silent start for 5 s at most; guard empty sizes

A lasting step of no cores would have made the count of places no number. Change: the bond of a lasting task ends after 5 s; sizes count as one at least.

--- a/packages/workflow/src/cell/neighbour-watch.ts
+++ b/packages/workflow/src/cell/neighbour-watch.ts
@@ -63,8 +63,8 @@
 const runTimeReserve = 1.2;
 /** Smallest change of a pace in percent that is worth an order. */
 const leastChange = 12;
-/** Pressure below which a neighbour is known to be harmless, so that the brake leaves it alone. */
-const harmlessPressure = 1.2;
+/** Pressure below which the brake leaves a neighbour alone: it can't be why a tail is long. */
+const unbrakedPressure = 1.2;
 /** Percent below which a task is halted: its work would not pay for the disturbance. */
 const leastPace = 10;
 
@@ -120,7 +120,7 @@
         const needs = servingRuns(runs).map(run => needOf(run, model.ownSpeed(run.position.job, performance.now())));
         const paces = planPaces(needs, spare.map(run => spareTask(worker, run.step)), model.pressure);
         const isHarmless = (run: Run): boolean =>
-            needs.every(need => model.pressure(need.image, run.step.image ?? "") < harmlessPressure);
+            needs.every(need => model.pressure(need.image, run.step.image ?? "") < unbrakedPressure);
         spare.forEach((run, index) => {
             const planned = Math.round((paces[index] ?? 1) * (isHarmless(run) ? 1 : level) * 100);
             const pace = planned < leastPace ? 0 : planned;
--- a/packages/workflow/src/cell/room-gate.ts
+++ b/packages/workflow/src/cell/room-gate.ts
@@ -67,8 +67,8 @@
             if (mayStartOn(worker, queue.service, step)) {
                 places += Math.min(
                     step.perWorkerLimit ?? Infinity,
-                    Math.floor(worker.room.freeCpu() / step.cpu),
-                    Math.floor(worker.room.freeMemory() / step.memory),
+                    Math.floor(worker.room.freeCpu() / Math.max(1, step.cpu)),
+                    Math.floor(worker.room.freeMemory() / Math.max(1, step.memory)),
                 );
                 if (places >= limit) {
                     return places;
--- a/packages/workflow/src/cell/unanswered-starts.ts
+++ b/packages/workflow/src/cell/unanswered-starts.ts
@@ -29,6 +29,9 @@
     readonly lateOrders: LateOrders;
 }
 
+/** Milliseconds for which a task that lasts is bound at most: it may not stay away for longer than 9 s. */
+const lastingBond = 5_000;
+
 interface UnansweredStart {
     readonly run: Run;
     /** Whether the worker's present life has yet to hear that the start must not be carried out. */
@@ -39,7 +42,8 @@
 export const createUnansweredStarts = (options: UnansweredStartsOptions): UnansweredStarts => {
     const { lateOrderTime, lateOrders } = options;
     const starts = new Map<TaskName, UnansweredStart>();
-    const mayCome = ({ run }: UnansweredStart): boolean => performance.now() - run.orderedAt < lateOrderTime;
+    const mayCome = ({ run }: UnansweredStart): boolean =>
+        performance.now() - run.orderedAt < (run.step.isLasting ? Math.min(lastingBond, lateOrderTime) : lateOrderTime);
     const dropOld = (): void => {
         for (const [task, start] of starts) {
             if (!mayCome(start)) {
