--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -10,6 +10,7 @@
     CellTiming,
     EntryHostRecord,
     Queue,
+    Schedule,
     Step,
     SubmissionAnswer,
     Workflow,
@@ -42,6 +43,7 @@
         id: string,
         steps: readonly Partial<Step>[],
         payload?: object,
+        schedule?: Schedule,
     ) => Promise<SubmissionAnswer>;
     readonly stop: () => void;
 }
@@ -201,12 +203,13 @@
             const row = platform.store.rows("cells").find(found => found.key === "holder");
             return (row?.value as { host?: string; } | undefined)?.host;
         },
-        submit: (host, id, steps, payload = {}) => {
+        submit: (host, id, steps, payload = {}, schedule) => {
             const workflow: Workflow = {
                 id: id as JobId,
                 queue,
                 payload: JSON.stringify(payload),
                 steps: steps.map(createStep),
+                ...(schedule === undefined ? {} : { schedule }),
                 acceptedAt: Date.now(),
             };
             const found = hosts.get(host);
--- a/packages/bench/tests/workflow/workflow-cluster.test.ts
+++ b/packages/bench/tests/workflow/workflow-cluster.test.ts
@@ -227,6 +227,78 @@
         expect(new Set(workers)).toEqual(new Set(["w-east-a-0"]));
     });
 
+    describe("where and when tasks start", () => {
+        const started = (number: number): readonly { worker: string; task: string; run: number; at: number; }[] =>
+            cluster.platform.journal.events.flatMap(event =>
+                event.kind === "started" && event.task.startsWith(idOf(number))
+                    ? [{ worker: event.worker, task: event.task, run: event.run, at: event.at }]
+                    : []
+            );
+
+        it("all members of a gang at once, under one number", async () => {
+            await submit(cluster.holder() ?? "", 1, [{ count: 8, isGang: true }]);
+            await time.advance(1_000);
+            const members = started(1);
+            expect(members).toHaveLength(8);
+            expect(new Set(members.map(({ run }) => run)).size).toBe(1);
+            const times = members.map(({ at }) => at);
+            expect(Math.max(...times) - Math.min(...times)).toBeLessThan(50);
+            await time.advance(2_000);
+            expect(await stateOf(cluster.holder() ?? "", 1)).toBe("completed");
+        });
+
+        it("none of a gang while there is no room for all", async () => {
+            // 96 cores in all; one is taken for four seconds.
+            await submit(cluster.holder() ?? "", 1, [{}], { work: 4_000 });
+            await submit(cluster.holder() ?? "", 2, [{ count: 96, isGang: true }]);
+            await time.advance(2_500);
+            expect(started(2)).toEqual([]);
+            await time.advance(3_000);
+            expect(started(2)).toHaveLength(96);
+        });
+
+        it("a gang that needs one rack on one", async () => {
+            await submit(cluster.holder() ?? "", 1, [{ count: 20, isGang: true, needsOneRack: true }]);
+            await time.advance(1_000);
+            const domains = new Set(started(1).map(({ worker }) => worker.replace(/-\d+$/u, "")));
+            expect([started(1).length, domains.size]).toEqual([20, 1]);
+        });
+
+        it("at most as many tasks of a step on a worker as it allows", async () => {
+            await submit(cluster.holder() ?? "", 1, [{ count: 8, perWorkerLimit: 1 }], { work: 3_000 });
+            await time.advance(2_000);
+            expect(new Set(started(1).map(({ worker }) => worker)).size).toBe(6);
+            expect(started(1)).toHaveLength(6);
+            await time.advance(3_000);
+            expect(started(1)).toHaveLength(8);
+        });
+
+        it("only on workers with the label that a step asks for", async () => {
+            await submit(cluster.holder() ?? "", 1, [{ count: 6, requiredLabel: "r-east-b-0" }]);
+            await time.advance(1_000);
+            expect(started(1)).toHaveLength(6);
+            expect(started(1).every(({ worker }) => worker.startsWith("w-east-b"))).toBe(true);
+        });
+
+        it("each occurrence when it is due, and never sooner", async () => {
+            const due = Date.now() + 2_000;
+            const schedule = { repetitions: 3, firstDue: due, interval: 1_500 };
+            const answer = cluster.submit(cluster.holder() ?? "", idOf(1), [{ count: 2 }], {}, schedule);
+            await time.advance(100);
+            expect((await answer).kind).toBe("accepted");
+            const offset = performance.now() - Date.now();
+            await time.advance(8_000);
+            const late = started(1).map(({ task, at }) => {
+                const occurrence = Number(task.split(".")[1]);
+                return at - offset - due - occurrence * schedule.interval;
+            });
+            expect(late).toHaveLength(6);
+            expect(Math.min(...late)).toBeGreaterThanOrEqual(0);
+            expect(Math.max(...late)).toBeLessThan(500);
+            expect(await stateOf(cluster.holder() ?? "", 1)).toBe("completed");
+        });
+    });
+
     it("removes the rows of workflows that ended long ago, also those of an earlier holder", async () => {
         const rowsOf = (table: string): number => cluster.platform.store.rows(table).length;
         await submit(cluster.holder() ?? "", 1, [{}]);
