--- a/packages/workflow/tests/cell-learning.test.ts
+++ b/packages/workflow/tests/cell-learning.test.ts
@@ -1,4 +1,4 @@
-import type { JobId, ServiceId, WorkerId } from "@jayfront/world";
+import type { JobId, WorkerId } from "@jayfront/world";
 import { describe, expect, it } from "@jest/globals";
 import { Registry } from "prom-client";
 
@@ -7,26 +7,22 @@
 import { createRun } from "../src/cell/create-run.js";
 import { createWorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { createStep } from "../src/model/create-step.js";
-import type { Queue } from "../src/model/queue.js";
 import { taskName } from "../src/model/task-name.js";
 import { createWorkflowMetrics } from "../src/workflow-metrics.js";
+import { testQueue } from "./test-queue.js";
 
-const queue: Queue = {
-    name: "r-1",
-    hostName: "desk.example",
-    pathPrefix: "/urgent/",
-    service: "desk" as ServiceId,
-    priority: 0,
-    maxAttempts: 3,
-    slackFactor: 2,
-    latencyTarget: 500,
-};
 const worker = "w-1" as WorkerId;
 
 const end = (learning: CellLearning, job: string, outcome: "done" | "failed"): void => {
     const position = { job: job as JobId, occurrence: 0, step: 0, index: 0 };
     const step = createStep({ count: 1 });
-    const ledger = createWorkflowLedger({ id: position.job, queue, payload: "", steps: [step], acceptedAt: 0 });
+    const ledger = createWorkflowLedger({
+        id: position.job,
+        queue: testQueue,
+        payload: "",
+        steps: [step],
+        acceptedAt: 0,
+    });
     const run = createRun({ task: taskName(position), position, number: 1, worker, ledger, step, checkpoint: "" });
     learning.health.recordStart(worker);
     learning.learn({ run, outcome });
@@ -34,7 +30,7 @@
 
 describe("what a cell's holder learns from ends", () => {
     const create = (): CellLearning =>
-        createCellLearning({ metrics: createWorkflowMetrics(new Registry()), queueOf: () => queue });
+        createCellLearning({ metrics: createWorkflowMetrics(new Registry()), queueOf: () => testQueue });
 
     it("takes a worker that fails several jobs out of use", () => {
         const learning = create();
--- /dev/null
+++ b/packages/workflow/tests/test-queue.ts
@@ -0,0 +1,15 @@
+import type { ServiceId } from "@jayfront/world";
+
+import type { Queue } from "../src/model/queue.js";
+
+/** A queue of urgent work, for tests that need just any. */
+export const testQueue: Queue = {
+    name: "r-1",
+    hostName: "desk.example",
+    pathPrefix: "/urgent/",
+    service: "desk" as ServiceId,
+    priority: 0,
+    maxAttempts: 3,
+    slackFactor: 2,
+    latencyTarget: 500,
+};
--- a/packages/workflow/tests/unanswered-starts.test.ts
+++ b/packages/workflow/tests/unanswered-starts.test.ts
@@ -1,4 +1,4 @@
-import type { JobId, ServiceId, WorkerId } from "@jayfront/world";
+import type { JobId, WorkerId } from "@jayfront/world";
 import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
 
 import { createRun } from "../src/cell/create-run.js";
@@ -10,6 +10,7 @@
 import { createWorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { createStep } from "../src/model/create-step.js";
 import { taskName } from "../src/model/task-name.js";
+import { testQueue } from "./test-queue.js";
 
 const worker = "w-1" as WorkerId;
 const lateOrderTime = 12_000;
@@ -17,17 +18,13 @@
 const createTaskRun = (isLasting = false): Run => {
     const position = { job: "j" as JobId, occurrence: 0, step: 0, index: 0 };
     const step = createStep({ isLasting });
-    const queue = {
-        name: "r",
-        hostName: "",
-        pathPrefix: "/",
-        service: "desk" as ServiceId,
-        priority: 0,
-        maxAttempts: 3,
-        slackFactor: 2,
-        latencyTarget: 500,
-    };
-    const ledger = createWorkflowLedger({ id: position.job, queue, payload: "", steps: [step], acceptedAt: 0 });
+    const ledger = createWorkflowLedger({
+        id: position.job,
+        queue: testQueue,
+        payload: "",
+        steps: [step],
+        acceptedAt: 0,
+    });
     return createRun({ task: taskName(position), position, number: 1, worker, ledger, step, checkpoint: "" });
 };
 
