Log on whose word a workflow is called stored or absent

Callers saw 200, then 410. The logs could not tell an acceptance by one's own write from one found in the index under another cell, nor on whose word an indexed workflow was called absent. Both have a line now, with the cell, the epoch and the age of what was heard of its holder.

The number of workers up to which one cell serves all is an option of a host, so that tests can play several cells with few workers. No behaviour changes.

--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -36,8 +36,8 @@
     readonly kill: (id: string) => void;
     /** Nothing reaches the host and nothing leaves it; what it returns heals that. */
     readonly isolate: (id: string) => () => void;
-    /** The host that holds the cell, by the cell's row. */
-    readonly holder: () => string | undefined;
+    /** The host that holds a cell, by the cell's row; without a name, of any. */
+    readonly holder: (cell?: string) => string | undefined;
     readonly submit: (
         host: string,
         id: string,
@@ -58,6 +58,8 @@
     readonly logger?: Logger;
     /** Milliseconds for which workers run tasks without a new deadline. Default 6,000. */
     readonly longestLease?: number;
+    /** Workers up to which one cell serves all failure domains; 0 gives each its own. Default: the hosts' own. */
+    readonly largestSingleCell?: number;
     /** Makes all hosts behave as if their contract had a fault. Default: none. */
     readonly fault?: PlantedFault;
 }
@@ -165,6 +167,7 @@
             metrics,
             logger: hostLogger,
             storeHeardAt: store.heardAt,
+            ...(options.largestSingleCell === undefined ? {} : { largestSingleCell: options.largestSingleCell }),
         });
         hosts.set(id, {
             ...host,
@@ -199,8 +202,9 @@
                 heal();
             };
         },
-        holder: () => {
-            const row = platform.store.rows("cells").find(found => found.key === "holder");
+        holder: cell => {
+            const row = platform.store.rows("cells")
+                .find(found => found.key === "holder" && (cell === undefined || found.part === cell));
             return (row?.value as { host?: string; } | undefined)?.host;
         },
         submit: (host, id, steps, payload = {}, schedule) => {
--- a/packages/workflow/src/cell/accept-workflow.ts
+++ b/packages/workflow/src/cell/accept-workflow.ts
@@ -29,10 +29,14 @@
 
 /** Takes over a workflow whose rows stand already: a repeated submission, or an earlier write without answer. */
 const readEarlier = async (
-    { store, lease, workflow }: AcceptanceOptions,
+    { store, lease, workflow, logger }: AcceptanceOptions,
     cell: CellId,
 ): Promise<Acceptance> => {
     if (cell !== lease.cell) {
+        logger.info(
+            { job: workflow.id, cell: lease.cell, epoch: lease.epoch, storedIn: cell },
+            "workflow stored elsewhere",
+        );
         return { kind: "elsewhere" };
     }
     const rowKey = tables.workflow(cell, workflow.id);
--- a/packages/workflow/src/entry/cell-plan.ts
+++ b/packages/workflow/src/entry/cell-plan.ts
@@ -24,15 +24,12 @@
     readonly store: StateStore;
     readonly directory: WorkerDirectory;
     readonly failureDomains: readonly FailureDomainId[];
+    /** Workers up to which one cell serves all failure domains. */
+    readonly largestSingleCell: number;
     readonly logger: Logger;
     readonly signal: AbortSignal;
 }
 
-/**
- * Workers up to which one cell serves all failure domains. One holder's processor carries about this many, and work
- * that finds no room in one failure domain then finds it in another without changing hands.
- */
-const largestSingleCell = 100;
 /** Cell that serves all failure domains. */
 const singleCell = "all" as CellId;
 /** Milliseconds between tries. */
@@ -40,14 +37,17 @@
 /** Milliseconds for which the list of workers must not grow before it is taken to be complete: a heartbeat and more. */
 const settleTime = 1_500;
 
-const divide = (workers: readonly WorkerEntry[], failureDomains: readonly FailureDomainId[]): CellPlan =>
+const divide = (
+    workers: readonly WorkerEntry[],
+    { failureDomains, largestSingleCell }: Pick<CellPlanOptions, "failureDomains" | "largestSingleCell">,
+): CellPlan =>
     workers.length <= largestSingleCell
         ? { cells: [{ cell: singleCell, failureDomains: [...failureDomains] }] }
         : { cells: failureDomains.map(domain => ({ cell: cellId(domain, 0), failureDomains: [domain] })) };
 
 /** Reads the plan; the first host to start writes it. Undefined where `signal` aborts first. */
 export const readCellPlan = async (options: CellPlanOptions): Promise<CellPlan | undefined> => {
-    const { store, directory, failureDomains, logger, signal } = options;
+    const { store, directory, logger, signal } = options;
     const key = tables.cellPlan;
     let known = -1;
     let grewAt = 0;
@@ -63,7 +63,7 @@
             grewAt = performance.now();
         }
         if (workers?.isOk === true && known > 0 && performance.now() - grewAt >= settleTime) {
-            const plan = divide(workers.value, failureDomains);
+            const plan = divide(workers.value, options);
             const value = JSON.stringify(plan);
             const written = await store.commit({ checks: [{ ...key, version: 0 }], writes: [{ ...key, value }] });
             if (written.isOk) {
--- a/packages/workflow/src/entry/workflow-desk.ts
+++ b/packages/workflow/src/entry/workflow-desk.ts
@@ -180,6 +180,22 @@
             ? { kind: "absent" }
             : { kind: "known", value: settledWorkflow.parse(JSON.parse(row.value)).state };
     };
+    /** Logs on whose word a workflow that the index names is called absent. */
+    const logAbsence = (id: JobId, { kind }: WorkflowAnswer<unknown>, cell: CellId, told: string | undefined): void => {
+        if (kind === "absent") {
+            const claim = claims.last(cell);
+            const heardAgo = claim === undefined ? undefined : Math.round(performance.now() - claim.heardAt);
+            logger.warn({
+                job: id,
+                cell,
+                told,
+                isHeldHere: held(cell) !== undefined,
+                holder: claim?.host.id,
+                epoch: held(cell)?.epoch ?? claim?.summary.epoch,
+                heardAgo,
+            }, "indexed workflow called absent");
+        }
+    };
     const askState = async (cell: CellId, id: JobId): Promise<Asked<WorkflowState | "not-known">> => {
         const own = held(cell);
         if (own !== undefined) {
@@ -206,6 +222,7 @@
         }
         const settled = await readSettled(cell.value, id);
         if (settled.kind !== "absent" || told === "not-known") {
+            logAbsence(id, settled, cell.value, told);
             return settled;
         }
         return { kind: "unavailable", reason: `${cell.value} has no holder that answers` };
@@ -239,6 +256,7 @@
         }
         if (told === "not-known") {
             const settled = await readSettled(cell.value, id);
+            logAbsence(id, settled, cell.value, told);
             return settled.kind === "known" ? { kind: "known", value: "cancelled" } : settled;
         }
         return { kind: "unavailable", reason: `${cell.value} has no holder that answers` };
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -57,8 +57,15 @@
     readonly logger: Logger;
     /** Steady ms of the last answer of the store. */
     readonly storeHeardAt: () => number;
+    /** Workers up to which one cell serves all failure domains. Default 100. */
+    readonly largestSingleCell?: number;
 }
 
+/**
+ * Default of {@link WorkflowHostOptions.largestSingleCell}: one holder's processor carries about this many, and work
+ * that finds no room in one failure domain then finds it in another without changing hands.
+ */
+const defaultLargestSingleCell = 100;
 /** Milliseconds between heartbeats of holders; three fit into the time after which a holder counts as down. */
 const heartbeatInterval = 400;
 
@@ -72,6 +79,7 @@
 /** Creates a host that is not started. */
 export const createWorkflowHost = (options: WorkflowHostOptions): WorkflowHost => {
     const { self, regions, timing, store, gateway, directory, network, metrics, logger, storeHeardAt } = options;
+    const { largestSingleCell = defaultLargestSingleCell } = options;
     const failureDomains = Object.keys(regions) as FailureDomainId[];
     const stop = createStopSignal();
     const claims = createCellClaims();
@@ -195,7 +203,8 @@
         start: () => {
             void watch.run(stop.signal);
             void registry.run(stop.signal);
-            void readCellPlan({ store, directory, failureDomains, logger, signal: stop.signal }).then(read => {
+            const planOptions = { store, directory, failureDomains, largestSingleCell, logger, signal: stop.signal };
+            void readCellPlan(planOptions).then(read => {
                 plan = read;
                 return keeper.run(stop.signal);
             });
