Write the roster again after a write without answer

A worker is removed from the roster, the write is done, its answer is lost; the holder still counts the worker as stored, skips the write when it is listed again, and starts tasks there. A successor does not know the worker: a task ran at two places in the test ('started on w-east-a-1 at 15061 while it runs on w-east-a-0').

Change: dropped workers are forgotten before the write is sent, and the roster is written until a write is known to be done.

--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -62,6 +62,8 @@
     const { cell, epoch } = lease;
     const rosterIds = new Set<WorkerId>();
     let rosterVersion = 0;
+    /** Whether the last write of the roster is known to be done. */
+    let isStored = true;
 
     const addWorker = (entry: WorkerEntry): void => {
         const isNew = !rosterIds.has(entry.id);
@@ -127,9 +129,13 @@
             || worker.session.contact() !== "lapsed"
         );
         const isSame = wanted.every(worker => rosterIds.has(worker.session.id)) && wanted.length === rosterIds.size;
-        if (isSame) {
+        if (isStored && isSame) {
             return;
         }
+        isStored = false;
+        // A write without answer may have dropped them: should they come back, they have to be stored again first.
+        const wantedIds = new Set(wanted.map(worker => worker.session.id));
+        [...rosterIds].filter(id => !wantedIds.has(id)).forEach(id => rosterIds.delete(id));
         const key = tables.roster(cell);
         const proven = lease.noteSent();
         const written = await store.commit({
@@ -146,6 +152,7 @@
         }
         proven();
         rosterVersion = written.value;
+        isStored = true;
         rosterIds.clear();
         for (const worker of wanted) {
             rosterIds.add(worker.session.id);
