Settle submissions by reading once nobody waits; ask the store once for a state

Now it writes only while a submitter waits; after that it reads the index until a late write can't be done any more. A cancellation of an id that the index lacks asks the holders, and is answered 504 while one of them has a write without answer. - One GET for a workflow that ended under an earlier holder made 51 reads while the store refused (429). 'unknown' of a holder ends the wait at once, the row of the end is read first, and holders remember ends that they have read. - A 412 whose rows can't be read leaves the outcome unknown (it counted as 'another holder', hence as refused). - A cancellation in a cell that is given up meanwhile no longer waits for ever.

--- a/packages/bench/tests/workflow/write-without-answer.test.ts
+++ b/packages/bench/tests/workflow/write-without-answer.test.ts
@@ -1,4 +1,5 @@
 import { findBreach, isWriteCall } from "@jayfront/platform-stand-in";
+import type { JobId } from "@jayfront/world";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 
 import type { FakeTime } from "../../src/util/fake-time.js";
@@ -7,8 +8,10 @@
 import { createWorkflowCluster } from "../../src/workflow/workflow-cluster.js";
 
 const job = "00000000000000a1";
+/** Milliseconds after which a write without answer can't be done any more, as the cluster has it. */
+const lateWriteTime = 13_000;
 
-describe("writes without answer, beyond acceptance", () => {
+describe("a write without answer", () => {
     let time: FakeTime;
     let cluster: WorkflowCluster;
     beforeEach(async () => {
@@ -25,6 +28,7 @@
         cluster.stop();
         time.restore();
     });
+    const hosts = (): string[] => [...cluster.hosts.keys()];
     const rosterOf = (cell: string): string =>
         JSON.stringify(cluster.platform.store.rows("cells").find(row => row.key === "roster" && row.part === cell));
 
@@ -65,4 +69,52 @@
         expect({ others: others.length > 0, wrong: isInUse && !isNamed, breach: findBreach(platform.journal.events) })
             .toEqual({ others: true, wrong: false, breach: undefined });
     });
+
+    // Guards against a task that starts after its workflow's cancellation was answered 410: the holder wrote anew.
+    it("does not run a workflow that its submitter cancelled while the write had no answer", async () => {
+        const heal = cluster.platform.network.addFault({
+            matches: (...[, call]) => isWriteCall(call) && JSON.stringify(call.body).includes("workflow-index"),
+            action: "cut",
+        });
+        void cluster.submit(hosts()[0] ?? "", job, [{}], { work: 300 });
+        await time.advance(4_000);
+        const cancel = async (): Promise<string | undefined> => {
+            const asked = cluster.hosts.get(hosts()[1] ?? "")?.desk.cancel(job as JobId);
+            await time.advance(3_000);
+            return (await asked)?.kind;
+        };
+        const whileOpen = await cancel();
+        heal();
+        await time.advance(lateWriteTime);
+        const starts = cluster.platform.journal.events.filter(({ kind }) => kind === "started").length;
+        expect({ whileOpen, later: await cancel(), starts })
+            .toEqual({ whileOpen: "unavailable", later: "absent", starts: 0 });
+    });
+
+    // Guards against one request that asks the store tens of times while it refuses, and so keeps it refusing.
+    it("asks the store a few times for one state while the store refuses", async () => {
+        void cluster.submit(hosts()[0] ?? "", job, [{}], { work: 300 });
+        await time.advance(3_000);
+        const row = cluster.platform.store.rows("workflow-index").find(({ key }) => key === job);
+        const dead = cluster.holder(String(row?.value)) ?? "";
+        cluster.kill(dead);
+        await time.advance(6_000);
+        const successor = cluster.holder(String(row?.value)) ?? "";
+        let refused = 0;
+        cluster.platform.network.addFault({
+            matches: (...[, call]) => {
+                const isHit = call.path.startsWith("/api/rows-get") && call.path.includes(job);
+                refused += isHit ? 1 : 0;
+                return isHit;
+            },
+            action: "refuse",
+            status: 429,
+        });
+        const asked = cluster.hosts.get(successor)?.desk.state(job as JobId);
+        await time.advance(5_000);
+        expect({ kind: (await asked)?.kind, few: refused <= 8 ? "few" : refused }).toEqual({
+            kind: "unavailable",
+            few: "few",
+        });
+    });
 });
--- a/packages/workflow/src/cell/store-workflow.ts
+++ b/packages/workflow/src/cell/store-workflow.ts
@@ -1,4 +1,4 @@
-import type { CellId } from "@jayfront/world";
+import type { CellId, JobId } from "@jayfront/world";
 import type { Logger } from "pino";
 
 import type { Workflow } from "../model/workflow.js";
@@ -8,10 +8,11 @@
 
 /** What came of one try to store a workflow. */
 export type StoreAttempt =
-    /** `deposed`: another host holds the cell, so that no earlier try can take effect any more either. */
-    | { readonly kind: "stored" | "refused" | "unknown" | "deposed"; }
+    /** `impossible`: neither this try nor an earlier one can take effect any more; another host holds the cell. */
+    | { readonly kind: "refused" | "unknown" | "impossible"; }
+    | { readonly kind: "stored"; readonly workflow: Workflow; }
     /** The index has the id already, in this cell or another one. */
-    | { readonly kind: "indexed"; readonly cell: CellId; };
+    | { readonly kind: "indexed"; readonly cell: CellId; readonly id: JobId; };
 
 /** Options of {@link storeWorkflow}. */
 export interface StoreWorkflowOptions {
@@ -45,7 +46,7 @@
     });
     if (written.isOk) {
         proven();
-        return { kind: "stored" };
+        return { kind: "stored", workflow };
     }
     const { error } = written;
     if (error.kind !== "conflict") {
@@ -57,13 +58,14 @@
         );
         return { kind: outcomes[error.kind] };
     }
-    const isHolder = findRow(error.rows, lease.check)?.version === lease.check.version;
+    const holder = findRow(error.rows, lease.check);
     const indexed = findRow(error.rows, index);
-    if (!isHolder) {
+    const isDeposed = holder !== undefined && holder.version !== lease.check.version;
+    if (isDeposed) {
         lease.lose("a submission found another holder in the cell's row");
     }
     if (indexed !== undefined) {
-        return { kind: "indexed", cell: indexed.value as CellId };
+        return { kind: "indexed", cell: indexed.value as CellId, id: workflow.id };
     }
-    return { kind: isHolder ? "unknown" : "deposed" };
+    return { kind: isDeposed ? "impossible" : "unknown" };
 };
--- a/packages/workflow/src/cell/stored-workflow.ts
+++ b/packages/workflow/src/cell/stored-workflow.ts
@@ -4,54 +4,59 @@
 import type { WorkflowProgress } from "../ledger/workflow-progress.js";
 import { workflowProgress } from "../ledger/workflow-progress.js";
 import type { Workflow } from "../model/workflow.js";
-import type { StateStore, StoreError } from "../port/state-store.js";
+import type { RowKey, StateStore, StoredRow, StoreError } from "../port/state-store.js";
 import type { SettledWorkflow } from "./settled-workflow.js";
 import { settledWorkflow } from "./settled-workflow.js";
 import { tables } from "./tables.js";
 
+/** A workflow that has not ended, as its rows show it. */
+export interface OpenWorkflow {
+    readonly kind: "open";
+    readonly workflow: Workflow;
+    readonly progress: WorkflowProgress | undefined;
+    /** Version of the progress row; 0 where there is none. */
+    readonly progressVersion: number;
+}
+
 /** A workflow as its rows in one cell show it. */
 export type StoredWorkflow =
-    | {
-        readonly kind: "open";
-        readonly workflow: Workflow;
-        readonly progress: WorkflowProgress | undefined;
-        /** Version of the progress row; 0 where there is none. */
-        readonly progressVersion: number;
-    }
+    | OpenWorkflow
     | { readonly kind: "ended"; readonly state: SettledWorkflow["state"]; }
     | { readonly kind: "absent"; };
 
+const decodeOpen = (row: StoredRow, progress: StoredRow | undefined): OpenWorkflow => ({
+    kind: "open",
+    workflow: JSON.parse(row.value) as Workflow,
+    progress: progress === undefined ? undefined : workflowProgress.parse(JSON.parse(progress.value)),
+    progressVersion: progress?.version ?? 0,
+});
+
 /** Reads the rows of a workflow in the cell that the index names. */
 export const readStoredWorkflow = async (
     store: StateStore,
     cell: CellId,
     id: JobId,
 ): Promise<Result<StoredWorkflow, StoreError>> => {
-    const read = async (
-        { table, partition, key }: ReturnType<typeof tables.workflow>,
-    ): ReturnType<StateStore["read"]> => await store.read(table, partition, key);
-    const [open, progress] = await Promise.all([
-        read(tables.workflow(cell, id)),
-        read(tables.progress(cell, id)),
-    ]);
-    if (open.isErr || progress.isErr) {
-        return Result.err(open.isErr ? open.error : (progress as { readonly error: StoreError; }).error);
+    const read = async ({ table, partition, key }: RowKey): Promise<Result<StoredRow | undefined, StoreError>> =>
+        (await store.read(table, partition, key)).map(({ rows: [row] }) => row);
+    const readEnd = async (): Promise<Result<StoredWorkflow, StoreError>> =>
+        (await read(tables.settled(cell, id))).map((row): StoredWorkflow =>
+            row === undefined
+                ? { kind: "absent" }
+                : { kind: "ended", state: settledWorkflow.parse(JSON.parse(row.value)).state }
+        );
+    const ended = await readEnd();
+    if (ended.isErr || ended.value.kind === "ended") {
+        return ended;
+    }
+    const progress = await read(tables.progress(cell, id));
+    if (progress.isErr) {
+        return Result.err(progress.error);
     }
-    const [row] = open.value.rows;
-    const [progressRow] = progress.value.rows;
-    if (row !== undefined) {
-        return Result.ok({
-            kind: "open",
-            workflow: JSON.parse(row.value) as Workflow,
-            progress: progressRow === undefined ? undefined : workflowProgress.parse(JSON.parse(progressRow.value)),
-            progressVersion: progressRow?.version ?? 0,
-        });
+    const open = await read(tables.workflow(cell, id));
+    if (open.isErr) {
+        return Result.err(open.error);
     }
-    // One transaction puts this row in the place of the other, so that it has to be read after it.
-    const ended = await read(tables.settled(cell, id));
-    return ended.map(({ rows: [end] }): StoredWorkflow =>
-        end === undefined
-            ? { kind: "absent" }
-            : { kind: "ended", state: settledWorkflow.parse(JSON.parse(end.value)).state }
-    );
+    // One transaction puts the row of the end in the place of the others; it may have come between the reads.
+    return open.value === undefined ? readEnd() : Result.ok(decodeOpen(open.value, progress.value));
 };
--- a/packages/workflow/src/cell/submission.ts
+++ b/packages/workflow/src/cell/submission.ts
@@ -4,7 +4,8 @@
 export type Submission =
     /**
      * `accepted`: stored in this cell and known to its holder. `unknown`: a write without answer may have stored it, and
-     * the holder goes on until it knows. `refused`: not stored and never will be by this submission.
+     * the holder goes on until it knows. `refused`: not stored and never will be by this submission. `not-holder`: the
+     * host does not hold the cell, or has not loaded it yet.
      */
     | { readonly kind: "accepted" | "unknown" | "refused" | "not-holder"; }
     /** The index names another cell; only that cell can accept the workflow. */
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -320,17 +320,16 @@
         while (!signal.aborted) {
             await sleep(timing.retention / 10, signal);
             dropOldWorkflows();
+            intake.forgetEnds();
         }
     };
-    void writer.run(signal);
-    void run();
-
     const intake = createWorkflowIntake({
         store,
         lease,
         logger,
         metrics,
         signal,
+        lateWriteTime: timing.lateOrderTime,
         stateOf: id => ledgers.get(id)?.state(),
         onStored: ({ workflow, progress, progressVersion }) => {
             ledgers.set(workflow.id, createWorkflowLedger(workflow, progress));
@@ -339,6 +338,8 @@
             passWanted.notify();
         },
     });
+    void writer.run(signal);
+    void run();
     const storeCancellation = async (ledger: WorkflowLedger): Promise<CancelReply> => {
         if (!ledger.isSettled()) {
             ledger.noteCancelled();
@@ -356,11 +357,17 @@
         return ledger.isDirty() ? "unknown" : "cancelled";
     };
     const cancel = async (id: JobId): Promise<CancelReply> => {
+        if (!ledgers.has(id) && intake.isUnsettled(id)) {
+            return "unknown";
+        }
         const state = ledgers.has(id) ? undefined : await intake.find(id);
         const ledger = ledgers.get(id);
-        if (ledger !== undefined) {
+        if (ledger !== undefined && !signal.aborted) {
             return storeCancellation(ledger);
         }
+        if (signal.aborted) {
+            return "not-holder";
+        }
         // Found, and not taken in: it has ended.
         return state === "not-known" || state === "unknown" ? state : "cancelled";
     };
--- a/packages/workflow/src/entry/workflow-desk.ts
+++ b/packages/workflow/src/entry/workflow-desk.ts
@@ -2,8 +2,9 @@
 import { sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 
-import type { CancelReply, StateReply, WorkflowCell } from "../cell/workflow-cell.js";
+import type { WorkflowCell } from "../cell/workflow-cell.js";
 import type { Workflow, WorkflowState } from "../model/workflow.js";
+import type { WorkflowReplies } from "../peer/workflow-message.js";
 import type { WorkflowNetwork } from "../peer/workflow-network.js";
 import { rankCells, widestDemand } from "../policy/choose-cell.js";
 import type { StateStore } from "../port/state-store.js";
@@ -141,13 +142,18 @@
         }
         return read;
     };
-    const askState = async (cell: CellId, id: JobId): Promise<StateReply> => {
+    /** Asks the holder of a cell, which may be this host. */
+    const ask = async <Kind extends "state" | "cancel">(
+        kind: Kind,
+        cell: CellId,
+        id: JobId,
+    ): Promise<WorkflowReplies[Kind] | "not-holder"> => {
         const own = held(cell);
         if (own !== undefined) {
-            return own.state(id);
+            return await own[kind](id) as WorkflowReplies[Kind];
         }
         const claim = claims.fresh(cell);
-        const answer = claim === undefined ? undefined : await network.call(claim.host, "state", { cell, id });
+        const answer = claim === undefined ? undefined : await network.call(claim.host, kind, { cell, id });
         return answer?.isOk === true ? answer.value : "not-holder";
     };
     const state = async (id: JobId): Promise<WorkflowAnswer<WorkflowState>> => {
@@ -156,10 +162,10 @@
             return cell;
         }
         const told = await waitFor(async () => {
-            const reply = await askState(cell.value, id);
-            return reply === "not-holder" || reply === "unknown" ? undefined : reply;
+            const reply = await ask("state", cell.value, id);
+            return reply === "not-holder" ? undefined : reply;
         });
-        if (told !== undefined && told !== "not-known") {
+        if (told !== undefined && told !== "not-known" && told !== "unknown") {
             return { kind: "known", value: told };
         }
         // A host that was deposed, or has not loaded the cell, lacks what is stored: only the rows tell of absence.
@@ -167,22 +173,23 @@
         logger.info({ job: id, cell: cell.value, told: told ?? "no-answer", ...stored }, "state told by the store");
         return stored;
     };
-    const askCancel = async (cell: CellId, id: JobId): Promise<CancelReply> => {
-        const own = held(cell);
-        if (own !== undefined) {
-            return own.cancel(id);
-        }
-        const claim = claims.fresh(cell);
-        const answer = claim === undefined ? undefined : await network.call(claim.host, "cancel", { cell, id });
-        return answer?.isOk === true ? answer.value : "not-holder";
+    /** Whether every holder says that no write of its own may still store the workflow. */
+    const isNowhereUnsettled = async (id: JobId): Promise<boolean> => {
+        const replies = await Promise.all((cells() ?? []).map(cell => ask("cancel", cell, id)));
+        return replies.length > 0 && replies.every(reply => reply === "not-known");
     };
     const cancel = async (id: JobId): Promise<WorkflowAnswer<"cancelled">> => {
         const cell = await locate(id);
-        if (cell.kind !== "known") {
+        if (cell.kind === "absent") {
+            return await isNowhereUnsettled(id)
+                ? cell
+                : { kind: "unavailable", reason: "a write without answer may still store the workflow" };
+        }
+        if (cell.kind === "unavailable") {
             return cell;
         }
         const told = await waitFor(async () => {
-            const reply = await askCancel(cell.value, id);
+            const reply = await ask("cancel", cell.value, id);
             return reply === "cancelled" || reply === "not-known" ? reply : undefined;
         });
         if (told === "cancelled") {
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./cell/lease-horizon.js";
 export * from "./cell/load-cell.js";
 export * from "./cell/neighbour-watch.js";
+export * from "./cell/read-index.js";
 export * from "./cell/room-account.js";
 export * from "./cell/run-book.js";
 export * from "./cell/run-keeper.js";
