Remove rows of ended workflows only in the version that was read

An id that was handed in again in between lost its new index row, and its workflow would have been called absent. It takes an id that is used again after twice the retention.

Evidence: write-without-answer.test.ts ('keeps the index row of an id handed in again ...') failed before, passes now.

--- a/packages/bench/tests/workflow/write-without-answer.test.ts
+++ b/packages/bench/tests/workflow/write-without-answer.test.ts
@@ -117,4 +117,30 @@
             few: "few",
         });
     });
+
+    // Guards against a removal that is repeated after its lost answer, and then takes the index row of a workflow
+    // that was handed in again under the id.
+    it("keeps the index row of an id handed in again after its rows were removed without answer", async () => {
+        void cluster.submit(hosts()[0] ?? "", job, [{}], { work: 300 });
+        await time.advance(3_000);
+        const lose = cluster.platform.network.addFault({
+            matches: (...[, call]) => {
+                const body = JSON.stringify(call.body ?? {});
+                return isWriteCall(call) && body.includes('"removals"') && body.includes("workflow-index")
+                    && !body.includes('"workflows"');
+            },
+            action: "lose-answer",
+        });
+        const hasIndex = (): boolean => cluster.platform.store.rows("workflow-index").some(({ key }) => key === job);
+        expect(hasIndex()).toBe(true);
+        await time.advanceUntil(() => !hasIndex(), 400_000);
+        await time.advance(2_000);
+        lose();
+        const again = cluster.submit(hosts()[0] ?? "", job, [{ isLasting: true }], { isLasting: true });
+        await time.advance(2_000);
+        expect((await again).kind).toBe("accepted");
+        expect(hasIndex()).toBe(true);
+        await time.advance(20_000);
+        expect(hasIndex()).toBe(true);
+    });
 });
--- a/packages/workflow/src/cell/cell-writer.ts
+++ b/packages/workflow/src/cell/cell-writer.ts
@@ -24,8 +24,8 @@
     readonly lease: CellLease;
     readonly store: StateStore;
     readonly logger: Logger;
-    /** Called with the ledgers that a write has taken over. */
-    readonly onWritten: (ledgers: readonly WorkflowLedger[]) => void;
+    /** Called with the ledgers that a write has taken over, and the version that their rows have now. */
+    readonly onWritten: (ledgers: readonly WorkflowLedger[], version: number) => void;
 }
 
 /** Milliseconds for which ends gather before they are written; two calls of a store that answers in 4 ms. */
@@ -122,7 +122,7 @@
                 callback();
             });
         });
-        onWritten(entries.map(({ ledger }) => ledger));
+        onWritten(entries.map(({ ledger }) => ledger), written.value);
         return true;
     };
     const request = (ledger: WorkflowLedger, callback?: () => void): void => {
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -143,11 +143,11 @@
         lease,
         store,
         logger,
-        onWritten: written => {
+        onWritten: (written, version) => {
             for (const ledger of written) {
                 if (ledger.isSettled() && !settledAt.has(ledger.workflow.id)) {
                     settledAt.set(ledger.workflow.id, performance.now());
-                    sweep.note(ledger.workflow.id, Date.now());
+                    sweep.note(ledger.workflow.id, Date.now(), version);
                     pressure.forgetJob(ledger.workflow.id);
                     metrics.workflowSeconds.observe(
                         { queue: ledger.workflow.queue.name, state: ledger.state() },
