Show how a configuration loads the link between two regions, failing tests

The cluster of the tests gets regions and a link between them of a limited rate that counts what it carries.

--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -1,3 +1,5 @@
+import { serialize } from "node:v8";
+
 import {
     createPlatformConfiguration,
     createPlatformDirectory,
@@ -25,6 +27,7 @@
 import { Result } from "true-myth";
 
 import type { PlantedFault } from "./planted-faults.js";
+import type { RegionLink } from "./region-link.js";
 
 /** Entry hosts with the daemon's whole code but its sockets, on the platform's stand-in, in one process. */
 export interface WorkflowCluster {
@@ -36,6 +39,8 @@
     readonly kill: (id: string) => void;
     /** Nothing reaches the host and nothing leaves it; what it returns heals that. */
     readonly isolate: (id: string) => () => void;
+    /** No peer reaches the host and it reaches no peer; what it returns heals that. */
+    readonly isolatePeers: (id: string) => () => void;
     /** The host that holds a cell, by the cell's row; without a name, of any. */
     readonly holder: (cell?: string) => string | undefined;
     readonly submit: (
@@ -60,6 +65,10 @@
     readonly longestLease?: number;
     /** Workers up to which one cell serves all failure domains; 0 gives each its own. Default: the hosts' own. */
     readonly largestSingleCell?: number;
+    /** Regions by failure domain. Default: one region. */
+    readonly regions?: Readonly<Record<string, string>>;
+    /** Carries what crosses between the store's region, the first one, and others. Default: crosses at once, uncounted. */
+    readonly link?: RegionLink;
     /** Makes all hosts behave as if their contract had a fault. Default: none. */
     readonly fault?: PlantedFault;
 }
@@ -104,7 +113,16 @@
     const hosts = new Map<string, WorkflowHost>();
     const domains = new Map<string, string>();
     const isolated = new Set<string>();
-    const regions = Object.fromEntries(Object.keys(options.workers).map(domain => [domain, "region"]));
+    const { link } = options;
+    const regions = options.regions
+        ?? Object.fromEntries(Object.keys(options.workers).map(domain => [domain, "region"]));
+    const regionOf = (id: string): string => regions[domains.get(id) ?? ""] ?? "";
+    const storeRegion = Object.values(regions)[0] ?? "";
+    const cross = async (from: string, to: string, value: unknown): Promise<void> => {
+        if (from !== to) {
+            await link?.carry(from, to, serialize(value).length);
+        }
+    };
     let lives = 0;
 
     const networkOf = (from: string, isAlive: () => boolean): WorkflowNetwork => ({
@@ -119,7 +137,11 @@
                 return Result.err({ kind: "unknown", message: `${to.id} gave no reply` });
             }
             const message = { kind, body: structuredClone(body) };
-            const answered = target.handlePeer(message as never, () => undefined).then(value => ({ value }));
+            const answered = cross(regionOf(from), regionOf(to.id), message).then(async () => {
+                const value = await target.handlePeer(message as never, () => undefined);
+                await cross(regionOf(to.id), regionOf(from), value);
+                return { value };
+            });
             const reply = await Promise.race([answered, pause(peerTimeout).then(() => undefined)]);
             await pause(peerLatency);
             return isAlive() && hosts.get(to.id) === target && reply !== undefined
@@ -148,7 +170,16 @@
                 if (!isAlive) {
                     return silence;
                 }
-                const answer = await open.call(call);
+                const answered = open.call(call).then(async answer => {
+                    if (answer.isOk && call.address === platform.storeAddress) {
+                        await cross(storeRegion, regionOf(id), answer.value);
+                    }
+                    return answer;
+                });
+                const givenUp = pause(call.timeout).then(() =>
+                    Result.err({ isSent: true, isRefused: false, message: "the answer came too late" })
+                );
+                const answer = await Promise.race([answered, givenUp]);
                 return isAlive ? answer : silence;
             },
         };
@@ -202,6 +233,12 @@
                 heal();
             };
         },
+        isolatePeers: id => {
+            isolated.add(id);
+            return () => {
+                isolated.delete(id);
+            };
+        },
         holder: cell => {
             const row = platform.store.rows("cells")
                 .find(found => found.key === "holder" && (cell === undefined || found.part === cell));
