Tell versions of the configuration from host to host instead of reading each one everywhere

Cause: each host read the whole of each version from the store's feed, in the far region over one narrow link; what had been missed made the next answer larger, until it took longer than the call's 3 s. Besides, a holder's heartbeat that named a newer version made every host fetch the whole from that holder, again over the link. Ruled out: a regression to an older version (the watch never took one).

Change: two relays of the region nearest to the store (by the median of the hosts' storeDelay) follow the store, chosen by rendezvous among the hosts that were heard. They send each version as the deflated change from the version that the receiver names, to the hosts of their region and to two relays of each other region, which tell theirs. A host that has not heard, for 1 s and 50 ms more for each host before it, of two relays that news reach, follows the store itself. A host that hears of a newer version asks a relay of its region after 400 ms, then the one that named it. One who fell behind at the store reads the row, which holds the newest version only, rather than the feed. Configurations carry the position in the store, so that a host that takes over from a relay does not read what it was told.

--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -17,6 +17,7 @@
     SubmissionAnswer,
     Workflow,
     WorkflowHost,
+    WorkflowMessageKind,
     WorkflowNetwork,
 } from "@jayfront/workflow";
 import { createStep, createWorkflowHost, createWorkflowMetrics } from "@jayfront/workflow";
@@ -69,6 +70,8 @@
     readonly regions?: Readonly<Record<string, string>>;
     /** Carries what crosses between the store's region, the first one, and others. Default: crosses at once, uncounted. */
     readonly link?: RegionLink;
+    /** Sees each call from one host to another. */
+    readonly onPeerCall?: (from: string, kind: WorkflowMessageKind) => void;
     /** Makes all hosts behave as if their contract had a fault. Default: none. */
     readonly fault?: PlantedFault;
 }
@@ -94,6 +97,9 @@
 /** Milliseconds; what an adapter makes of a usual deadline of 3 s. */
 const submissionPatience = 1_350;
 const peerLatency = 3;
+/** Milliseconds that the store takes to answer, and more in another region. */
+const storeDelay = 4;
+const farDelay = 24;
 const peerTimeout = 1_200;
 
 const pause = (milliseconds: number): Promise<void> =>
@@ -127,6 +133,7 @@
 
     const networkOf = (from: string, isAlive: () => boolean): WorkflowNetwork => ({
         call: async (to, kind, body) => {
+            options.onPeerCall?.(from, kind);
             const target = hosts.get(to.id);
             await pause(peerLatency);
             if (target === undefined) {
@@ -138,7 +145,7 @@
             }
             const message = { kind, body: structuredClone(body) };
             const answered = cross(regionOf(from), regionOf(to.id), message).then(async () => {
-                const value = await target.handlePeer(message as never, () => undefined);
+                const value = await target.handlePeer(message, () => undefined);
                 await cross(regionOf(to.id), regionOf(from), value);
                 return { value };
             });
@@ -158,7 +165,7 @@
             failureDomain: (domains.get(id) ?? "") as FailureDomainId,
             peerAddress: `${id}:2`,
             incarnation: `${id}/${String(lives)}`,
-            storeDelay: 4,
+            storeDelay: regionOf(id) === storeRegion ? storeDelay : storeDelay + farDelay,
         };
         const metrics = createWorkflowMetrics(new Registry());
         const open = platform.network.clientOf(id);
--- a/packages/bench/tests/workflow/configuration-spread.test.ts
+++ b/packages/bench/tests/workflow/configuration-spread.test.ts
@@ -11,6 +11,8 @@
 const warmUp = 5_000;
 /** Milliseconds after which every host has to have a version. */
 const bound = 2_500;
+/** Milliseconds in which each relay says that it is one. */
+const noticeTime = 500;
 const queues = 1_800;
 /** Megabits per second between the regions. */
 const linkRate = 42;
@@ -42,6 +44,8 @@
     let time: FakeTime;
     let link: RegionLink;
     let cluster: WorkflowCluster;
+    /** Hosts that have told others of a version. */
+    const relays = new Set<string>();
     beforeEach(async () => {
         time = installFakeTime();
         link = createRegionLink(linkRate);
@@ -50,6 +54,11 @@
             workers: { "near-a": 2, "far-a": 2, "far-b": 2 },
             regions: { "near-a": near, "far-a": far, "far-b": far },
             link,
+            onPeerCall: (from, kind) => {
+                if (kind === "configuration-notice") {
+                    relays.add(from);
+                }
+            },
         });
         await time.advance(warmUp);
     });
@@ -68,26 +77,17 @@
         });
     const waitFor = async (version: number, ids?: readonly string[], limit = bound): Promise<boolean> =>
         time.advanceUntil(() => allHave(version, ids), limit);
-    /** Far hosts that read the newest version from the store themselves. */
-    const farReaders = async (version: number): Promise<string[]> => {
-        const readers = new Set<string>();
-        const heal = cluster.platform.network.addFault({
-            matches: (from, call) => {
-                if (from.startsWith("h-far") && call.path.startsWith("/api/rows-feed?table=op")) {
-                    readers.add(from);
-                }
-                return false;
-            },
-            action: "cut",
-        });
+    /** Hosts that tell others of a new version, in steady state. */
+    const relaysOf = async (version: number): Promise<string[]> => {
+        relays.clear();
         cluster.platform.configure(configurationOf(version));
         await waitFor(version);
-        heal();
-        return [...readers];
+        await time.advance(noticeTime);
+        return [...relays];
     };
 
     // Guards against a narrow link that each host of a region loads with a copy of its own.
-    it.failing("crosses the link a few times, not once for each host", async () => {
+    it("crosses the link a few times, not once for each host", async () => {
         cluster.platform.configure(configurationOf(10));
         await waitFor(10);
         await time.advance(bound);
@@ -100,7 +100,7 @@
     });
 
     // Guards against hosts that fall behind versions in quick succession and then wait longer the more they missed.
-    it.failing("reaches every host within the bound, also one of many in quick succession", async () => {
+    it("reaches every host within the bound, also one of many in quick succession", async () => {
         const late: string[] = [];
         const sentAt: number[] = [];
         for (let number = 0; number < stormLength; number += 1) {
@@ -114,23 +114,40 @@
         expect(await waitFor(20 + stormLength - 1)).toBe(true);
     });
 
-    // Guards against a region that depends on one host: those that read for the others are killed.
-    it("reaches a region whose readers were killed just before", async () => {
-        for (const reader of await farReaders(30)) {
-            cluster.kill(reader);
-        }
+    // Guards against hosts of which all depend on a few: these are killed.
+    it.each([near, far])("reaches all hosts after the relays of the %s region were killed", async region => {
+        const killed = (await relaysOf(30)).filter(id => id.startsWith(`h-${region}`));
+        expect(killed).toHaveLength(2);
+        killed.forEach(cluster.kill);
         cluster.platform.configure(configurationOf(31));
         expect(await waitFor(31)).toBe(true);
     });
 
-    // Guards against a region that waits for readers that the store does not answer.
-    it("reaches a region whose readers are cut off from the store, these too", async () => {
-        const heal = storeCut(await farReaders(40));
+    // Guards against hosts that wait for relays which are killed all at once, in both regions.
+    it("reaches all hosts after all relays were killed", async () => {
+        (await relaysOf(32)).forEach(cluster.kill);
+        cluster.platform.configure(configurationOf(33));
+        expect(await waitFor(33)).toBe(true);
+    });
+
+    // Guards against hosts that wait for relays to which the store is silent.
+    it("reaches all hosts while all relays are cut off from the store, these too", async () => {
+        const heal = storeCut(await relaysOf(40));
         cluster.platform.configure(configurationOf(41));
         expect(await waitFor(41)).toBe(true);
         heal();
     });
 
+    // Guards against relays that stay out of work, or hosts that go on reading, once a fault is over.
+    it("is told by two relays in each region again once killed ones are back", async () => {
+        const killed = await relaysOf(42);
+        killed.forEach(cluster.kill);
+        await time.advance(bound);
+        killed.forEach(cluster.start);
+        await time.advance(bound);
+        expect((await relaysOf(43)).toSorted()).toEqual(killed.toSorted());
+    });
+
     // Guards against hosts that only the store could tell: peers of the other region can.
     it("reaches a region that is cut off from the store", async () => {
         const heal = storeCut(farHosts());
@@ -165,7 +182,7 @@
     });
 
     // Guards against going back: a host that was told a version by a peer reads an older one nowhere.
-    it.failing("never goes back on any host while readers change and answers are late", async () => {
+    it("never goes back on any host while readers change and answers are late", async () => {
         const newest = new Map<string, number>();
         const wentBack: string[] = [];
         const heal = cluster.platform.network.addFault({
--- a/packages/workflow/src/entry/configuration-watch.ts
+++ b/packages/workflow/src/entry/configuration-watch.ts
@@ -1,21 +1,43 @@
 import { sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 
+import { createCatchUp } from "../configuration/catch-up.js";
+import { createConfigurationHistory } from "../configuration/configuration-history.js";
+import { createConfigurationPush } from "../configuration/configuration-push.js";
+import { createConfigurationRelays } from "../configuration/configuration-relays.js";
+import type { PackedChange } from "../configuration/packed-change.js";
+import { packedChange } from "../configuration/packed-change.js";
 import type { Configuration } from "../model/configuration.js";
 import type { EntryHostRecord } from "../peer/host-registry.js";
+import type { WorkflowMessages } from "../peer/workflow-message.js";
 import type { WorkflowNetwork } from "../peer/workflow-network.js";
 import type { ConfigurationSource } from "../port/configuration-source.js";
 
-/** Keeps the newest configuration that this host has seen; it never goes back. */
+/**
+ * Keeps the newest configuration that this host has seen; it never goes back. Relays tell it to the others, which
+ * follow the source themselves when they hear of no relay that news reach.
+ */
 export interface ConfigurationWatch {
     readonly current: () => Configuration | undefined;
     /** A peer has a version that may be newer. */
     readonly noteVersion: (host: EntryHostRecord, version: number) => void;
+    /** A relay tells its version; answers this host's. */
+    readonly noteRelay: (notice: WorkflowMessages["configuration-notice"]) => number;
+    /** A relay sends a change; answers the version that this host then has. */
+    readonly takeChange: (message: WorkflowMessages["configuration-change"]) => number;
+    /** What leads from `version` to this host's; undefined where nothing newer is known. */
+    readonly changeSince: (version: number) => PackedChange | undefined;
+    /** A peer was found or has a new life. */
+    readonly noteFound: (host: EntryHostRecord) => void;
     readonly run: (signal: AbortSignal) => Promise<void>;
 }
 
 /** Options of {@link createConfigurationWatch}. */
 export interface ConfigurationWatchOptions {
+    readonly self: EntryHostRecord;
+    /** Regions by failure domain. */
+    readonly regions: Readonly<Record<string, string>>;
+    readonly peers: () => readonly EntryHostRecord[];
     readonly source: ConfigurationSource;
     readonly network: WorkflowNetwork;
     readonly logger: Logger;
@@ -24,58 +46,117 @@
 
 /** Milliseconds between tries while the source does not answer. */
 const retryInterval = 200;
+/** Milliseconds for which one call to the source waits for a change. */
+const followWait = 600;
+/** Milliseconds without an answer after which a source counts as lost: a call's wait, and the way of a large answer. */
+const sourceLimit = 1_200;
+/** Milliseconds between notices of a relay. */
+const noticeInterval = 400;
+/** Milliseconds between looks at whether the source is to be followed. */
+const lookInterval = 100;
+/** Milliseconds by which the second relay waits, so that peers get most versions once. */
+const secondRelayDelay = 200;
 
 /** Creates a watch without a configuration. */
 export const createConfigurationWatch = (options: ConfigurationWatchOptions): ConfigurationWatch => {
-    const { source, network, logger, onChange } = options;
-    let current: Configuration | undefined;
-    let isAsking = false;
+    const { self, source, network, logger, onChange } = options;
+    const history = createConfigurationHistory();
+    const relays = createConfigurationRelays(options);
+    let sourceHeardAt = -Infinity;
     let isSourceLost = false;
+    const hasSource = (): boolean => performance.now() - sourceHeardAt < sourceLimit || relays.hasUpstream();
+    const push = createConfigurationPush({ self, network, history, hasSource });
 
-    const take = (configuration: Configuration, from: string): void => {
-        if (configuration.version > (current?.version ?? 0)) {
-            logger.info({
-                version: configuration.version,
-                previous: current?.version,
-                from,
-                queues: configuration.queues.length,
-            }, "configuration in force");
-            current = configuration;
+    const deliver = (): void => {
+        if (history.current() !== undefined && relays.isRelay(hasSource())) {
+            push.deliver(relays.receivers());
+        }
+    };
+    /** Takes a newer configuration by `take`, which says whether it is one. */
+    const takeFrom = (from: string, take: () => boolean): void => {
+        const previous = history.version();
+        const configuration = take() ? history.current() : undefined;
+        if (configuration !== undefined) {
+            const { version, queues } = configuration;
+            logger.info({ version, previous, from, queues: queues.length }, "configuration in force");
             onChange(configuration);
+            setTimeout(deliver, relays.heard().length === 0 ? 0 : secondRelayDelay);
+        }
+    };
+    const takePacked = (change: PackedChange, from: string): void => {
+        takeFrom(from, () => history.apply(packedChange.unpack(change)));
+    };
+    const noteVersion = createCatchUp({ network, version: history.version, nearest: relays.heard, take: takePacked });
+    const noteSource = (error: unknown): void => {
+        const isLost = error !== undefined;
+        sourceHeardAt = isLost ? -Infinity : performance.now();
+        if (isLost !== isSourceLost) {
+            isSourceLost = isLost;
+            logger.warn({ error, version: history.version() }, `configuration source ${isLost ? "lost" : "regained"}`);
         }
     };
-    const askPeer = async (host: EntryHostRecord): Promise<void> => {
-        isAsking = true;
-        const answer = await network.call(host, "configuration-wanted", {});
-        isAsking = false;
-        if (answer.isOk && answer.value !== undefined) {
-            take(answer.value, host.id);
+    /** Follows the source until relays do it for this host. */
+    const follow = async (signal: AbortSignal): Promise<void> => {
+        // The first answer tells at once whether the source is there.
+        let wait = 0;
+        while (!signal.aborted && relays.isFollowing()) {
+            const next = await source.next(history.current(), wait);
+            noteSource(next.isErr ? next.error : undefined);
+            if (next.isErr) {
+                await sleep(retryInterval, signal);
+                continue;
+            }
+            wait = followWait;
+            const { value } = next;
+            if (value !== undefined) {
+                takeFrom("store", () => history.take(value));
+            }
+        }
+    };
+    const runFollow = async (signal: AbortSignal): Promise<void> => {
+        while (!signal.aborted) {
+            if (relays.isFollowing()) {
+                const relaysHeard = relays.heard().map(host => host.id);
+                logger.info({ version: history.version(), relays: relaysHeard }, "configuration source followed");
+                // Said before the first answer, so that one host takes a lost relay's place and not all.
+                sourceHeardAt = performance.now();
+                deliver();
+                await follow(signal);
+                logger.info(
+                    { version: history.version(), relays: relays.heard().map(host => host.id) },
+                    "configuration source left to relays",
+                );
+            }
+            await sleep(lookInterval, signal);
+        }
+    };
+    const runNotices = async (signal: AbortSignal): Promise<void> => {
+        while (!signal.aborted) {
+            deliver();
+            await sleep(noticeInterval, signal);
         }
     };
     return {
-        current: () => current,
-        noteVersion: (host, version) => {
-            if (version > (current?.version ?? 0) && !isAsking) {
-                void askPeer(host);
+        current: history.current,
+        noteVersion,
+        noteRelay: notice => {
+            relays.note(notice.host, notice.hasSource);
+            noteVersion(notice.host, notice.version);
+            return history.version();
+        },
+        takeChange: message => {
+            relays.note(message.host, message.hasSource);
+            takePacked(message.change, message.host.id);
+            return history.version();
+        },
+        changeSince: push.changeSince,
+        noteFound: host => {
+            if (history.current() !== undefined && relays.isRelay(hasSource())) {
+                push.deliver(relays.receivers().filter(peer => peer.id === host.id));
             }
         },
         run: async signal => {
-            while (!signal.aborted) {
-                const next = await source.next(current?.version);
-                if (next.isErr !== isSourceLost) {
-                    isSourceLost = next.isErr;
-                    logger.warn(
-                        { error: next.isErr ? next.error : undefined },
-                        `configuration source ${next.isErr ? "lost" : "regained"}`,
-                    );
-                }
-                if (next.isErr) {
-                    await sleep(retryInterval, signal);
-                }
-                else if (next.value !== undefined) {
-                    take(next.value, "store");
-                }
-            }
+            await Promise.all([runFollow(signal), runNotices(signal)]);
         },
     };
 };
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -85,6 +85,9 @@
     let isDraining = false;
 
     const watch = createConfigurationWatch({
+        self,
+        regions,
+        peers: () => registry.peers(),
         source: options.configurationSource,
         network,
         logger,
@@ -99,6 +102,7 @@
         logger,
         onFound: host => {
             void network.call(host, "hello", { host: self });
+            watch.noteFound(host);
             sendHeartbeats();
         },
     });
@@ -178,7 +182,12 @@
         cancel: ({ cell, id }) => keeper.held(cell)?.cancel(id) ?? "not-holder",
         "take-over": ({ cell, epoch }) => keeper.acceptOffer(cell, epoch),
         "store-contact": () => performance.now() - storeHeardAt(),
-        "configuration-wanted": () => watch.current(),
+        "configuration-notice": notice => {
+            registry.note(notice.host);
+            return watch.noteRelay(notice);
+        },
+        "configuration-change": watch.takeChange,
+        "configuration-wanted": ({ version }) => watch.changeSince(version),
     };
     return {
         desk: createWorkflowDesk({
--- a/packages/workflow/src/model/configuration.ts
+++ b/packages/workflow/src/model/configuration.ts
@@ -18,4 +18,6 @@
     readonly pools: readonly WorkerPool[];
     /** Bytes of a request body beyond which it is refused. */
     readonly bodyLimit: number;
+    /** Where its source goes on from this version; only the source reads it. */
+    readonly position: number;
 }
--- a/packages/workflow/src/peer/workflow-message.ts
+++ b/packages/workflow/src/peer/workflow-message.ts
@@ -3,10 +3,17 @@
 import type { CellSummary } from "../cell/cell-summary.js";
 import type { Submission } from "../cell/submission.js";
 import type { CancelReply, StateReply } from "../cell/workflow-cell.js";
-import type { Configuration } from "../model/configuration.js";
+import type { PackedChange } from "../configuration/packed-change.js";
 import type { Workflow } from "../model/workflow.js";
 import type { EntryHostRecord } from "./host-registry.js";
 
+/** What a relay of the configuration says of itself. */
+interface RelayState {
+    readonly host: EntryHostRecord;
+    /** Whether news reach it, from the configuration's source or from a relay of the region nearest to that. */
+    readonly hasSource: boolean;
+}
+
 /** What one entry host says to another, by kind. */
 export interface WorkflowMessages {
     /** Sent once at start, so that holders send heartbeats to this host at once. */
@@ -24,7 +31,12 @@
     readonly "take-over": { readonly cell: CellId; readonly epoch: number; };
     /** Asks how long ago the receiver last had an answer of the store. */
     readonly "store-contact": object;
-    readonly "configuration-wanted": object;
+    /** Sent by relays to the hosts of their region and to relays of others. */
+    readonly "configuration-notice": RelayState & { readonly version: number; };
+    /** Sent by relays to a host that has an older version. */
+    readonly "configuration-change": RelayState & { readonly change: PackedChange; };
+    /** Asks what leads from `version`, 0 for none, to the receiver's. */
+    readonly "configuration-wanted": { readonly version: number; };
 }
 
 /** Answers by kind of message; `not-holder` where the receiver does not hold the cell. */
@@ -37,7 +49,10 @@
     readonly "take-over": boolean;
     /** Milliseconds. */
     readonly "store-contact": number;
-    readonly "configuration-wanted": Configuration | undefined;
+    /** Version of the configuration that the receiver now has. */
+    readonly "configuration-notice": number;
+    readonly "configuration-change": number;
+    readonly "configuration-wanted": PackedChange | undefined;
 }
 
 /** Kind of a message. */
@@ -57,6 +72,8 @@
     cancel: true,
     "take-over": true,
     "store-contact": true,
+    "configuration-notice": true,
+    "configuration-change": true,
     "configuration-wanted": true,
 };
 
--- a/packages/workflow/src/port/configuration-source.ts
+++ b/packages/workflow/src/port/configuration-source.ts
@@ -5,6 +5,12 @@
 
 /** Where the operator's configuration comes from. */
 export interface ConfigurationSource {
-    /** The newest configuration once it differs from `version`, or undefined after some seconds without change. */
-    readonly next: (version: number | undefined) => Promise<Result<Configuration | undefined, StoreError>>;
+    /**
+     * A configuration that is not `current`, also where that came from a peer, or undefined after `wait` milliseconds
+     * without change.
+     */
+    readonly next: (
+        current: Configuration | undefined,
+        wait: number,
+    ) => Promise<Result<Configuration | undefined, StoreError>>;
 }
--- a/packages/workflow/src/port/state-store.ts
+++ b/packages/workflow/src/port/state-store.ts
@@ -41,11 +41,15 @@
 export interface StateStore {
     /** Commits a transaction; answers the version that all written rows now have. */
     readonly commit: (transaction: Transaction) => Promise<Result<number, StoreError>>;
-    /** Reads all rows of a partition, or one key, as of one moment. */
+    /**
+     * Reads all rows of a partition, or one key, as of one moment. `patience`: milliseconds until a call counts as
+     * unanswered, where the rows are large; the adapter has its own.
+     */
     readonly read: (
         table: string,
         partition: string,
         key?: string,
+        patience?: number,
     ) => Promise<Result<{ readonly rows: readonly StoredRow[]; readonly version: number; }, StoreError>>;
     /** Waits up to `wait` milliseconds for changes of a table after `version`. */
     readonly follow: (table: string, version: number, wait: number) => Promise<Result<TableChanges, StoreError>>;
