Rank hosts for cells that nobody ever held

Callers saw the work of all cells depend on one host: at the first start it took every cell and kept them, and its processor was late with all of them.

Cause: with no claim heard and no holder in the row, the epoch of the claim and that of the row were both undefined and counted as equal, so that a first look counted as "holder silent". Hosts of the cell's domain did not wait at all, and nobody knew the other hosts yet, so that everyone ranked first.

Change: a keeper reads the other hosts' rows before its first look. A cell without holder is taken by the order of later takeovers; the first host takes it at once, each of the next three waits 500 ms longer, later ones as long as the fourth. A host whose id is in the row still takes the cell back at once.

Ruled out: the order itself (rank-hosts), which puts hosts of the domain first.

--- /dev/null
+++ b/packages/bench/tests/workflow/cell-spread.test.ts
@@ -0,0 +1,86 @@
+import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
+
+import type { FakeTime } from "../../src/util/fake-time.js";
+import { installFakeTime } from "../../src/util/fake-time.js";
+import type { WorkflowCluster, WorkflowClusterOptions } from "../../src/workflow/workflow-cluster.js";
+import { createWorkflowCluster } from "../../src/workflow/workflow-cluster.js";
+
+const domains = ["east-a", "east-b", "west-a", "west-b"];
+const perDomain = (count: number): Readonly<Record<string, number>> =>
+    Object.fromEntries(domains.map(domain => [domain, count]));
+/** Milliseconds from the start until the plan is read: the list of workers has to stand still first. */
+const planTime = 1_600;
+/** Milliseconds from reading the plan within which each cell has to have a holder. */
+const firstHolderBound = 2_000;
+/** Milliseconds until a killed holder's cell is held again. */
+const takeoverBound = 2_500;
+
+describe("cells of several failure domains", () => {
+    let time: FakeTime;
+    let cluster: WorkflowCluster | undefined;
+    beforeEach(() => {
+        time = installFakeTime();
+    });
+    afterEach(() => {
+        cluster?.stop();
+        time.restore();
+    });
+    const create = async (options: Partial<WorkflowClusterOptions> = {}): Promise<WorkflowCluster> => {
+        const created = createWorkflowCluster({
+            hosts: perDomain(3),
+            workers: perDomain(2),
+            largestSingleCell: 0,
+            ...options,
+        });
+        cluster = created;
+        await time.advance(planTime + firstHolderBound);
+        return created;
+    };
+    const holders = (of: WorkflowCluster): readonly (string | undefined)[] =>
+        domains.map(domain => of.holder(`${domain}/0`));
+    const epochs = (of: WorkflowCluster): readonly unknown[] =>
+        of.platform.store.rows("cells").filter(({ key }) => key === "holder")
+            .map(({ value }) => (value as { epoch?: number; }).epoch);
+
+    // Guards against one host that takes all cells at the first start, because none of them has a holder to rank by.
+    it("are each held by a host of their own domain from the first start", async () => {
+        const created = await create();
+        expect(holders(created)).toEqual(domains.map(domain => expect.stringContaining(`h-${domain}-`)));
+        expect(epochs(created)).toEqual(domains.map(() => 1));
+    });
+
+    // Guards against the loss of one host that stops the whole site.
+    it("are lost one at a time with their hosts, and taken over within the domain", async () => {
+        const created = await create();
+        const before = holders(created);
+        created.kill(before[0] ?? "");
+        await time.advance(takeoverBound);
+        const after = holders(created);
+        expect(after.slice(1)).toEqual(before.slice(1));
+        expect(after[0]).toContain("h-east-a-");
+        expect(after[0]).not.toBe(before[0]);
+        expect(epochs(created).filter(epoch => epoch !== 1)).toEqual([2]);
+    });
+
+    // Guards against cells without holder where their domain has no host.
+    it("are spread over other hosts where their domain has none", async () => {
+        const created = await create({ hosts: { "east-a": 2, "east-b": 2 } });
+        const [eastA, eastB, ...others] = holders(created);
+        expect(eastA).toContain("h-east-a-");
+        expect(eastB).toContain("h-east-b-");
+        expect(others.every(holder => holder !== undefined)).toBe(true);
+    });
+
+    // Guards against hosts that all start anew and trade their cells.
+    it("are taken back by their holders when all hosts start anew", async () => {
+        const created = await create();
+        const before = holders(created);
+        const ids = [...created.hosts.keys()];
+        ids.forEach(created.kill);
+        await time.advance(500);
+        ids.forEach(created.start);
+        await time.advance(firstHolderBound);
+        expect(holders(created)).toEqual(before);
+        expect(epochs(created)).toEqual(domains.map(() => 2));
+    });
+});
--- a/packages/workflow/src/cell/take-cell.ts
+++ b/packages/workflow/src/cell/take-cell.ts
@@ -8,17 +8,20 @@
 /** A cell's row, with the version that a conditional write names. */
 export interface CellRow {
     readonly holder: CellHolder | undefined;
-    /** 0 where the row is absent. */
+    /** {@link absentVersion} where the row is absent. */
     readonly version: number;
 }
 
+/** Version by which the store names a row that is absent. */
+export const absentVersion = 0;
+
 /** Reads who holds a cell. */
 export const readCellRow = async (store: StateStore, cell: CellId): Promise<Result<CellRow, StoreError>> => {
     const key = tables.holder(cell);
     const read = await store.read(key.table, key.partition, key.key);
     return read.map(({ rows: [row] }) => ({
         holder: row === undefined ? undefined : JSON.parse(row.value) as CellHolder,
-        version: row?.version ?? 0,
+        version: row?.version ?? absentVersion,
     }));
 };
 
--- a/packages/workflow/src/entry/cell-keeper.ts
+++ b/packages/workflow/src/entry/cell-keeper.ts
@@ -1,9 +1,9 @@
-import type { CellId, FailureDomainId } from "@jayfront/world";
+import type { CellId, FailureDomainId, HostId } from "@jayfront/world";
 import { sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 
 import type { CellRow } from "../cell/take-cell.js";
-import { readCellRow, takeCell } from "../cell/take-cell.js";
+import { absentVersion, readCellRow, takeCell } from "../cell/take-cell.js";
 import type { WorkflowCell } from "../cell/workflow-cell.js";
 import type { EntryHostRecord, HostRegistry } from "../peer/host-registry.js";
 import type { WorkflowNetwork } from "../peer/workflow-network.js";
@@ -12,7 +12,6 @@
 import type { CellClaims } from "./cell-claims.js";
 import { claimTimeout } from "./cell-claims.js";
 import type { CellPlan } from "./cell-plan.js";
-import type { HostCandidate } from "./rank-hosts.js";
 import { rankHosts } from "./rank-hosts.js";
 
 /** Decides which cells this host holds: takes those without holder and gives up those that others serve better. */
@@ -52,13 +51,23 @@
 const doubtfulLease = 1_800;
 /** Milliseconds since its last answer from the store within which a peer counts as reaching it. */
 const storeContactAge = 1_500;
-/** Factor on the store's delay after which a cell that nobody ever held is taken; spreads hosts by their distance. */
-const firstLookFactor = 20;
-/** Milliseconds from reading the plan until a cell that nobody ever held is taken; other hosts read it meanwhile. */
+/** Milliseconds from reading the plan until the first look at cells; other hosts read the plan meanwhile. */
 const firstLookWait = 300;
+/** Like {@link rankDelay}, for a cell that nobody ever held: hosts don't read the plan at the same moment. */
+const firstRankDelay = 500;
+/** Rank from which on hosts wait for a cell that nobody ever held no longer than the one before them. */
+const lastFirstRank = 3;
+/** Milliseconds between tries to read the other hosts' rows. */
+const retryInterval = 150;
 /** Milliseconds between two offers of one cell. */
 const offerInterval = 700;
 
+/** A version of a row, with the time at which this host first saw it. */
+interface SeenRow {
+    readonly version: number;
+    readonly at: number;
+}
+
 /** Creates a keeper that holds no cell. */
 export const createCellKeeper = (options: CellKeeperOptions): CellKeeper => {
     const { self, plan, store, network, registry, claims, metrics, logger, openCell, onChange } = options;
@@ -66,10 +75,9 @@
     const cells = new Map<CellId, WorkflowCell>();
     const taking = new Set<CellId>();
     const offeredAt = new Map<CellId, number>();
-    /** Versions of rows in which this host has seen other holders, with the time at which it first saw them. */
-    const seenRows = new Map<CellId, { readonly version: number; readonly at: number; }>();
+    /** Rows as this host last saw them. */
+    const seenRows = new Map<CellId, SeenRow>();
     let isStopping = false;
-    let ranSince = startedAt;
 
     const isTaken = (cell: CellId): boolean => cells.has(cell) || claims.fresh(cell) !== undefined;
     const take = async (cell: CellId, row: CellRow, reason: string): Promise<boolean> => {
@@ -95,27 +103,41 @@
         return true;
     };
     const silence = (cell: CellId): number => Math.round(performance.now() - (claims.last(cell)?.heardAt ?? startedAt));
-    /** Time without holder after which this host takes the cell. */
-    const patience = (cell: CellId, failureDomains: readonly FailureDomainId[]): number => {
-        const heldBy = new Map<string, number>();
+    /** Hosts in the order in which they should take a cell, this host among them. */
+    const orderOf = (
+        cell: CellId,
+        failureDomains: readonly FailureDomainId[],
+        hosts: readonly EntryHostRecord[],
+    ): readonly HostId[] => {
+        const heldBy = new Map<HostId, number>();
         claims.allFresh().forEach(({ host }) => heldBy.set(host.id, (heldBy.get(host.id) ?? 0) + 1));
+        heldBy.set(self.id, cells.size);
+        return rankHosts(cell, failureDomains, hosts.map(host => ({ ...host, heldCells: heldBy.get(host.id) ?? 0 })));
+    };
+    const rankOf = (cell: CellId, failureDomains: readonly FailureDomainId[]): number => {
         const silent = claims.last(cell)?.host.id;
-        const candidates = [self, ...registry.peers()].filter(host => host.id === self.id || host.id !== silent);
-        const hosts: HostCandidate[] = candidates.map(host => ({
-            id: host.id,
-            failureDomain: host.failureDomain,
-            storeDelay: host.storeDelay,
-            heldCells: host.id === self.id ? cells.size : heldBy.get(host.id) ?? 0,
-        }));
-        return claimTimeout + rankHosts(cell, failureDomains, hosts).indexOf(self.id) * rankDelay;
+        const peers = registry.peers().filter(peer => peer.id !== silent);
+        return orderOf(cell, failureDomains, [self, ...peers]).indexOf(self.id);
+    };
+    /** Time without holder after which this host takes the cell. */
+    const patience = (cell: CellId, failureDomains: readonly FailureDomainId[]): number =>
+        claimTimeout + rankOf(cell, failureDomains) * rankDelay;
+    /** Whether the row, which this host has seen unchanged, has stood for so long that this host takes the cell. */
+    const isRowDue = (cell: CellId, failureDomains: readonly FailureDomainId[], { version, at }: SeenRow): boolean => {
+        const wait = version === absentVersion
+            ? Math.min(rankOf(cell, failureDomains), lastFirstRank) * firstRankDelay
+            : patience(cell, failureDomains);
+        return performance.now() - at >= wait;
+    };
+    const isLookDue = (cell: CellId, failureDomains: readonly FailureDomainId[]): boolean => {
+        if (claims.last(cell) !== undefined) {
+            return silence(cell) >= patience(cell, failureDomains);
+        }
+        const seen = seenRows.get(cell);
+        return seen === undefined || isRowDue(cell, failureDomains, seen);
     };
     const reviewFree = async (cell: CellId, failureDomains: readonly FailureDomainId[]): Promise<void> => {
-        const isFirstLook = !seenRows.has(cell) && claims.last(cell) === undefined;
-        // At the first start of all, the host that is nearest to the store should come first.
-        const isTooSoon = isFirstLook
-            ? performance.now() - ranSince < firstLookWait + self.storeDelay * firstLookFactor
-            : silence(cell) < patience(cell, failureDomains);
-        if (isTooSoon) {
+        if (!isLookDue(cell, failureDomains)) {
             return;
         }
         const row = await readCellRow(store, cell);
@@ -123,19 +145,15 @@
             return;
         }
         const { holder, version } = row.value;
-        const seen = seenRows.get(cell);
-        if (seen?.version !== version) {
-            seenRows.set(cell, { version, at: performance.now() });
-        }
-        // A holder's own next life, and a host of a domain whose cell nobody ever held, need not wait for silence.
-        const isOwn = holder?.host === self.id
-            || holder === undefined && failureDomains.includes(self.failureDomain);
+        const known = seenRows.get(cell);
+        const seen = known?.version === version ? known : { version, at: performance.now() };
+        seenRows.set(cell, seen);
+        // A holder's own next life need not wait for silence.
+        const isOwn = holder?.host === self.id;
         // The silence that was waited for is that of the row's holder only where it was heard under this epoch.
-        const isHeardHolder = claims.last(cell)?.summary.epoch === holder?.epoch;
-        const isFreshRow = !isHeardHolder
-            && (seen?.version !== version || performance.now() - seen.at < patience(cell, failureDomains));
-        if (isOwn || !isFreshRow) {
-            await take(cell, row.value, isOwn ? "held before" : "holder silent");
+        const isHeardHolder = holder !== undefined && claims.last(cell)?.summary.epoch === holder.epoch;
+        if (isOwn || isHeardHolder || isRowDue(cell, failureDomains, seen)) {
+            await take(cell, row.value, isOwn ? "held before" : holder === undefined ? "never held" : "holder silent");
         }
     };
     const reachesStore = async (host: EntryHostRecord): Promise<boolean> => {
@@ -224,7 +242,11 @@
             }
         },
         run: async signal => {
-            ranSince = performance.now();
+            await sleep(firstLookWait, signal);
+            // A host that doesn't know the others would rank first for all cells.
+            while (!signal.aborted && !await registry.read()) {
+                await sleep(retryInterval, signal);
+            }
             while (!signal.aborted) {
                 plan()?.cells.forEach(planned => void reviewOnce(planned));
                 await sleep(reviewInterval, signal);
--- a/packages/workflow/src/peer/host-registry.ts
+++ b/packages/workflow/src/peer/host-registry.ts
@@ -22,6 +22,8 @@
     readonly peers: () => readonly EntryHostRecord[];
     /** A peer has said something itself. */
     readonly note: (host: EntryHostRecord) => void;
+    /** Reads the others' rows now; false where the store does not answer. */
+    readonly read: () => Promise<boolean>;
     /** Registers this host and reads the others until `signal` aborts. */
     readonly run: (signal: AbortSignal) => Promise<void>;
 }
@@ -123,6 +125,7 @@
         note: host => {
             take(host, undefined);
         },
+        read,
         run: async signal => {
             await Promise.all([
                 repeat(write, writeInterval, signal),
