Give cells to hosts with more processor first

Callers saw slow answers where a cell was held by one of the smaller hosts: processors of one site differ by a factor of four, and the order of hosts did not know of it.

After domain and distance, hosts are ranked by the cells that they would hold per core.

Ruled out: classes of processors ranked before held cells. One large host would then take every cell whose domain has no host.

--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -72,6 +72,8 @@
     readonly link?: RegionLink;
     /** Sees each call from one host to another. */
     readonly onPeerCall?: (from: string, kind: WorkflowMessageKind) => void;
+    /** Cores by host. Default 1 each. */
+    readonly processors?: Readonly<Record<string, number>>;
     /** Makes all hosts behave as if their contract had a fault. Default: none. */
     readonly fault?: PlantedFault;
 }
@@ -166,6 +168,7 @@
             peerAddress: `${id}:2`,
             incarnation: `${id}/${String(lives)}`,
             storeDelay: regionOf(id) === storeRegion ? storeDelay : storeDelay + farDelay,
+            processors: options.processors?.[id] ?? 1,
         };
         const metrics = createWorkflowMetrics(new Registry());
         const open = platform.network.clientOf(id);
--- a/packages/bench/tests/workflow/cell-spread.test.ts
+++ b/packages/bench/tests/workflow/cell-spread.test.ts
@@ -49,6 +49,17 @@
         expect(epochs(created)).toEqual(domains.map(() => 1));
     });
 
+    // Guards against a holder whose processor is too small while its domain has a larger one.
+    it("are held by the host with the most processor of their domain", async () => {
+        const processors = Object.fromEntries(
+            domains.flatMap((domain, index) =>
+                [0, 1, 2].map(number => [`h-${domain}-${String(number)}`, number === index % 3 ? 1.35 : 0.324])
+            ),
+        );
+        const created = await create({ processors });
+        expect(holders(created)).toEqual(domains.map((domain, index) => `h-${domain}-${String(index % 3)}`));
+    });
+
     // Guards against the loss of one host that stops the whole site.
     it("are lost one at a time with their hosts, and taken over within the domain", async () => {
         const created = await create();
@@ -84,3 +95,25 @@
         expect(epochs(created)).toEqual(domains.map(() => 2));
     });
 });
+
+describe("a cell for all failure domains", () => {
+    let time: FakeTime;
+    beforeEach(() => {
+        time = installFakeTime();
+    });
+    afterEach(() => {
+        time.restore();
+    });
+
+    // Guards against a first holder of little processor: whoever read the plan first used to take the cell.
+    it("is first held by the host with the most processor", async () => {
+        const cluster = createWorkflowCluster({
+            hosts: perDomain(2),
+            workers: perDomain(2),
+            processors: { "h-west-b-1": 1.35 },
+        });
+        await time.advance(planTime + firstHolderBound);
+        expect(cluster.holder()).toBe("h-west-b-1");
+        cluster.stop();
+    });
+});
--- a/packages/workflow/src/entry/rank-hosts.ts
+++ b/packages/workflow/src/entry/rank-hosts.ts
@@ -7,6 +7,8 @@
     readonly failureDomain: FailureDomainId;
     /** Milliseconds that the store takes to answer the host. */
     readonly storeDelay: number;
+    /** Cores of its processor. */
+    readonly processors: number;
     /** Cells that it holds already. */
     readonly heldCells: number;
 }
@@ -16,7 +18,7 @@
 
 /**
  * Hosts in the order in which they should take a cell: of its failure domains first, then those near the store, then
- * those that hold the fewest cells.
+ * those that would have the most processor for each of their cells.
  */
 export const rankHosts = (
     cell: CellId,
@@ -25,11 +27,12 @@
 ): readonly HostId[] => {
     const isLocal = (host: HostCandidate): number => Number(failureDomains.includes(host.failureDomain));
     const distance = (host: HostCandidate): number => Math.floor(host.storeDelay / storeDelayStep);
+    const load = (host: HostCandidate): number => (host.heldCells + 1) / host.processors;
     const order = rendezvousRank(cell, hosts.map(host => host.id));
     return [...hosts].sort((left, right) =>
         isLocal(right) - isLocal(left)
         || distance(left) - distance(right)
-        || left.heldCells - right.heldCells
+        || load(left) - load(right)
         || order.indexOf(left.id) - order.indexOf(right.id)
     ).map(host => host.id);
 };
--- a/packages/workflow/src/peer/host-registry.ts
+++ b/packages/workflow/src/peer/host-registry.ts
@@ -15,6 +15,8 @@
     readonly incarnation: string;
     /** Milliseconds that the store took to answer the host when it started. */
     readonly storeDelay: number;
+    /** Cores of its processor. */
+    readonly processors: number;
 }
 
 /** Knows the other entry hosts, by their rows in the store and by what they say of themselves. */
@@ -49,6 +51,9 @@
 /** Milliseconds after which the row of a host that is gone is removed; longer than any outage that a host comes back from. */
 const removeAfter = 600_000;
 
+/** What counts of a host whose row, written by an earlier release, does not tell. */
+const defaults: Pick<EntryHostRecord, "processors"> = { processors: 1 };
+
 interface Seen {
     host: EntryHostRecord;
     version: number;
@@ -103,7 +108,7 @@
             return false;
         }
         for (const row of answer.value.rows) {
-            take(JSON.parse(row.value) as EntryHostRecord, row.version);
+            take({ ...defaults, ...JSON.parse(row.value) as EntryHostRecord }, row.version);
         }
         for (const [id, seen] of hosts) {
             if (performance.now() - seen.seenAt > goneAfter) {
--- a/packages/workflow/tests/choose-cell.test.ts
+++ b/packages/workflow/tests/choose-cell.test.ts
@@ -45,6 +45,7 @@
         id: id as HostId,
         failureDomain: failureDomainId(domain),
         storeDelay: 4,
+        processors: 1,
         heldCells: 0,
         ...changes,
     });
@@ -57,4 +58,25 @@
         ]);
         expect(order).toEqual(["h-idle", "h-busy", "h-far", "h-west"]);
     });
+
+    // Guards against a cell for all failure domains on a host whose processor can't carry it.
+    it("puts much processor before little, and nearness to the store before both", () => {
+        const order = rankHosts("all" as CellId, [failureDomainId("east"), failureDomainId("west")], [
+            host("h-small", "east", { processors: 0.324 }),
+            host("h-far", "west", { processors: 4, storeDelay: 40 }),
+            host("h-large", "west", { processors: 1.35 }),
+            host("h-middle", "east", { processors: 0.675 }),
+        ]);
+        expect(order).toEqual(["h-large", "h-middle", "h-small", "h-far"]);
+    });
+
+    // Guards against the largest host taking one cell after the other while others hold none.
+    it("counts the cells that a host holds against its processor", () => {
+        const order = rankHosts("c" as CellId, [failureDomainId("east")], [
+            host("h-small", "east", { processors: 0.324 }),
+            host("h-large", "east", { processors: 1.35, heldCells: 1 }),
+            host("h-full", "east", { processors: 1.35, heldCells: 4 }),
+        ]);
+        expect(order).toEqual(["h-large", "h-small", "h-full"]);
+    });
 });
