Count held cells when a cell is offered

Callers saw the work of several cells depend on one host after planned restarts.

Cause: an offer ranked peers as if none of them held a cell, unlike a takeover.

Change: both use the same order with the cells that hosts are known to hold.

cell-spread.test.ts, four hosts with a cell each, of which two stop one after the other, all twelve pairs: before, one of the others held three cells in six of the pairs; after, both hold two in all of them.

--- a/packages/bench/tests/workflow/cell-spread.test.ts
+++ b/packages/bench/tests/workflow/cell-spread.test.ts
@@ -38,6 +38,10 @@
     };
     const holders = (of: WorkflowCluster): readonly (string | undefined)[] =>
         domains.map(domain => of.holder(`${domain}/0`));
+    const heldCounts = (of: WorkflowCluster): readonly number[] => {
+        const held = holders(of);
+        return [...new Set(held)].map(host => held.filter(holder => holder === host).length);
+    };
     const epochs = (of: WorkflowCluster): readonly unknown[] =>
         of.platform.store.rows("cells").filter(({ key }) => key === "holder")
             .map(({ value }) => (value as { epoch?: number; }).epoch);
@@ -82,6 +86,27 @@
         expect(others.every(holder => holder !== undefined)).toBe(true);
     });
 
+    // Guards against hosts that stop and hand their cells to one that holds several, while another holds one.
+    it("go to the host with the fewest of them when holders stop one after the other", async () => {
+        const counts: (readonly number[])[] = [];
+        for (const first of domains) {
+            for (const second of domains.filter(domain => domain !== first)) {
+                const created = await create({ hosts: perDomain(1) });
+                void created.hosts.get(`h-${first}-0`)?.drain();
+                await time.advance(takeoverBound);
+                created.kill(`h-${first}-0`);
+                await time.advance(takeoverBound);
+                void created.hosts.get(`h-${second}-0`)?.drain();
+                await time.advance(takeoverBound);
+                counts.push(heldCounts(created));
+                created.stop();
+                time.restore();
+                time = installFakeTime();
+            }
+        }
+        expect(counts).toEqual(counts.map(() => [2, 2]));
+    });
+
     // Guards against hosts that all start anew and trade their cells.
     it("are taken back by their holders when all hosts start anew", async () => {
         const created = await create();
--- a/packages/workflow/src/entry/cell-keeper.ts
+++ b/packages/workflow/src/entry/cell-keeper.ts
@@ -163,7 +163,7 @@
     const offer = async (held: WorkflowCell, reason: string): Promise<boolean> => {
         const failureDomains = plan()?.cells.find(({ cell }) => cell === held.cell)?.failureDomains ?? [];
         const peers = registry.peers();
-        const order = rankHosts(held.cell, failureDomains, peers.map(peer => ({ ...peer, heldCells: 0 })));
+        const order = orderOf(held.cell, failureDomains, peers);
         const answers = await Promise.all(peers.map(async peer => ({ peer, isAble: await reachesStore(peer) })));
         const able = answers.filter(({ isAble }) => isAble).map(({ peer }) => peer)
             .sort((left, right) => order.indexOf(left.id) - order.indexOf(right.id));
