Return cells to failure domains that have hosts again

Cause: a holder gave up a cell only when it stopped or lost the store.

Change: a holder of another failure domain offers the cell to hosts of its own one, by the usual offer (the target has proved contact with the store), when it has proved its lease itself and has neither taken nor returned a cell for 10 s. Cells only move into their domains in this way, so that they can't go back and forth. A cell for all domains never moves.

Ruled out: levelling cells between hosts of one domain. Hosts hear of each other's cells late and could move them in turns.

cell-spread.test.ts: before, the cells of two domains that lost their hosts stayed where they were; after, they are back within 24 s and no row changes in the minute after that. Nothing moves while the returned hosts are cut off.

--- a/packages/bench/tests/workflow/cell-spread.test.ts
+++ b/packages/bench/tests/workflow/cell-spread.test.ts
@@ -14,6 +14,8 @@
 const firstHolderBound = 2_000;
 /** Milliseconds until a killed holder's cell is held again. */
 const takeoverBound = 2_500;
+/** Milliseconds until a holder of another domain has returned one cell. */
+const returnTime = 12_000;
 
 describe("cells of several failure domains", () => {
     let time: FakeTime;
@@ -107,6 +109,42 @@
         expect(counts).toEqual(counts.map(() => [2, 2]));
     });
 
+    describe("whose domain lost all its hosts", () => {
+        const lost = ["h-east-a-0", "h-east-a-1", "h-east-b-0", "h-east-b-1"];
+        const lose = async (): Promise<WorkflowCluster> => {
+            const created = await create({ hosts: perDomain(2) });
+            lost.forEach(created.kill);
+            await time.advance(2 * takeoverBound);
+            expect(holders(created).filter(holder => holder?.startsWith("h-west-"))).toHaveLength(domains.length);
+            return created;
+        };
+
+        // Guards against a holder that keeps the cells of other domains for the rest of the day after an outage.
+        it("go back once it has hosts again, and stay there", async () => {
+            const created = await lose();
+            lost.forEach(created.start);
+            await time.advance(2 * returnTime);
+            expect(holders(created)).toEqual(
+                domains.map(domain => expect.stringContaining(`h-${domain}-`) as unknown),
+            );
+            const settled = epochs(created);
+            await time.advance(5 * returnTime);
+            expect(epochs(created)).toEqual(settled);
+        });
+
+        // Guards against cells that are handed to hosts that can't reach the store.
+        it("stay where they are while hosts there are cut off", async () => {
+            const created = await lose();
+            const before = [holders(created), epochs(created)];
+            lost.forEach(id => {
+                created.start(id);
+                created.isolate(id);
+            });
+            await time.advance(2 * returnTime);
+            expect([holders(created), epochs(created)]).toEqual(before);
+        });
+    });
+
     // Guards against hosts that all start anew and trade their cells.
     it("are taken back by their holders when all hosts start anew", async () => {
         const created = await create();
--- a/packages/workflow/src/entry/cell-keeper.ts
+++ b/packages/workflow/src/entry/cell-keeper.ts
@@ -61,6 +61,8 @@
 const retryInterval = 150;
 /** Milliseconds between two offers of one cell. */
 const offerInterval = 700;
+/** Milliseconds from taking or returning a cell until a host returns one to the cell's failure domain. */
+const returnInterval = 10_000;
 
 /** A version of a row, with the time at which this host first saw it. */
 interface SeenRow {
@@ -78,6 +80,8 @@
     /** Rows as this host last saw them. */
     const seenRows = new Map<CellId, SeenRow>();
     let isStopping = false;
+    /** Steady ms at which this host last took a cell or tried to return one. */
+    let movedAt = startedAt;
 
     const isTaken = (cell: CellId): boolean => cells.has(cell) || claims.fresh(cell) !== undefined;
     const take = async (cell: CellId, row: CellRow, reason: string): Promise<boolean> => {
@@ -99,6 +103,7 @@
             }
         });
         cells.set(cell, opened);
+        movedAt = performance.now();
         onChange();
         return true;
     };
@@ -160,10 +165,14 @@
         const answer = await network.call(host, "store-contact", {});
         return answer.isOk && answer.value < storeContactAge;
     };
-    const offer = async (held: WorkflowCell, reason: string): Promise<boolean> => {
-        const failureDomains = plan()?.cells.find(({ cell }) => cell === held.cell)?.failureDomains ?? [];
-        const peers = registry.peers();
-        const order = orderOf(held.cell, failureDomains, peers);
+    const domainsOf = (cell: CellId): readonly FailureDomainId[] =>
+        plan()?.cells.find(planned => planned.cell === cell)?.failureDomains ?? [];
+    const offer = async (
+        held: WorkflowCell,
+        reason: string,
+        peers: readonly EntryHostRecord[] = registry.peers(),
+    ): Promise<boolean> => {
+        const order = orderOf(held.cell, domainsOf(held.cell), peers);
         const answers = await Promise.all(peers.map(async peer => ({ peer, isAble: await reachesStore(peer) })));
         const able = answers.filter(({ isAble }) => isAble).map(({ peer }) => peer)
             .sort((left, right) => order.indexOf(left.id) - order.indexOf(right.id));
@@ -185,6 +194,16 @@
             onChange();
         }
     };
+    /** Hosts of the cell's failure domains, where this host is of none of them and may return the cell now. */
+    const returnTargets = (held: WorkflowCell): readonly EntryHostRecord[] => {
+        const failureDomains = domainsOf(held.cell);
+        const isCalm = performance.now() - movedAt > returnInterval
+            && held.isActive()
+            && held.provenAgo() < storeContactAge;
+        return isCalm && !failureDomains.includes(self.failureDomain)
+            ? registry.peers().filter(peer => failureDomains.includes(peer.failureDomain))
+            : [];
+    };
     const reviewHeld = async (held: WorkflowCell): Promise<void> => {
         const claim = claims.fresh(held.cell);
         if (held.isLost() || claim !== undefined && claim.summary.epoch > held.epoch) {
@@ -195,6 +214,13 @@
         if (held.provenAgo() > doubtfulLease && isDue) {
             offeredAt.set(held.cell, performance.now());
             await offer(held, "the store does not answer this host");
+            return;
+        }
+        // A cell only ever moves into its failure domains for this reason, so that it can't move back and forth.
+        const targets = returnTargets(held);
+        if (targets.length > 0) {
+            movedAt = performance.now();
+            await offer(held, "its failure domain has hosts again", targets);
         }
     };
     const reviewOnce = async (
