--- a/packages/bench/src/workflow/play-random-day.ts
+++ b/packages/bench/src/workflow/play-random-day.ts
@@ -1,5 +1,5 @@
-import type { NetworkCall, ProtocolEvent } from "@jayfront/platform-stand-in";
-import { findBreach, isWriteCall } from "@jayfront/platform-stand-in";
+import type { ProtocolEvent } from "@jayfront/platform-stand-in";
+import { findBreach } from "@jayfront/platform-stand-in";
 import type { JobId } from "@jayfront/world";
 import type { Logger } from "pino";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
@@ -7,7 +7,8 @@
 
 import type { FakeTime } from "../util/fake-time.js";
 import type { PlantedFault } from "./planted-faults.js";
-import type { WorkflowCluster } from "./workflow-cluster.js";
+import { randomFaults } from "./random-faults.js";
+import type { RandomPlay } from "./random-play.js";
 import { createWorkflowCluster } from "./workflow-cluster.js";
 
 /** What a random day showed. */
@@ -44,100 +45,6 @@
 /** Milliseconds without faults in which all that was accepted has to complete. */
 const calm = 25_000;
 
-interface Play {
-    readonly cluster: WorkflowCluster;
-    readonly draw: () => number;
-    readonly pick: <Item>(items: readonly Item[]) => Item | undefined;
-    /** Runs `heal` when the fault ends. */
-    readonly later: (milliseconds: number, heal: () => void) => void;
-}
-
-const toStore = (play: Play, call: NetworkCall): boolean => call.address === play.cluster.platform.storeAddress;
-
-/** Faults by name; each heals after a few seconds. */
-const faultKinds: Record<string, (play: Play) => void> = {
-    "kill a host": ({ cluster, pick, later, draw }) => {
-        const host = pick([...cluster.hosts.keys()]) ?? "";
-        cluster.kill(host);
-        later(300 + draw() * 3_000, () => {
-            cluster.start(host);
-        });
-    },
-    "kill all hosts": ({ cluster, later }) => {
-        const hosts = [...cluster.hosts.keys()];
-        hosts.forEach(cluster.kill);
-        later(1_000, () => {
-            hosts.forEach(cluster.start);
-        });
-    },
-    "cut a host off": ({ cluster, pick, later, draw }) => {
-        later(draw() * 6_000, cluster.isolate(pick([...cluster.hosts.keys()]) ?? ""));
-    },
-    "start a worker anew": ({ cluster, pick }) => {
-        pick([...cluster.platform.workers.values()])?.restart();
-    },
-    "cut a worker off": ({ cluster, pick, later, draw }) => {
-        const address = cluster.platform.addressOf(pick([...cluster.platform.workers.keys()]) ?? "");
-        later(
-            draw() * 9_000,
-            cluster.platform.network.addFault({ matches: (...[, call]) => call.address === address, action: "cut" }),
-        );
-    },
-    "carry orders out late": play => {
-        const { cluster, draw, later } = play;
-        later(
-            3_000,
-            cluster.platform.network.addFault({
-                matches: (...[, call]) => !toStore(play, call) && draw() < 0.2,
-                action: "late",
-                delay: 2_000 + draw() * 10_000,
-            }),
-        );
-    },
-    "lose answers of workers": play => {
-        const { cluster, draw, later } = play;
-        later(
-            3_000,
-            cluster.platform.network.addFault({
-                matches: (...[, call]) => !toStore(play, call) && draw() < 0.2,
-                action: "lose-answer",
-            }),
-        );
-    },
-    "silence the store": play => {
-        const { cluster, draw, later } = play;
-        later(
-            draw() * 5_000,
-            cluster.platform.network.addFault({ matches: (...[, call]) => toStore(play, call), action: "cut" }),
-        );
-    },
-    "turn some hosts away from the store": play => {
-        const { cluster, draw, later } = play;
-        const turned = new Set([...cluster.hosts.keys()].filter(() => draw() < 0.5));
-        later(
-            draw() * 6_000,
-            cluster.platform.network.addFault({
-                matches: (from, call) => turned.has(from) && toStore(play, call),
-                action: "refuse",
-            }),
-        );
-    },
-    "write late": play => {
-        const { cluster, draw, later } = play;
-        later(
-            3_000,
-            cluster.platform.network.addFault({
-                matches: (...[, call]) => isWriteCall(call) && draw() < 0.35,
-                action: "late",
-                delay: 1_000 + draw() * 5_000,
-            }),
-        );
-    },
-    "forget the store's history": ({ cluster }) => {
-        cluster.platform.store.compact();
-    },
-};
-
 /** Plays a day of random faults and submissions in fake time; the same seed gives the same day. */
 export const playRandomDay = async (
     { seed, time, seconds = 20, logger, fault }: RandomDayOptions,
@@ -155,7 +62,7 @@
     const later = (milliseconds: number, heal: () => void): void => {
         setTimeout(heal, milliseconds);
     };
-    const play: Play = { cluster, draw, pick, later };
+    const play: RandomPlay = { cluster, draw, pick, later };
     const faults: string[] = [];
     const answers = new Map<string, string[]>();
     const submit = (): void => {
@@ -175,9 +82,9 @@
     for (let passed = 0; passed < seconds * 1_000; passed += spacing) {
         submit();
         if (draw() < 0.3) {
-            const kind = pick(Object.keys(faultKinds)) ?? "";
+            const kind = pick(Object.keys(randomFaults)) ?? "";
             faults.push(`${String(passed)} ms: ${kind}`);
-            faultKinds[kind]?.(play);
+            randomFaults[kind]?.(play);
         }
         await time.advance(spacing);
     }
