Confirm the lease before a holder tells that a workflow goes on

Change: before it tells an open state, a holder whose lease was not proved within a second reads the cell's row; calls at the same time share the read. Where the store does not answer, the state is told from memory as before.

Ruled out: a read for each state (a read a request; the proof is at most a second old in calm times already).

--- a/packages/workflow/src/cell/cell-lease.ts
+++ b/packages/workflow/src/cell/cell-lease.ts
@@ -19,6 +19,8 @@
     readonly check: Transaction["checks"][number];
     /** Renews by a read; true where the row still names this holder. */
     readonly renew: () => Promise<boolean>;
+    /** Renews unless the lease was proved within `age` ms; calls at the same time share one read. */
+    readonly confirm: (age: number) => Promise<void>;
     /** Tells listeners that a call whose success proves the lease is about to be sent; returns what to do on success. */
     readonly noteSent: () => () => void;
     /** Milliseconds of the steady clock at the sending of the last call that proved the lease. */
@@ -54,6 +56,7 @@
     let provenAt = options.takenAt;
     let isLost = false;
     let isTroubled = false;
+    let confirming: Promise<boolean> | undefined;
 
     const lose = (reason: string): void => {
         if (!isLost) {
@@ -73,25 +76,34 @@
             }
         };
     };
+    const renew = async (): Promise<boolean> => {
+        const proven = noteSent();
+        const read = await store.read(key.table, key.partition, key.key);
+        if (read.isErr) {
+            isTroubled = true;
+            return false;
+        }
+        if (read.value.rows[0]?.version !== row.version) {
+            lose("the cell's row names another holder");
+            return false;
+        }
+        proven();
+        return true;
+    };
     return {
         cell,
         epoch,
         check: { ...key, version: row.version },
         noteSent,
         lose,
-        renew: async () => {
-            const proven = noteSent();
-            const read = await store.read(key.table, key.partition, key.key);
-            if (read.isErr) {
-                isTroubled = true;
-                return false;
-            }
-            if (read.value.rows[0]?.version !== row.version) {
-                lose("the cell's row names another holder");
-                return false;
+        renew,
+        confirm: async age => {
+            if (performance.now() - provenAt > age) {
+                confirming ??= renew().finally(() => {
+                    confirming = undefined;
+                });
+                await confirming;
             }
-            proven();
-            return true;
         },
         provenAt: () => provenAt,
         isLost: () => isLost,
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -371,13 +371,22 @@
         // Found, and not taken in: it has ended.
         return state === "not-known" || state === "unknown" ? state : "cancelled";
     };
+    const state = async (id: JobId): Promise<StateReply> => {
+        const known = ledgers.get(id)?.state();
+        if (known === "queued" || known === "running") {
+            // A host that was frozen or cut off may have a successor that knows of the end.
+            await lease.confirm(renewalInterval);
+            return lease.isLost() ? "not-holder" : ledgers.get(id)?.state() ?? known;
+        }
+        return known ?? await intake.find(id);
+    };
     return {
         cell,
         epoch,
         isActive: () => isActive,
         isLost: lease.isLost,
         submit: async workflow => isActive ? await intake.submit(workflow) : { kind: "not-holder" },
-        state: async id => isActive ? ledgers.get(id)?.state() ?? await intake.find(id) : "not-holder",
+        state: async id => isActive ? await state(id) : "not-holder",
         cancel: async id => isActive ? await cancel(id) : "not-holder",
         provenAgo: () => performance.now() - lease.provenAt(),
         summary: () => {
