--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -61,6 +61,8 @@
     /** Workers by failure domain. */
     readonly workers: Readonly<Record<string, number>>;
     readonly cpuOf?: (task: string) => number;
+    /** Thousandths of cores of each worker. Default 16,000. */
+    readonly cpu?: number;
     readonly logger?: Logger;
     /** Milliseconds for which workers run tasks without a new deadline. Default 6,000. */
     readonly longestLease?: number;
@@ -116,6 +118,7 @@
         workers: options.workers,
         longestLease,
         ...(cpuOf === undefined ? {} : { cpuOf }),
+        ...(options.cpu === undefined ? {} : { cpu: options.cpu }),
     });
     platform.configure(deskConfiguration);
     const hosts = new Map<string, WorkflowHost>();
