Describe workers once in a placement pass

Cause: each task that looked for a worker went through the state of all workers, summed the pressure of all their neighbours on each serving task again, and each new lasting task summed the free room of all. The critical path was computed for each group of waiting tasks.

Change: workers open to a service are listed once in a pass; a step describes those that suit it once and again only where something has started; the loss of speed by present neighbours is summed once for each worker and image; free room once until something starts; the critical path once for each workflow. What is placed where stays the same.

--- a/packages/workflow/src/cell/cell-workers.ts
+++ b/packages/workflow/src/cell/cell-workers.ts
@@ -21,19 +21,25 @@
 /** Milliseconds for which a worker that answers is used although it is not listed; entries may lapse with the store. */
 const unlistedUse = 2_500;
 
-/** Whether the worker may get new tasks of a step. */
-export const mayStartOn = (worker: CellWorker, service: ServiceId, step: Step): boolean => {
-    const { session, room } = worker;
+/** Whether the worker may get new tasks of a service, as far as that does not depend on their size. */
+export const isOpenTo = (worker: CellWorker, service: ServiceId): boolean => {
+    const { session } = worker;
     const entry = session.entry();
     const isListed = worker.unlistedSince === undefined || performance.now() - worker.unlistedSince < unlistedUse;
     return entry.service === service
         && worker.isOnRoster
         && isListed
         && !entry.isDraining
-        && session.deadline() !== undefined
-        && (step.requiredLabel === undefined || entry.labels.includes(step.requiredLabel))
-        && room.fits(step);
+        && session.deadline() !== undefined;
 };
 
+/** Whether a task of the step fits the worker now, by label and room. */
+export const suits = ({ session, room }: CellWorker, step: Step): boolean =>
+    room.fits(step) && (step.requiredLabel === undefined || session.entry().labels.includes(step.requiredLabel));
+
+/** Whether the worker may get new tasks of a step. */
+export const mayStartOn = (worker: CellWorker, service: ServiceId, step: Step): boolean =>
+    suits(worker, step) && isOpenTo(worker, service);
+
 /** Workers of a cell by id. */
 export type CellWorkers = Map<WorkerId, CellWorker>;
--- a/packages/workflow/src/cell/neighbour-watch.ts
+++ b/packages/workflow/src/cell/neighbour-watch.ts
@@ -43,9 +43,8 @@
     readonly servingWorkflows: ReadonlySet<JobId>;
     /** Thousandths of cores that they reserve. */
     readonly servingCpu: number;
-    /** The serving tasks at the load to be expected within so many ms. */
+    /** The slowest task of each serving image beside the present neighbours, at the load expected within so many ms. */
     readonly needsWithin: (ahead: number) => readonly ServingNeed[];
-    readonly spare: readonly SpareTask[];
 }
 
 /** Options of {@link createNeighbourWatch}. */
@@ -132,6 +131,26 @@
             }
         });
     };
+    /** `losses`: loss of speed of each serving image by the spare tasks, filled as it is asked for. */
+    const needsBeside = (
+        serving: readonly Run[],
+        spare: readonly SpareTask[],
+        losses: Map<string, number>,
+        ahead: number,
+    ): readonly ServingNeed[] => {
+        const now = performance.now();
+        const slowest = new Map<string, number>();
+        for (const { position, step: { image = "" } } of serving) {
+            const speed = model.speedAhead(position.job, now, ahead);
+            slowest.set(image, Math.min(speed, slowest.get(image) ?? Infinity));
+        }
+        return [...slowest].map(([image, speed]) => {
+            const loss = losses.get(image)
+                ?? spare.reduce((sum, task) => sum + model.pressure(image, task.image) * task.share, 0);
+            losses.set(image, loss);
+            return { image, ownSpeed: speed - loss };
+        });
+    };
     return {
         review: (worker, runs) => {
             const now = performance.now();
@@ -147,7 +166,9 @@
             runs.some(run => run.step.usesSpareCpu) && runs.some(run => run.step.tailTarget !== undefined),
         survey: (worker, runs) => {
             const serving = runs.filter(run => run.step.tailTarget !== undefined);
+            const spare = spareRuns(runs).map(run => spareTask(worker, run.step));
             const servingImages = new Map<string, number>();
+            const losses = new Map<string, number>();
             const needs = new Map<number, readonly ServingNeed[]>();
             for (const { step: { image = "" } } of serving) {
                 servingImages.set(image, (servingImages.get(image) ?? 0) + 1);
@@ -157,14 +178,10 @@
                 servingWorkflows: new Set(serving.map(run => run.position.job)),
                 servingCpu: serving.reduce((sum, run) => sum + run.step.cpu, 0),
                 needsWithin: ahead => {
-                    const known = needs.get(ahead)
-                        ?? serving.map(run =>
-                            needOf(run, model.speedAhead(run.position.job, performance.now(), ahead))
-                        );
+                    const known = needs.get(ahead) ?? needsBeside(serving, spare, losses, ahead);
                     needs.set(ahead, known);
                     return known;
                 },
-                spare: spareRuns(runs).map(run => spareTask(worker, run.step)),
             };
         },
         hostingLoss: ({ servingImages }, { image = "" }) => {
@@ -179,7 +196,7 @@
         slackWith: (worker, survey, step, runTime) => {
             const wanted = runTime * runTimeReserve;
             const ahead = placementHorizons.find(horizon => horizon >= wanted) ?? placementHorizons.at(-1) ?? wanted;
-            return servingSlack(survey.needsWithin(ahead), survey.spare, spareTask(worker, step), model.pressure);
+            return servingSlack(survey.needsWithin(ahead), [], spareTask(worker, step), model.pressure);
         },
     };
 };
--- a/packages/workflow/src/cell/room-gate.ts
+++ b/packages/workflow/src/cell/room-gate.ts
@@ -1,7 +1,7 @@
 import type { Step } from "../model/step.js";
 import { mayStartLasting } from "../policy/lasting-gate.js";
 import { createUrgentReserve } from "../policy/urgent-reserve.js";
-import type { CellWorker, CellWorkers } from "./cell-workers.js";
+import type { CellWorkers } from "./cell-workers.js";
 import { mayStartOn } from "./cell-workers.js";
 import type { RunBook } from "./run-book.js";
 import type { StageCandidate } from "./stage-candidate.js";
@@ -12,6 +12,8 @@
     readonly beginPass: (candidates: readonly StageCandidate[]) => void;
     /** Whether one more task of the step may take room; true for all that does not last. */
     readonly mayStart: (candidate: StageCandidate) => boolean;
+    /** A task has taken room since the pass began. */
+    readonly noteStart: () => void;
 }
 
 /** Options of {@link createRoomGate}. */
@@ -77,11 +79,19 @@
         }
         return places;
     };
-    /** Room in pieces that urgent tasks fit. */
-    const usable = (worker: CellWorker): number => Math.floor(worker.room.freeCpu() / urgentSize) * urgentSize;
+    /** Thousandths of cores that are free in pieces which urgent tasks fit; undefined once a start has changed it. */
+    let free: number | undefined;
+    const sumFree = (): number => {
+        let sum = 0;
+        for (const { room } of workers.values()) {
+            sum += Math.floor(room.freeCpu() / urgentSize) * urgentSize;
+        }
+        return sum;
+    };
     return {
         beginPass: candidates => {
             const now = performance.now();
+            free = undefined;
             if (now - countedAt >= countInterval) {
                 countUrgent(candidates, now);
             }
@@ -110,7 +120,7 @@
             const now = performance.now();
             const since = roomySince.get(stageKey(candidate));
             const places = placesFor(candidate, 2);
-            const free = [...workers.values()].reduce((sum, worker) => sum + usable(worker), 0);
+            free ??= sumFree();
             return mayStartLasting({
                 places,
                 roomyFor: since === undefined || places < 2 ? undefined : now - since,
@@ -119,5 +129,8 @@
                 reserve: reserve.wanted(now),
             });
         },
+        noteStart: () => {
+            free = undefined;
+        },
     };
 };
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -1,5 +1,5 @@
 import type { WorkerHealth } from "@jayfront/policy";
-import type { WorkerId } from "@jayfront/world";
+import type { ServiceId, WorkerId } from "@jayfront/world";
 import type { Logger } from "pino";
 
 import type { Stage, WorkflowLedger } from "../ledger/workflow-ledger.js";
@@ -7,7 +7,6 @@
 import type { Step } from "../model/step.js";
 import type { TaskName } from "../model/task-name.js";
 import { taskName } from "../model/task-name.js";
-import { chooseWorker } from "../policy/choose-worker.js";
 import { criticalPath } from "../policy/critical-path.js";
 import { remainingPath } from "../policy/remaining-path.js";
 import type { Urgency } from "../policy/urgency.js";
@@ -15,12 +14,14 @@
 import type { WorkerCandidate } from "../policy/worker-candidate.js";
 import type { RunTime } from "./cell-learning.js";
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
-import { mayStartOn } from "./cell-workers.js";
+import { isOpenTo, mayStartOn } from "./cell-workers.js";
 import type { NeighbourWatch, WorkerSurvey } from "./neighbour-watch.js";
 import { createRoomGate } from "./room-gate.js";
 import type { RunBook } from "./run-book.js";
 import type { RunKeeper } from "./run-keeper.js";
 import type { StageCandidate } from "./stage-candidate.js";
+import type { StagePlaces } from "./stage-places.js";
+import { createStagePlaces } from "./stage-places.js";
 import type { UnansweredStarts } from "./unanswered-starts.js";
 
 /** Decides which waiting tasks start where. */
@@ -95,42 +96,55 @@
     } = options;
 
     const gate = createRoomGate({ workers, book });
-    /** What stands on workers, and sizes that found no worker; both hold for one pass. */
+    /** What stands on workers, workers by service that take tasks, and sizes that found no worker; all hold for one pass. */
     const surveys = new Map<WorkerId, WorkerSurvey>();
+    const openWorkers = new Map<ServiceId, readonly CellWorker[]>();
     const blockedSizes = new Map<string, Pick<Step, "cpu" | "memory">>();
 
+    const timesOf = (ledger: WorkflowLedger, queue: Queue) => (step: Step, number: number): number =>
+        runTime(ledger.workflow.id, queue, step, number);
     const urgencyOf = (
         ledger: WorkflowLedger,
         stage: Stage,
         queue: Queue,
-        lasting: Urgency["lasting"],
-    ): Urgency => {
+        objective: number,
+    ): Omit<Urgency, "lasting"> => {
         const { steps, acceptedAt, schedule } = ledger.workflow;
-        const time = (step: Step, number: number): number => runTime(ledger.workflow.id, queue, step, number);
         const dueAt = schedule === undefined ? acceptedAt : schedule.firstDue + stage.occurrence * schedule.interval;
-        const objective = queue.slackFactor * criticalPath(steps, time) + queue.latencyTarget;
-        const spare = dueAt - Date.now() - remainingPath(steps, stage.number, time);
+        const remaining = remainingPath(steps, stage.number, timesOf(ledger, queue));
+        const spare = dueAt - Date.now() - remaining;
         return {
-            lasting,
             priority: queue.priority,
             laxity: spare + objective,
             lateLaxity: spare + objective * uselessFactor,
         };
     };
+    const candidatesOf = (ledger: WorkflowLedger, now: number, steadyNow: number): StageCandidate[] => {
+        const queue = queueOf(ledger);
+        const waiting = ledger.openStages(now, steadyNow).filter(({ record }) => record.waiting.size > 0);
+        if (waiting.length === 0) {
+            return [];
+        }
+        const path = criticalPath(ledger.workflow.steps, timesOf(ledger, queue));
+        const objective = queue.slackFactor * path + queue.latencyTarget;
+        return waiting.flatMap(stage => {
+            const urgency = urgencyOf(ledger, stage, queue, objective);
+            return groupWaiting(stage).map(([lasting, indices]) => ({
+                ledger,
+                stage,
+                queue,
+                urgency: { ...urgency, lasting },
+                indices,
+            }));
+        });
+    };
     const candidates = (): StageCandidate[] => {
         const now = Date.now();
         const steadyNow = performance.now();
         const found: StageCandidate[] = [];
         for (const ledger of ledgers()) {
-            if (ledger.isSettled() || isHeldBack(ledger)) {
-                continue;
-            }
-            const queue = queueOf(ledger);
-            for (const stage of ledger.openStages(now, steadyNow)) {
-                for (const [lasting, indices] of stage.record.waiting.size > 0 ? groupWaiting(stage) : []) {
-                    const urgency = urgencyOf(ledger, stage, queue, lasting);
-                    found.push({ ledger, stage, queue, urgency, indices });
-                }
+            if (!ledger.isSettled() && !isHeldBack(ledger)) {
+                found.push(...candidatesOf(ledger, now, steadyNow));
             }
         }
         return found.sort((left, right) => compareUrgency(left.urgency, right.urgency));
@@ -149,7 +163,12 @@
         surveys.set(id, known);
         return known;
     };
-    const describe = (worker: CellWorker, candidate: StageCandidate, task: TaskName): WorkerCandidate => {
+    const openTo = (service: ServiceId): readonly CellWorker[] => {
+        const known = openWorkers.get(service) ?? [...workers.values()].filter(worker => isOpenTo(worker, service));
+        openWorkers.set(service, known);
+        return known;
+    };
+    const describe = (worker: CellWorker, candidate: StageCandidate): WorkerCandidate => {
         const { ledger, queue, stage: { step, number } } = candidate;
         const { session, room } = worker;
         const survey = surveyOf(worker);
@@ -167,24 +186,21 @@
             slackBefore: slack?.before ?? Infinity,
             slackAfter: slack?.after ?? Infinity,
             hostingLoss: step.tailTarget === undefined ? 0 : neighbours.hostingLoss(survey, step),
-            hasFailedBefore: hasFailedOn(task, worker),
+            hasFailedBefore: false,
         };
     };
-    const choose = (candidate: StageCandidate, index: number, rack?: string): CellWorker | undefined => {
+    const placesOf = (candidate: StageCandidate, rack?: string): StagePlaces => {
         const { queue, stage: { step } } = candidate;
-        const task = taskOf(candidate, index);
-        const place = placeOf(task);
-        const fitting = [...workers.values()].filter(worker =>
-            (place === undefined || place === worker.session.id)
-            && mayStartOn(worker, queue.service, step)
-            && (rack === undefined || worker.session.entry().rack === rack)
-            && (step.perWorkerLimit === undefined || tasksOfStageOn(worker, candidate) < step.perWorkerLimit)
-        );
-        const trusted = fitting.filter(worker => health.allowance(worker.session.id) > 0);
-        // A task that lasts rather tries a worker in quarantine than stay away.
-        const considered = trusted.length === 0 && step.isLasting ? fitting : trusted;
-        const best = chooseWorker(step, considered.map(worker => describe(worker, candidate, task)));
-        return best === undefined ? undefined : workers.get(best.id);
+        const open = openTo(queue.service);
+        return createStagePlaces({
+            step,
+            workers: rack === undefined ? open : open.filter(worker => worker.session.entry().rack === rack),
+            health,
+            describe: worker => describe(worker, candidate),
+            tasksOn: worker => tasksOfStageOn(worker, candidate),
+            hasFailedOn,
+            placeOf,
+        });
     };
     /** Logs what the waiting tasks of a step lack: room, trust in the workers that have it, or calm neighbours. */
     const logWait = (candidate: StageCandidate): void => {
@@ -210,6 +226,7 @@
     const startOne = (candidate: StageCandidate, index: number, worker: CellWorker, number?: number): void => {
         health.recordStart(worker.session.id);
         surveys.delete(worker.session.id);
+        gate.noteStart();
         const { ledger, stage, urgency } = candidate;
         logger.info({
             job: ledger.workflow.id,
@@ -229,12 +246,14 @@
     const planGang = (candidate: StageCandidate, rack?: string): CellWorker[] | undefined => {
         const { step, record } = candidate.stage;
         const plan: CellWorker[] = [];
+        const places = placesOf(candidate, rack);
         for (const index of record.waiting) {
-            const worker = choose(candidate, index, rack);
+            const worker = places.choose(taskOf(candidate, index));
             if (worker === undefined) {
                 break;
             }
             worker.room.add(step);
+            places.refresh(worker);
             plan.push(worker);
         }
         plan.forEach(worker => {
@@ -275,12 +294,14 @@
         if (blocked !== undefined && step.cpu >= blocked.cpu && step.memory >= blocked.memory) {
             return;
         }
+        let places: StagePlaces | undefined;
         for (const index of indices) {
             if (!gate.mayStart(candidate)) {
                 logWait(candidate);
                 return;
             }
-            const worker = choose(candidate, index);
+            places ??= placesOf(candidate);
+            const worker = places.choose(taskOf(candidate, index));
             if (worker === undefined && placeOf(taskOf(candidate, index)) !== undefined) {
                 continue;
             }
@@ -292,11 +313,13 @@
                 return;
             }
             startOne(candidate, index, worker);
+            places.refresh(worker);
         }
     };
     return {
         pass: () => {
             surveys.clear();
+            openWorkers.clear();
             blockedSizes.clear();
             const waiting = candidates();
             gate.beginPass(waiting);
