Compute the basis of a wave fit once for each report

Learning took most of what a holder spends beside its placement passes: each report of a serving task is compared with 31 fits and taken in by each, which made sine and cosine three times over. The fit keeps the latest ones.

--- a/packages/workflow/src/policy/load-forecast.ts
+++ b/packages/workflow/src/policy/load-forecast.ts
@@ -67,11 +67,13 @@
     let meanSquare = firstError ** 2;
 
     const scorePeriods = ({ fits }: Wave, speed: number, noise: number, now: number): void => {
+        let leading = 0;
         fits.forEach((fit, index) => {
             const error = (speed - fit.at(now)) ** 2 / (noise ** 2 + fit.variance(now));
-            scores[index] = (scores[index] ?? 0) * scoreMemory + error;
+            const score = (scores[index] ?? 0) * scoreMemory + error;
+            scores[index] = score;
+            leading = score < (scores[leading] ?? 0) ? index : leading;
         });
-        const leading = scores.indexOf(Math.min(...scores));
         if ((scores[best] ?? 0) - (scores[leading] ?? 0) > scoreMargin) {
             best = leading;
         }
--- a/packages/workflow/src/policy/wave-fit.ts
+++ b/packages/workflow/src/policy/wave-fit.ts
@@ -20,6 +20,8 @@
 
 type Vector = [number, number, number];
 
+const indices = [0, 1, 2] as const;
+
 /** Milliseconds after which a report counts a third: some periods. */
 const memory = 40_000;
 /** Standard deviations of the mean and of either half of the swing before anything was seen. */
@@ -35,7 +37,15 @@
     const covariance: [Vector, Vector, Vector] = [[limits[0], 0, 0], [0, limits[1], 0], [0, 0, limits[2]]];
     let notedAt: number | undefined;
 
-    const basis = (time: number): Vector => [1, Math.cos(frequency * time), Math.sin(frequency * time)];
+    /** The latest basis; a report is compared with the fit several times before it is taken in. */
+    let latest: { readonly time: number; readonly vector: Vector; } | undefined;
+
+    const basis = (time: number): Vector => {
+        if (latest?.time !== time) {
+            latest = { time, vector: [1, Math.cos(frequency * time), Math.sin(frequency * time)] };
+        }
+        return latest.vector;
+    };
     const spread = (vector: Vector): Vector => [
         dot(covariance[0], vector),
         dot(covariance[1], vector),
@@ -44,12 +54,11 @@
     const forget = (now: number): void => {
         const growth = Math.exp(Math.max(0, now - (notedAt ?? now)) / memory);
         notedAt = Math.max(now, notedAt ?? now);
-        for (const [row, entries] of covariance.entries()) {
-            for (const column of [0, 1, 2] as const) {
-                entries[column] *= growth;
+        for (const row of indices) {
+            for (const column of indices) {
+                covariance[row][column] *= growth;
             }
-            const diagonal = row as 0 | 1 | 2;
-            entries[diagonal] = Math.min(entries[diagonal], limits[diagonal]);
+            covariance[row][row] = Math.min(covariance[row][row], limits[row]);
         }
     };
     return {
@@ -59,9 +68,9 @@
             const gain = spread(vector);
             const total = dot(gain, vector) + noise ** 2;
             const error = value - dot(weights, vector);
-            for (const row of [0, 1, 2] as const) {
+            for (const row of indices) {
                 weights[row] += gain[row] / total * error;
-                for (const column of [0, 1, 2] as const) {
+                for (const column of indices) {
                     covariance[row][column] -= gain[row] * gain[column] / total;
                 }
             }
