Hold a worker back for a lasting task that finds no room

A task that lasts and has lost its run goes before all others in a pass, but a pass places only what fits now: in a full cell smaller urgent tasks took each hole as it came up, and the task stayed away for good.

Change: such a task (and the first one of its step) holds back the worker on which it fits soonest by the expected ends of what runs there, the same one until it has started; nothing else starts there meanwhile. At most a tenth of the workers are held back at a time.

--- /dev/null
+++ b/packages/workflow/src/cell/room-holder.ts
@@ -0,0 +1,72 @@
+import type { WorkerId } from "@jayfront/world";
+
+import type { Step } from "../model/step.js";
+import type { TaskName } from "../model/task-name.js";
+import type { FillingWorker } from "../policy/soonest-room.js";
+import { soonestRoom } from "../policy/soonest-room.js";
+import type { CellWorker, CellWorkers } from "./cell-workers.js";
+import type { RunBook } from "./run-book.js";
+import type { Run } from "./run.js";
+
+/** Holds workers back from other starts until a task that lasts has room there. */
+export interface RoomHolder {
+    /** Lets go of workers whose tasks did not ask again in the last pass. */
+    readonly beginPass: () => void;
+    /** Holds one of `open` back for the task for the rest of the pass: the same one for as long as it is among them. */
+    readonly hold: (task: TaskName, step: Step, open: readonly CellWorker[]) => void;
+    readonly isHeld: (worker: CellWorker) => boolean;
+}
+
+/** Options of {@link createRoomHolder}. */
+export interface RoomHolderOptions {
+    readonly workers: CellWorkers;
+    readonly book: RunBook;
+    /** Milliseconds that the run is expected to take in all. */
+    readonly runTimeOf: (run: Run) => number;
+}
+
+/** Share of the workers that may be held back at a time; one may be in any case. */
+const heldShare = 0.1;
+
+/** Creates a holder that holds nothing back. */
+export const createRoomHolder = ({ workers, book, runTimeOf }: RoomHolderOptions): RoomHolder => {
+    let before = new Map<TaskName, WorkerId>();
+    let held = new Map<TaskName, WorkerId>();
+    let heldWorkers = new Set<WorkerId>();
+
+    const describe = ({ session, room }: CellWorker): FillingWorker => {
+        const now = performance.now();
+        const passing = [...book.ofWorker(session.id)].filter(run => !run.step.isLasting || run.phase === "stopping");
+        return {
+            id: session.id,
+            freeCpu: room.freeCpu(),
+            freeMemory: room.freeMemory(),
+            ends: passing.map(run => ({
+                after: run.phase === "stopping" ? 0 : Math.max(0, runTimeOf(run) - (now - run.startedAt)),
+                cpu: run.step.usesSpareCpu ? 0 : run.step.cpu,
+                memory: run.step.memory,
+            })),
+        };
+    };
+    const isHeld = (worker: CellWorker): boolean => heldWorkers.has(worker.session.id);
+    return {
+        beginPass: () => {
+            before = held;
+            held = new Map();
+            heldWorkers = new Set();
+        },
+        hold: (task, step, open) => {
+            if (heldWorkers.size >= Math.max(1, Math.floor(workers.size * heldShare))) {
+                return;
+            }
+            const able = open.filter(worker => !isHeld(worker));
+            const known = able.find(worker => worker.session.id === before.get(task))?.session.id;
+            const chosen = known ?? soonestRoom(step, able.map(describe));
+            if (chosen !== undefined) {
+                held.set(task, chosen);
+                heldWorkers.add(chosen);
+            }
+        },
+        isHeld,
+    };
+};
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -17,6 +17,7 @@
 import { isOpenTo, mayStartOn } from "./cell-workers.js";
 import type { NeighbourWatch, WorkerSurvey } from "./neighbour-watch.js";
 import { createRoomGate } from "./room-gate.js";
+import { createRoomHolder } from "./room-holder.js";
 import type { RunBook } from "./run-book.js";
 import type { RunKeeper } from "./run-keeper.js";
 import type { StageCandidate } from "./stage-candidate.js";
@@ -96,6 +97,11 @@
     } = options;
 
     const gate = createRoomGate({ workers, book });
+    const holder = createRoomHolder({
+        workers,
+        book,
+        runTimeOf: ({ ledger, step, position }) => runTime(ledger.workflow.id, queueOf(ledger), step, position.step),
+    });
     /** What stands on workers, workers by service that take tasks, and sizes that found no worker; all hold for one pass. */
     const surveys = new Map<WorkerId, WorkerSurvey>();
     const openWorkers = new Map<ServiceId, readonly CellWorker[]>();
@@ -191,7 +197,7 @@
     };
     const placesOf = (candidate: StageCandidate, rack?: string): StagePlaces => {
         const { queue, stage: { step } } = candidate;
-        const open = openTo(queue.service);
+        const open = openTo(queue.service).filter(worker => !holder.isHeld(worker));
         return createStagePlaces({
             step,
             workers: rack === undefined ? open : open.filter(worker => worker.session.entry().rack === rack),
@@ -284,6 +290,24 @@
             }
         });
     };
+    /** Keeps other starts from the workers on which tasks that last, and have been at work before, fit soonest. */
+    const holdRoom = (candidate: StageCandidate, indices: readonly number[]): void => {
+        const { queue, stage: { step }, urgency } = candidate;
+        if (urgency.lasting !== "again" && urgency.lasting !== "first") {
+            return;
+        }
+        const able = openTo(queue.service).filter(worker =>
+            (step.requiredLabel === undefined || worker.session.entry().labels.includes(step.requiredLabel))
+            && (step.perWorkerLimit === undefined || tasksOfStageOn(worker, candidate) < step.perWorkerLimit)
+            && health.allowance(worker.session.id) > 0
+        );
+        for (const index of indices) {
+            const task = taskOf(candidate, index);
+            if (placeOf(task) === undefined) {
+                holder.hold(task, step, able);
+            }
+        }
+    };
     /** What decides, besides its size, whether a step finds a worker. */
     const shapeOf = ({ queue, stage: { step } }: StageCandidate): string =>
         [queue.service, step.requiredLabel, step.usesSpareCpu, step.isLasting, step.image].join(" ");
@@ -292,10 +316,11 @@
         const shape = shapeOf(candidate);
         const blocked = blockedSizes.get(shape);
         if (blocked !== undefined && step.cpu >= blocked.cpu && step.memory >= blocked.memory) {
+            holdRoom(candidate, indices);
             return;
         }
         let places: StagePlaces | undefined;
-        for (const index of indices) {
+        for (const [position, index] of indices.entries()) {
             if (!gate.mayStart(candidate)) {
                 logWait(candidate);
                 return;
@@ -309,6 +334,7 @@
                 if (step.perWorkerLimit === undefined) {
                     blockedSizes.set(shape, step);
                 }
+                holdRoom(candidate, indices.slice(position));
                 logWait(candidate);
                 return;
             }
@@ -323,6 +349,7 @@
             blockedSizes.clear();
             const waiting = candidates();
             gate.beginPass(waiting);
+            holder.beginPass();
             for (const candidate of waiting) {
                 if (candidate.stage.step.isGang) {
                     startGang(candidate);
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -75,6 +75,7 @@
 export * from "./policy/run-time-estimate.js";
 export * from "./policy/serving-slack.js";
 export * from "./policy/share-regression.js";
+export * from "./policy/soonest-room.js";
 export * from "./policy/tail-brake.js";
 export * from "./policy/urgency.js";
 export * from "./policy/urgent-reserve.js";
--- a/packages/workflow/tests/stage-scheduler.test.ts
+++ b/packages/workflow/tests/stage-scheduler.test.ts
@@ -1,7 +1,14 @@
-import { describe, expect, it } from "@jest/globals";
+import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
 
+import type { Run } from "../src/cell/run.js";
+import type { TestCell } from "./test-cell.js";
 import { createTestCell } from "./test-cell.js";
 
+const passInterval = 50;
+/** Milliseconds for which a lasting task may stay away while there is room for it. */
+const longestAbsence = 3_000;
+const urgentWork = 1_000;
+
 describe("a placement pass", () => {
     // Guards against a holder whose processor can't carry a whole site: each task that looked for a worker went through
     // the state of all of them again.
@@ -36,3 +43,54 @@
         expect(cell.counts.pressures).toBeLessThanOrEqual(before + 10 * waiting);
     });
 });
+
+describe("a lasting task that lost its run in a full cell", () => {
+    beforeEach(() => {
+        jest.useFakeTimers();
+    });
+    afterEach(() => {
+        jest.useRealTimers();
+    });
+    const advance = (milliseconds: number): void => {
+        jest.advanceTimersByTime(milliseconds);
+    };
+    const runsOf = (cell: TestCell, predicate: (run: Run) => boolean): Run[] => [...cell.book.all()].filter(predicate);
+    const endOldUrgent = (cell: TestCell): void => {
+        for (const run of runsOf(cell, ({ step }) => !step.isLasting)) {
+            if (performance.now() - run.startedAt >= urgentWork) {
+                cell.end(run, "done");
+            }
+        }
+    };
+
+    // Guards against a lasting task that stays away for good: urgent tasks smaller than it take each hole as it comes up.
+    it("runs again within the bound although smaller urgent tasks take every hole", () => {
+        const cell = createTestCell({ workers: 5, cpu: 16_000, runTime: urgentWork });
+        const lasting = cell.submit({}, [{ count: 5, cpu: 7_000, isLasting: true }]);
+        const lastingRuns = (): Run[] => runsOf(cell, run => run.ledger === lasting);
+        const tick = (): void => {
+            cell.submit({}, [{ count: 1, cpu: 4_000, expectedRunTime: urgentWork }]);
+            advance(passInterval);
+            endOldUrgent(cell);
+            cell.scheduler.pass();
+        };
+        cell.scheduler.pass();
+        for (let time = 0; time < 2 * urgentWork; time += passInterval) {
+            tick();
+        }
+        const [victim] = lastingRuns();
+        expect(lastingRuns()).toHaveLength(5);
+        if (victim !== undefined) {
+            runsOf(cell, run => run.worker === victim.worker).forEach(run => {
+                cell.end(run, "lost");
+            });
+            cell.close(victim.worker);
+        }
+        let absent = 0;
+        while (lastingRuns().length < 5 && absent <= longestAbsence) {
+            tick();
+            absent += passInterval;
+        }
+        expect(absent).toBeLessThanOrEqual(longestAbsence);
+    });
+});
