Write what the workers of a roster share only once

A cell of more than some 250 workers could not start anything: its roster row held whole entries (112 KB for 684 workers in the new test's form), the store refuses rows over 64 KB, and workers that no stored roster names get no tasks. Sites had cells of at most 100 workers, or of one failure domain, so that nobody saw it.

Change: workers of one kind, rack and service are written as one group. Rows of earlier versions are still read.

--- a/packages/platform-stand-in/src/protocol/protocol-store.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-store.ts
@@ -34,6 +34,8 @@
 }
 
 const mostEntries = 100;
+/** Bytes of a row's value. */
+const longestRow = 65_536;
 const pageSize = 500;
 const rowKey = (row: Pick<WireRow, "table" | "part" | "key">): string =>
     `${row.table}\u0000${row.part}\u0000${row.key}`;
@@ -85,6 +87,9 @@
         if (all.length > mostEntries || parts.size > 1 && crossPartition !== true) {
             return { status: 400 };
         }
+        if (puts.some(row => Buffer.from(row.value, "base64").length > longestRow)) {
+            return { status: 400 };
+        }
         if (puts.some(row => row.table === "servers" || row.table === "op")) {
             return { status: 403 };
         }
--- a/packages/workflow/src/cell/load-cell.ts
+++ b/packages/workflow/src/cell/load-cell.ts
@@ -7,6 +7,7 @@
 import type { WorkerEntry } from "../model/worker-entry.js";
 import type { Workflow } from "../model/workflow.js";
 import type { StateStore, StoreError } from "../port/state-store.js";
+import { rosterRow } from "./roster-row.js";
 import { tables } from "./tables.js";
 
 /** What an earlier holder of a cell has left in the store. */
@@ -45,7 +46,7 @@
                 progressVersion: stored?.version ?? 0,
             };
         }),
-        roster: JSON.parse(roster.value.rows[0]?.value ?? "[]") as WorkerEntry[],
+        roster: rosterRow.decode(roster.value.rows[0]?.value ?? "[]"),
         rosterVersion: roster.value.rows[0]?.version ?? 0,
     });
 };
--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -12,6 +12,7 @@
 import type { LateOrders } from "./late-orders.js";
 import type { LoadedCell } from "./load-cell.js";
 import { createRoomAccount } from "./room-account.js";
+import { rosterRow } from "./roster-row.js";
 import type { RunBook } from "./run-book.js";
 import type { Run } from "./run.js";
 import { tables } from "./tables.js";
@@ -140,7 +141,7 @@
         const proven = lease.noteSent();
         const written = await store.commit({
             checks: [lease.check, { ...key, version: rosterVersion }],
-            writes: [{ ...key, value: JSON.stringify(wanted.map(worker => worker.session.entry())) }],
+            writes: [{ ...key, value: rosterRow.encode(wanted.map(worker => worker.session.entry())) }],
         });
         if (written.isErr) {
             if (written.error.kind === "conflict") {
--- /dev/null
+++ b/packages/workflow/tests/roster-row.test.ts
@@ -0,0 +1,47 @@
+import type { FailureDomainId, ServiceId, WorkerId } from "@jayfront/world";
+import { describe, expect, it } from "@jest/globals";
+
+import { rosterRow } from "../src/cell/roster-row.js";
+import type { WorkerEntry } from "../src/model/worker-entry.js";
+
+const rackSize = 12;
+/** Bytes that the platform takes in one row. */
+const longestRow = 65_536;
+
+const entries = (count: number): WorkerEntry[] =>
+    [...Array(count).keys()].map(number => {
+        const rackNumber = Math.floor(number / rackSize);
+        const domain = String(rackNumber % 6);
+        const rack = `r${domain}-${String(rackNumber)}`;
+        return {
+            id: `i-${number.toString(16).padStart(10, "0")}` as WorkerId,
+            address: `10.200.164.${String(number)}:8046`,
+            service: "engrave-desk" as ServiceId,
+            failureDomain: `worcester-${domain}` as FailureDomainId,
+            rack,
+            labels: ["a", rack],
+            capacity: { cpu: 64_000, memory: 256_000, accelerators: 0 },
+            isDraining: number % 10 === 0,
+            bornAt: 1_783_136_637_722 + number,
+            ...(number % 10 === 0 ? { remaining: 2_500 } : {}),
+        };
+    });
+const byId = (left: WorkerEntry, right: WorkerEntry): number => left.id < right.id ? -1 : 1;
+
+describe("the row of a cell's roster", () => {
+    // Guards against a cell that never starts anything: the store refuses rows over 64 KB, and workers that no stored
+    // roster names get no tasks.
+    it("holds twice the workers of the largest site, as a release may list them", () => {
+        expect(Buffer.byteLength(rosterRow.encode(entries(2 * 342)))).toBeLessThan(longestRow);
+    });
+
+    it("gives back what it was made from", () => {
+        expect(rosterRow.decode(rosterRow.encode(entries(40))).sort(byId)).toEqual(entries(40));
+    });
+
+    // Guards against a new version that takes over a cell and can't read where its predecessor's tasks run.
+    it("reads whole entries, as earlier versions wrote them", () => {
+        expect(rosterRow.decode(JSON.stringify(entries(3)))).toEqual(entries(3));
+        expect(rosterRow.decode("[]")).toEqual([]);
+    });
+});
