Draw the cell for a workflow instead of taking the least loaded

Callers' lasting tasks waited for up to 58 s in full cells.

Cause: 38 hosts know the same loads until the next heartbeat, and each took the least loaded cell, so that all took the same one.

Change: a cell is drawn by the workflow's id, the less loaded the likelier. All hosts draw alike, so that a workflow that is handed in again elsewhere rather meets the cell that has it.

--- a/packages/workflow/src/policy/choose-cell.ts
+++ b/packages/workflow/src/policy/choose-cell.ts
@@ -1,4 +1,6 @@
-import type { CellId } from "@jayfront/world";
+import { createHash } from "node:crypto";
+
+import type { CellId, JobId } from "@jayfront/world";
 
 import type { Step } from "../model/step.js";
 
@@ -23,6 +25,9 @@
 /** Weight of a cell without the racks that hold a workflow's data; larger than any difference in load. */
 const rackWeight = 10;
 
+/** Difference in load, in shares of a capacity, that makes a draw of a cell e times as likely. */
+const drawScale = 0.14;
+
 /** Thousandths of cores that the workflow's widest step asks for. */
 export const widestDemand = (steps: readonly Step[]): number =>
     Math.max(0, ...steps.map(step => step.count * step.cpu));
@@ -33,15 +38,30 @@
     return (candidate.usedCpu + candidate.sentCpu) / capacity + waiting / capacity / backlogScale;
 };
 
-/** Cells in the order in which a workflow should be offered to them. */
+/** Shares of a capacity, by which cells are drawn in proportion to exp(-load / drawScale) where the least sum wins. */
+const drawOf = (job: JobId, cell: CellId): number => {
+    const digest = createHash("sha256").update(`${job} ${cell}`).digest();
+    const uniform = (digest.readUInt32BE() + 1) / (2 ** 32 + 1);
+    return drawScale * Math.log(-Math.log(uniform));
+};
+
+/**
+ * Cells in the order in which a workflow should be offered to them. `job` draws among cells, the less loaded the
+ * likelier: hosts hear of each other's choices only with the next heartbeats, and would else all choose the same.
+ */
 export const rankCells = (
     steps: readonly Step[],
     priority: number,
     candidates: readonly CellCandidate[],
+    job?: JobId,
 ): readonly CellId[] => {
+    const draws = new Map(
+        candidates.map(({ cell }) => [cell, job === undefined ? 0 : drawOf(job, cell)]),
+    );
     const wanted = steps.flatMap(step => step.preferredRack === undefined ? [] : [step.preferredRack]);
     const cost = (candidate: CellCandidate): number =>
         loadOf(candidate, priority)
+        + (draws.get(candidate.cell) ?? 0)
         + (candidate.isNear ? 0 : remoteWeight)
         + wanted.filter(rack => !candidate.racks.includes(rack)).length * rackWeight;
     return [...candidates].sort((left, right) => cost(left) - cost(right)).map(candidate => candidate.cell);
--- a/packages/workflow/tests/choose-cell.test.ts
+++ b/packages/workflow/tests/choose-cell.test.ts
@@ -1,4 +1,4 @@
-import type { CellId, HostId } from "@jayfront/world";
+import type { CellId, HostId, JobId } from "@jayfront/world";
 import { failureDomainId } from "@jayfront/world";
 import { describe, expect, it } from "@jest/globals";
 
@@ -40,6 +40,41 @@
     });
 });
 
+describe("the choices of many hosts between two heartbeats", () => {
+    const workflows = 90;
+    const hosts = 38;
+    const between = 20;
+    const cells = 6;
+    const step = createStep({ count: 14, cpu: 6_400, isLasting: true });
+    const demand = step.count * step.cpu;
+    /** Share of the site's processors that all of them ask for. */
+    const siteLoad = 0.8;
+    const capacityCpu = demand * workflows / cells / siteLoad;
+
+    // Guards against a cell that fills up while others are empty: hosts that know the same all chose the same, so that
+    // lasting tasks found no room for good.
+    it("ask no cell for more than it holds, although no host knows what the others choose", () => {
+        const used = new Map([...Array(cells).keys()].map(number => [`c-${String(number)}`, 0]));
+        for (let first = 0; first < workflows; first += between) {
+            const known = new Map(used);
+            const sent = new Map<string, number>();
+            for (let number = first; number < Math.min(workflows, first + between); number += 1) {
+                const host = number * 7 % hosts;
+                const candidates = [...known].map(([id, usedCpu]) =>
+                    cell(id, { capacityCpu, usedCpu, sentCpu: sent.get(`${String(host)} ${id}`) ?? 0 })
+                );
+                const job = number.toString(16).padStart(16, "0") as JobId;
+                const [chosen = ""] = rankCells([step], 0, candidates, job);
+                used.set(chosen, (used.get(chosen) ?? 0) + demand);
+                sent.set(`${String(host)} ${chosen}`, (sent.get(`${String(host)} ${chosen}`) ?? 0) + demand);
+            }
+        }
+        const loads = [...used.values()].map(usedCpu => usedCpu / capacityCpu);
+        expect(Math.max(...loads)).toBeLessThanOrEqual(1);
+        expect(Math.min(...loads)).toBeGreaterThan(siteLoad / 2);
+    });
+});
+
 describe("the order of hosts for a cell", () => {
     const host = (id: string, domain: string, changes = {}): Parameters<typeof rankHosts>[2][number] => ({
         id: id as HostId,
