--- a/packages/workflow/src/entry/workflow-desk.ts
+++ b/packages/workflow/src/entry/workflow-desk.ts
@@ -105,6 +105,7 @@
                 sentCpu: sentTo(summary.cell),
                 isNear: isNear(summary.cell),
             })),
+            workflow.id,
         );
     const submit = async (workflow: Workflow, patience: number): Promise<SubmissionAnswer> => {
         const deadline = performance.now() + patience;
