--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -7,7 +7,7 @@
 import type { Configuration } from "../model/configuration.js";
 import type { Queue } from "../model/queue.js";
 import type { WorkerEntry } from "../model/worker-entry.js";
-import type { Workflow, WorkflowState } from "../model/workflow.js";
+import type { Workflow } from "../model/workflow.js";
 import { createPressureModel } from "../policy/pressure-model.js";
 import type { StateStore } from "../port/state-store.js";
 import type { WorkerDirectory } from "../port/worker-directory.js";
@@ -36,13 +36,10 @@
 import { createUnansweredStarts } from "./unanswered-starts.js";
 import { createWorkerRoster } from "./worker-roster.js";
 import type { SessionEvents } from "./worker-session.js";
+import type { CancelReply, StateReply } from "./workflow-inquiries.js";
+import { createWorkflowInquiries } from "./workflow-inquiries.js";
 import { createWorkflowIntake } from "./workflow-intake.js";
 
-/** What a cell answers to a question for a workflow; `unknown` where the store has to be read and can't be. */
-export type StateReply = WorkflowState | "not-known" | "unknown" | "not-holder";
-/** What a cell answers to a cancellation; `unknown` where it may be stored. */
-export type CancelReply = "cancelled" | "not-known" | "unknown" | "not-holder";
-
 /** A cell as its holder runs it. */
 export interface WorkflowCell {
     readonly cell: CellId;
@@ -340,54 +337,15 @@
     });
     void writer.run(signal);
     void run();
-    const storeCancellation = async (ledger: WorkflowLedger): Promise<CancelReply> => {
-        if (!ledger.isSettled()) {
-            ledger.noteCancelled();
-            keeper.stopWorkflow(ledger.workflow.id, "the workflow was cancelled");
-            logger.info({ job: ledger.workflow.id, cell, epoch }, "workflow cancelled");
-        }
-        if (ledger.isDirty()) {
-            await new Promise<void>(resolve => {
-                writer.request(ledger, resolve);
-                signal.addEventListener("abort", () => {
-                    resolve();
-                }, { once: true });
-            });
-        }
-        return ledger.isDirty() ? "unknown" : "cancelled";
-    };
-    const cancel = async (id: JobId): Promise<CancelReply> => {
-        if (!ledgers.has(id) && intake.isUnsettled(id)) {
-            return "unknown";
-        }
-        const state = ledgers.has(id) ? undefined : await intake.find(id);
-        const ledger = ledgers.get(id);
-        if (ledger !== undefined && !signal.aborted) {
-            return storeCancellation(ledger);
-        }
-        if (signal.aborted) {
-            return "not-holder";
-        }
-        // Found, and not taken in: it has ended.
-        return state === "not-known" || state === "unknown" ? state : "cancelled";
-    };
-    const state = async (id: JobId): Promise<StateReply> => {
-        const known = ledgers.get(id)?.state();
-        if (known === "queued" || known === "running") {
-            // A host that was frozen or cut off may have a successor that knows of the end.
-            await lease.confirm(renewalInterval);
-            return lease.isLost() ? "not-holder" : ledgers.get(id)?.state() ?? known;
-        }
-        return known ?? await intake.find(id);
-    };
+    const inquiries = createWorkflowInquiries({ ledgers, intake, lease, writer, keeper, logger, signal });
     return {
         cell,
         epoch,
         isActive: () => isActive,
         isLost: lease.isLost,
         submit: async workflow => isActive ? await intake.submit(workflow) : { kind: "not-holder" },
-        state: async id => isActive ? await state(id) : "not-holder",
-        cancel: async id => isActive ? await cancel(id) : "not-holder",
+        state: async id => isActive ? await inquiries.state(id) : "not-holder",
+        cancel: async id => isActive ? await inquiries.cancel(id) : "not-holder",
         provenAgo: () => performance.now() - lease.provenAt(),
         summary: () => {
             const told = accepted;
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -28,6 +28,7 @@
 export * from "./cell/worker-roster.js";
 export * from "./cell/worker-session.js";
 export * from "./cell/workflow-cell.js";
+export * from "./cell/workflow-inquiries.js";
 export * from "./cell/workflow-intake.js";
 export * from "./configuration/catch-up.js";
 export type * from "./configuration/configuration-change.js";
--- a/packages/workflow/src/peer/workflow-message.ts
+++ b/packages/workflow/src/peer/workflow-message.ts
@@ -2,7 +2,7 @@
 
 import type { CellSummary } from "../cell/cell-summary.js";
 import type { Submission } from "../cell/submission.js";
-import type { CancelReply, StateReply } from "../cell/workflow-cell.js";
+import type { CancelReply, StateReply } from "../cell/workflow-inquiries.js";
 import type { PackedChange } from "../configuration/packed-change.js";
 import type { Workflow } from "../model/workflow.js";
 import type { EntryHostRecord } from "./host-registry.js";
