--- a/packages/workflow/src/cell/cell-lease.ts
+++ b/packages/workflow/src/cell/cell-lease.ts
@@ -19,7 +19,10 @@
     readonly check: Transaction["checks"][number];
     /** Renews by a read; true where the row still names this holder. */
     readonly renew: () => Promise<boolean>;
-    /** Renews unless the lease was proved within `age` ms; calls at the same time share one read. */
+    /**
+     * Renews unless the lease was proved within `age` ms, or a confirmation has just failed; calls at the same time share
+     * one read.
+     */
     readonly confirm: (age: number) => Promise<void>;
     /** Tells listeners that a call whose success proves the lease is about to be sent; returns what to do on success. */
     readonly noteSent: () => () => void;
@@ -49,6 +52,9 @@
     readonly onLost: (reason: string) => void;
 }
 
+/** Milliseconds after a failed confirmation in which none is tried: the store answers no question more often. */
+const confirmPause = 300;
+
 /** Creates the lease of a cell that was just taken. */
 export const createCellLease = (options: CellLeaseOptions): CellLease => {
     const { cell, epoch, row, store, logger, onSending, onLost } = options;
@@ -56,7 +62,8 @@
     let provenAt = options.takenAt;
     let isLost = false;
     let isTroubled = false;
-    let confirming: Promise<boolean> | undefined;
+    let confirming: Promise<void> | undefined;
+    let confirmFailedAt = -Infinity;
 
     const lose = (reason: string): void => {
         if (!isLost) {
@@ -98,8 +105,10 @@
         lose,
         renew,
         confirm: async age => {
-            if (performance.now() - provenAt > age) {
-                confirming ??= renew().finally(() => {
+            const isPausing = performance.now() - confirmFailedAt < confirmPause;
+            if (performance.now() - provenAt > age && !isPausing) {
+                confirming ??= renew().then(isProven => {
+                    confirmFailedAt = isProven ? confirmFailedAt : performance.now();
                     confirming = undefined;
                 });
                 await confirming;
--- a/packages/workflow/src/cell/room-account.ts
+++ b/packages/workflow/src/cell/room-account.ts
@@ -13,6 +13,7 @@
     readonly spareCpu: () => number;
     /** MB that no task reserves. */
     readonly freeMemory: () => number;
+    readonly freeAccelerators: () => number;
     readonly capacity: () => Capacity;
     readonly setCapacity: (capacity: Capacity) => void;
 }
@@ -44,6 +45,7 @@
         freeCpu: () => capacity.cpu - cpu,
         spareCpu: () => capacity.cpu - cpu - wantedSpare,
         freeMemory: () => capacity.memory - memory,
+        freeAccelerators: () => capacity.accelerators - accelerators,
         capacity: () => capacity,
         setCapacity: next => {
             capacity = next;
--- a/packages/workflow/src/cell/room-holder.ts
+++ b/packages/workflow/src/cell/room-holder.ts
@@ -3,7 +3,7 @@
 import type { Step } from "../model/step.js";
 import type { TaskName } from "../model/task-name.js";
 import type { FillingWorker } from "../policy/soonest-room.js";
-import { soonestRoom } from "../policy/soonest-room.js";
+import { soonestRoom, timeUntilRoom } from "../policy/soonest-room.js";
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
 import type { RunBook } from "./run-book.js";
 import type { Run } from "./run.js";
@@ -12,7 +12,7 @@
 export interface RoomHolder {
     /** Lets go of workers whose tasks did not ask again in the last pass. */
     readonly beginPass: () => void;
-    /** Holds one of `open` back for the task for the rest of the pass: the same one for as long as it is among them. */
+    /** Holds one of `open` back for the task for the rest of the pass: the same one unless another has room sooner. */
     readonly hold: (task: TaskName, step: Step, open: readonly CellWorker[]) => void;
     readonly isHeld: (worker: CellWorker) => boolean;
 }
@@ -28,6 +28,12 @@
 /** Share of the workers that may be held back at a time; one may be in any case. */
 const heldShare = 0.1;
 
+/** Milliseconds by which another worker must have room sooner before the one that is held is let go for it. */
+const changeGain = 500;
+
+/** Milliseconds until a run is expected to end; one that is overdue may take as long again as it is late. */
+const remainingTime = (expected: number, elapsed: number): number => Math.abs(expected - elapsed);
+
 /** Creates a holder that holds nothing back. */
 export const createRoomHolder = ({ workers, book, runTimeOf }: RoomHolderOptions): RoomHolder => {
     let before = new Map<TaskName, WorkerId>();
@@ -41,10 +47,12 @@
             id: session.id,
             freeCpu: room.freeCpu(),
             freeMemory: room.freeMemory(),
+            freeAccelerators: room.freeAccelerators(),
             ends: passing.map(run => ({
-                after: run.phase === "stopping" ? 0 : Math.max(0, runTimeOf(run) - (now - run.startedAt)),
+                after: run.phase === "stopping" ? 0 : remainingTime(runTimeOf(run), now - run.startedAt),
                 cpu: run.step.usesSpareCpu ? 0 : run.step.cpu,
                 memory: run.step.memory,
+                accelerators: run.step.accelerators,
             })),
         };
     };
@@ -59,13 +67,17 @@
             if (heldWorkers.size >= Math.max(1, Math.floor(workers.size * heldShare))) {
                 return;
             }
-            const able = open.filter(worker => !isHeld(worker));
-            const known = able.find(worker => worker.session.id === before.get(task))?.session.id;
-            const chosen = known ?? soonestRoom(step, able.map(describe));
-            if (chosen !== undefined) {
-                held.set(task, chosen);
-                heldWorkers.add(chosen);
+            const able = open.filter(worker => !isHeld(worker)).map(describe);
+            const soonest = soonestRoom(step, able);
+            if (soonest === undefined) {
+                return;
             }
+            const known = able.find(worker => worker.id === before.get(task));
+            const isKept = known !== undefined
+                && timeUntilRoom(step, known) <= timeUntilRoom(step, soonest) + changeGain;
+            const { id } = isKept ? known : soonest;
+            held.set(task, id);
+            heldWorkers.add(id);
         },
         isHeld,
     };
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -195,7 +195,12 @@
             hasFailedBefore: false,
         };
     };
-    const placesOf = (candidate: StageCandidate, rack?: string): StagePlaces => {
+    /** `plannedOn`: tasks of the step that are to start on the worker beside those that have. */
+    const placesOf = (
+        candidate: StageCandidate,
+        rack?: string,
+        plannedOn: (worker: CellWorker) => number = () => 0,
+    ): StagePlaces => {
         const { queue, stage: { step } } = candidate;
         const open = openTo(queue.service).filter(worker => !holder.isHeld(worker));
         return createStagePlaces({
@@ -203,7 +208,7 @@
             workers: rack === undefined ? open : open.filter(worker => worker.session.entry().rack === rack),
             health,
             describe: worker => describe(worker, candidate),
-            tasksOn: worker => tasksOfStageOn(worker, candidate),
+            tasksOn: worker => tasksOfStageOn(worker, candidate) + plannedOn(worker),
             hasFailedOn,
             placeOf,
         });
@@ -252,15 +257,15 @@
     const planGang = (candidate: StageCandidate, rack?: string): CellWorker[] | undefined => {
         const { step, record } = candidate.stage;
         const plan: CellWorker[] = [];
-        const places = placesOf(candidate, rack);
+        const places = placesOf(candidate, rack, worker => plan.filter(planned => planned === worker).length);
         for (const index of record.waiting) {
             const worker = places.choose(taskOf(candidate, index));
             if (worker === undefined) {
                 break;
             }
             worker.room.add(step);
-            places.refresh(worker);
             plan.push(worker);
+            places.refresh(worker);
         }
         plan.forEach(worker => {
             worker.room.remove(step);
@@ -310,7 +315,7 @@
     };
     /** What decides, besides its size, whether a step finds a worker. */
     const shapeOf = ({ queue, stage: { step } }: StageCandidate): string =>
-        [queue.service, step.requiredLabel, step.usesSpareCpu, step.isLasting, step.image].join(" ");
+        [queue.service, step.requiredLabel, step.usesSpareCpu, step.isLasting, step.image, step.accelerators].join(" ");
     const startTasks = (candidate: StageCandidate): void => {
         const { stage: { step }, indices } = candidate;
         const shape = shapeOf(candidate);
--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -144,6 +144,8 @@
             writes: [{ ...key, value: rosterRow.encode(wanted.map(worker => worker.session.entry())) }],
         });
         if (written.isErr) {
+            const { kind, message } = written.error;
+            logger.warn({ cell, epoch, workers: wanted.length, error: kind, message }, "roster not written");
             if (written.error.kind === "conflict") {
                 const current = written.error.rows.find(found => found.key === key.key);
                 rosterVersion = current?.version ?? 0;
--- a/packages/workflow/src/policy/choose-cell.ts
+++ b/packages/workflow/src/policy/choose-cell.ts
@@ -25,6 +25,8 @@
 /** Weight of a cell without the racks that hold a workflow's data; larger than any difference in load. */
 const rackWeight = 10;
 
+/** Weight of a cell without room for the widest step, where others have it; larger than any draw between cells. */
+const fullWeight = 2;
 /** Difference in load, in shares of a capacity, that makes a draw of a cell e times as likely. */
 const drawScale = 0.14;
 
@@ -38,6 +40,9 @@
     return (candidate.usedCpu + candidate.sentCpu) / capacity + waiting / capacity / backlogScale;
 };
 
+const hasRoomFor = ({ capacityCpu, usedCpu, sentCpu }: CellCandidate, demand: number): boolean =>
+    capacityCpu - usedCpu - sentCpu >= demand;
+
 /** Shares of a capacity, by which cells are drawn in proportion to exp(-load / drawScale) where the least sum wins. */
 const drawOf = (job: JobId, cell: CellId): number => {
     const digest = createHash("sha256").update(`${job} ${cell}`).digest();
@@ -59,8 +64,10 @@
         candidates.map(({ cell }) => [cell, job === undefined ? 0 : drawOf(job, cell)]),
     );
     const wanted = steps.flatMap(step => step.preferredRack === undefined ? [] : [step.preferredRack]);
+    const demand = widestDemand(steps);
     const cost = (candidate: CellCandidate): number =>
         loadOf(candidate, priority)
+        + (hasRoomFor(candidate, demand) ? 0 : fullWeight)
         + (draws.get(candidate.cell) ?? 0)
         + (candidate.isNear ? 0 : remoteWeight)
         + wanted.filter(rack => !candidate.racks.includes(rack)).length * rackWeight;
--- a/packages/workflow/src/policy/soonest-room.ts
+++ b/packages/workflow/src/policy/soonest-room.ts
@@ -10,6 +10,7 @@
     readonly cpu: number;
     /** MB. */
     readonly memory: number;
+    readonly accelerators: number;
 }
 
 /** A worker on which nothing else would start until a task has its room. */
@@ -17,32 +18,35 @@
     readonly id: WorkerId;
     readonly freeCpu: number;
     readonly freeMemory: number;
+    readonly freeAccelerators: number;
     readonly ends: readonly ExpectedEnd[];
 }
 
-const fitsAfter = (step: Step, { freeCpu, freeMemory, ends }: FillingWorker): number => {
-    let cpu = freeCpu;
-    let memory = freeMemory;
+/** Milliseconds until a task of the step fits if nothing else starts on the worker; `Infinity` where it never will. */
+export const timeUntilRoom = (step: Step, worker: FillingWorker): number => {
+    let { freeCpu: cpu, freeMemory: memory, freeAccelerators: accelerators } = worker;
+    const fits = (): boolean => cpu >= step.cpu && memory >= step.memory && accelerators >= step.accelerators;
     let after = 0;
-    for (const end of [...ends].sort((left, right) => left.after - right.after)) {
-        if (cpu >= step.cpu && memory >= step.memory) {
+    for (const end of [...worker.ends].sort((left, right) => left.after - right.after)) {
+        if (fits()) {
             break;
         }
         after = end.after;
         cpu += end.cpu;
         memory += end.memory;
+        accelerators += end.accelerators;
     }
-    return cpu >= step.cpu && memory >= step.memory ? after : Infinity;
+    return fits() ? after : Infinity;
 };
 
 /** The worker on which a task of the step fits soonest if nothing else starts there; undefined where it never will. */
-export const soonestRoom = (step: Step, workers: Iterable<FillingWorker>): WorkerId | undefined => {
-    let best: WorkerId | undefined;
+export const soonestRoom = (step: Step, workers: Iterable<FillingWorker>): FillingWorker | undefined => {
+    let best: FillingWorker | undefined;
     let soonest = Infinity;
     for (const worker of workers) {
-        const after = fitsAfter(step, worker);
+        const after = timeUntilRoom(step, worker);
         if (after < soonest) {
-            best = worker.id;
+            best = worker;
             soonest = after;
         }
     }
