Divide large sites into a cell for each region, up to 200 workers

Change: one cell up to 200 workers; else as few cells for each region as leave none larger than that where its failure domains allow. A region goes on by itself when the link is cut, and looks at workers stay in it.

--- a/packages/bench/src/capacity/play-holder-load.ts
+++ b/packages/bench/src/capacity/play-holder-load.ts
@@ -98,7 +98,7 @@
         hosts: { [failureDomains[0] ?? ""]: 1 },
         workers: Object.fromEntries(failureDomains.map(domain => [domain, Math.ceil(workers / failureDomains.length)])),
         cpu: 37_000,
-        largestSingleCell: Infinity,
+        largestCell: Infinity,
         fault: { gateway: withTails },
     });
     let submitted = 0;
--- a/packages/bench/src/workflow/play-several-cells-day.ts
+++ b/packages/bench/src/workflow/play-several-cells-day.ts
@@ -72,7 +72,7 @@
         hosts,
         workers,
         cpuOf: () => 1_000,
-        largestSingleCell: 0,
+        largestCell: 0,
         ...(logger === undefined ? {} : { logger }),
         ...(fault === undefined ? {} : { fault }),
     }));
--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -66,8 +66,8 @@
     readonly logger?: Logger;
     /** Milliseconds for which workers run tasks without a new deadline. Default 6,000. */
     readonly longestLease?: number;
-    /** Workers up to which one cell serves all failure domains; 0 gives each its own. Default: the hosts' own. */
-    readonly largestSingleCell?: number;
+    /** Workers that a cell of several failure domains may have; 0 gives each domain its own. Default: the hosts' own. */
+    readonly largestCell?: number;
     /** Regions by failure domain. Default: one region. */
     readonly regions?: Readonly<Record<string, string>>;
     /** Carries what crosses between the store's region, the first one, and others. Default: crosses at once, uncounted. */
@@ -211,7 +211,7 @@
             metrics,
             logger: hostLogger,
             storeHeardAt: store.heardAt,
-            ...(options.largestSingleCell === undefined ? {} : { largestSingleCell: options.largestSingleCell }),
+            ...(options.largestCell === undefined ? {} : { largestCell: options.largestCell }),
         });
         hosts.set(id, {
             ...host,
--- a/packages/bench/tests/workflow/accepted-elsewhere.test.ts
+++ b/packages/bench/tests/workflow/accepted-elsewhere.test.ts
@@ -25,7 +25,7 @@
             hosts: { "east-a": 2, "east-b": 2 },
             workers: { "east-a": 3, "east-b": 3 },
             cpuOf: () => 1_000,
-            largestSingleCell: 0,
+            largestCell: 0,
         });
         await time.advance(warmUp);
     });
--- a/packages/bench/tests/workflow/cell-spread.test.ts
+++ b/packages/bench/tests/workflow/cell-spread.test.ts
@@ -31,7 +31,7 @@
         const created = createWorkflowCluster({
             hosts: perDomain(3),
             workers: perDomain(2),
-            largestSingleCell: 0,
+            largestCell: 0,
             ...options,
         });
         cluster = created;
--- a/packages/bench/tests/workflow/large-cell.test.ts
+++ b/packages/bench/tests/workflow/large-cell.test.ts
@@ -22,7 +22,7 @@
         const cluster = createWorkflowCluster({
             hosts: { "east-a": 1, "east-b": 1 },
             workers: { "east-a": 171, "east-b": 171 },
-            largestSingleCell: 342,
+            largestCell: 342,
         });
         await time.advance(warmUp);
         const [host = ""] = cluster.hosts.keys();
--- a/packages/workflow/src/entry/cell-plan.ts
+++ b/packages/workflow/src/entry/cell-plan.ts
@@ -23,9 +23,10 @@
 export interface CellPlanOptions {
     readonly store: StateStore;
     readonly directory: WorkerDirectory;
-    readonly failureDomains: readonly FailureDomainId[];
-    /** Workers up to which one cell serves all failure domains. */
-    readonly largestSingleCell: number;
+    /** Regions by failure domain. */
+    readonly regions: Readonly<Record<string, string>>;
+    /** Workers that a cell of several failure domains may have. */
+    readonly largestCell: number;
     readonly logger: Logger;
     readonly signal: AbortSignal;
 }
@@ -37,13 +38,36 @@
 /** Milliseconds for which the list of workers must not grow before it is taken to be complete: a heartbeat and more. */
 const settleTime = 1_500;
 
+/** Splits a list into `count` runs of about the same length. */
+const splitEvenly = <Item>(items: readonly Item[], count: number): readonly (readonly Item[])[] =>
+    Array.from(
+        { length: count },
+        (...[, part]) =>
+            items.slice(Math.round(part * items.length / count), Math.round((part + 1) * items.length / count)),
+    );
+
+/** One cell for all where it is small enough; else as few for each region as its failure domains allow. */
 const divide = (
     workers: readonly WorkerEntry[],
-    { failureDomains, largestSingleCell }: Pick<CellPlanOptions, "failureDomains" | "largestSingleCell">,
-): CellPlan =>
-    workers.length <= largestSingleCell
-        ? { cells: [{ cell: singleCell, failureDomains: [...failureDomains] }] }
-        : { cells: failureDomains.map(domain => ({ cell: cellId(domain, 0), failureDomains: [domain] })) };
+    { regions, largestCell }: Pick<CellPlanOptions, "regions" | "largestCell">,
+): CellPlan => {
+    const failureDomains = Object.keys(regions) as FailureDomainId[];
+    if (workers.length <= largestCell) {
+        return { cells: [{ cell: singleCell, failureDomains }] };
+    }
+    const cells = [...new Set(Object.values(regions))].flatMap(region => {
+        const domains = failureDomains.filter(domain => regions[domain] === region);
+        const size = workers.filter(worker => domains.includes(worker.failureDomain)).length;
+        const parts = Math.max(1, Math.min(domains.length, Math.ceil(size / largestCell)));
+        return splitEvenly(domains, parts).map((part, number) => ({
+            cell: part.length === 1 && part[0] !== undefined
+                ? cellId(part[0], 0)
+                : `${region}/${String(number)}` as CellId,
+            failureDomains: [...part],
+        }));
+    });
+    return { cells };
+};
 
 /** Reads the plan; the first host to start writes it. Undefined where `signal` aborts first. */
 export const readCellPlan = async (options: CellPlanOptions): Promise<CellPlan | undefined> => {
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -56,15 +56,15 @@
     readonly logger: Logger;
     /** Steady ms of the last answer of the store. */
     readonly storeHeardAt: () => number;
-    /** Workers up to which one cell serves all failure domains. Default 100. */
-    readonly largestSingleCell?: number;
+    /** Workers that a cell of several failure domains may have; 0 gives each domain its own. Default 200. */
+    readonly largestCell?: number;
 }
 
 /**
- * Default of {@link WorkflowHostOptions.largestSingleCell}: one holder's processor carries about this many, and work
- * that finds no room in one failure domain then finds it in another without changing hands.
+ * Default of {@link WorkflowHostOptions.largestCell}: the processor of one holder carries about this many, and work that
+ * finds no room in one failure domain then finds it in another without changing hands.
  */
-const defaultLargestSingleCell = 100;
+const defaultLargestCell = 200;
 /** Milliseconds between heartbeats of holders; three fit into the time after which a holder counts as down. */
 const heartbeatInterval = 400;
 
@@ -78,8 +78,7 @@
 /** Creates a host that is not started. */
 export const createWorkflowHost = (options: WorkflowHostOptions): WorkflowHost => {
     const { self, regions, timing, store, gateway, directory, network, metrics, logger, storeHeardAt } = options;
-    const { largestSingleCell = defaultLargestSingleCell } = options;
-    const failureDomains = Object.keys(regions) as FailureDomainId[];
+    const { largestCell = defaultLargestCell } = options;
     const stop = createStopSignal();
     const claims = createCellClaims();
     let isDraining = false;
@@ -205,7 +204,7 @@
         start: () => {
             void watch.run(stop.signal);
             void registry.run(stop.signal);
-            const planOptions = { store, directory, failureDomains, largestSingleCell, logger, signal: stop.signal };
+            const planOptions = { store, directory, regions, largestCell, logger, signal: stop.signal };
             void readCellPlan(planOptions).then(read => {
                 plan = read;
                 return keeper.run(stop.signal);
