--- a/packages/workflow/src/configuration/configuration-push.ts
+++ b/packages/workflow/src/configuration/configuration-push.ts
@@ -19,8 +19,8 @@
     readonly self: EntryHostRecord;
     readonly network: WorkflowNetwork;
     readonly history: ConfigurationHistory;
-    /** Whether news reach this host. */
-    readonly hasSource: () => boolean;
+    /** Whether news reach this host, as the peer is told. */
+    readonly hasSource: (peer: EntryHostRecord) => boolean;
 }
 
 /** Changes on their way at once: together they have to pass a narrow link before the first counts as unanswered. */
@@ -65,13 +65,13 @@
         const change = changeSince(version);
         const answer = change === undefined
             ? undefined
-            : await network.call(peer, "configuration-change", { host: self, hasSource: hasSource(), change });
+            : await network.call(peer, "configuration-change", { host: self, hasSource: hasSource(peer), change });
         underWay -= 1;
         waiting.shift()?.();
         return answer?.isOk === true ? answer.value : undefined;
     };
     const announceTo = async (peer: EntryHostRecord): Promise<number | undefined> => {
-        const notice = { host: self, hasSource: hasSource(), version: history.version() };
+        const notice = { host: self, hasSource: hasSource(peer), version: history.version() };
         const answer = await network.call(peer, "configuration-notice", notice);
         return answer.isOk ? answer.value : undefined;
     };
--- a/packages/workflow/src/entry/cell-keeper.ts
+++ b/packages/workflow/src/entry/cell-keeper.ts
@@ -56,7 +56,7 @@
 /** Like {@link rankDelay}, for a cell that nobody ever held: hosts don't read the plan at the same moment. */
 const firstRankDelay = 500;
 /** Rank from which on hosts wait for a cell that nobody ever held no longer than the one before them. */
-const lastFirstRank = 3;
+const lastRank = 3;
 /** Milliseconds between tries to read the other hosts' rows. */
 const retryInterval = 150;
 /** Milliseconds between two offers of one cell. */
@@ -126,11 +126,11 @@
     };
     /** Time without holder after which this host takes the cell. */
     const patience = (cell: CellId, failureDomains: readonly FailureDomainId[]): number =>
-        claimTimeout + rankOf(cell, failureDomains) * rankDelay;
+        claimTimeout + Math.min(rankOf(cell, failureDomains), lastRank) * rankDelay;
     /** Whether the row, which this host has seen unchanged, has stood for so long that this host takes the cell. */
     const isRowDue = (cell: CellId, failureDomains: readonly FailureDomainId[], { version, at }: SeenRow): boolean => {
         const wait = version === absentVersion
-            ? Math.min(rankOf(cell, failureDomains), lastFirstRank) * firstRankDelay
+            ? Math.min(rankOf(cell, failureDomains), lastRank) * firstRankDelay
             : patience(cell, failureDomains);
         return performance.now() - at >= wait;
     };
--- a/packages/workflow/src/entry/configuration-watch.ts
+++ b/packages/workflow/src/entry/configuration-watch.ts
@@ -59,13 +59,24 @@
 
 /** Creates a watch without a configuration. */
 export const createConfigurationWatch = (options: ConfigurationWatchOptions): ConfigurationWatch => {
-    const { self, source, network, logger, onChange } = options;
+    const { self, regions, source, network, logger, onChange } = options;
     const history = createConfigurationHistory();
     const relays = createConfigurationRelays(options);
+    /** Steady ms of the source's last answer, or of the moment at which this host began to follow it. */
     let sourceHeardAt = -Infinity;
+    /** Steady ms of the source's last answer. */
+    let answeredAt = -Infinity;
     let isSourceLost = false;
     const hasSource = (): boolean => performance.now() - sourceHeardAt < sourceLimit || relays.hasUpstream();
-    const push = createConfigurationPush({ self, network, history, hasSource });
+    /**
+     * What a peer is told. Other regions stop following the source on this word, so that neither a source that has not
+     * answered yet counts there, nor one that this host only knows from another region.
+     */
+    const hasSourceFor = (peer: EntryHostRecord): boolean =>
+        regions[peer.failureDomain] === regions[self.failureDomain]
+            ? hasSource()
+            : performance.now() - answeredAt < sourceLimit;
+    const push = createConfigurationPush({ self, network, history, hasSource: hasSourceFor });
 
     const deliver = (): void => {
         if (history.current() !== undefined && relays.isRelay(hasSource())) {
@@ -90,6 +101,7 @@
     const noteSource = (error: unknown): void => {
         const isLost = error !== undefined;
         sourceHeardAt = isLost ? -Infinity : performance.now();
+        answeredAt = sourceHeardAt;
         if (isLost !== isSourceLost) {
             isSourceLost = isLost;
             logger.warn({ error, version: history.version() }, `configuration source ${isLost ? "lost" : "regained"}`);
