--- a/packages/workflow/src/entry/cell-plan.ts
+++ b/packages/workflow/src/entry/cell-plan.ts
@@ -46,6 +46,10 @@
             items.slice(Math.round(part * items.length / count), Math.round((part + 1) * items.length / count)),
     );
 
+/** Name of a cell, which no other one has even where failure domains are called like regions. */
+const cellOf = (region: string, [first, ...others]: readonly FailureDomainId[]): CellId =>
+    first !== undefined && others.length === 0 ? cellId(first, 0) : `${region}/${String(first)}` as CellId;
+
 /** One cell for all where it is small enough; else as few for each region as its failure domains allow. */
 const divide = (
     workers: readonly WorkerEntry[],
@@ -59,12 +63,7 @@
         const domains = failureDomains.filter(domain => regions[domain] === region);
         const size = workers.filter(worker => domains.includes(worker.failureDomain)).length;
         const parts = Math.max(1, Math.min(domains.length, Math.ceil(size / largestCell)));
-        return splitEvenly(domains, parts).map((part, number) => ({
-            cell: part.length === 1 && part[0] !== undefined
-                ? cellId(part[0], 0)
-                : `${region}/${String(number)}` as CellId,
-            failureDomains: [...part],
-        }));
+        return splitEvenly(domains, parts).map(part => ({ cell: cellOf(region, part), failureDomains: [...part] }));
     });
     return { cells };
 };
--- /dev/null
+++ b/packages/workflow/tests/cell-plan.test.ts
@@ -0,0 +1,77 @@
+import type { FailureDomainId, WorkerId } from "@jayfront/world";
+import { createStopSignal } from "@jayfront/world";
+import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
+import pino from "pino";
+import { Result } from "true-myth";
+
+import type { CellPlan } from "../src/entry/cell-plan.js";
+import { readCellPlan } from "../src/entry/cell-plan.js";
+import type { WorkerEntry } from "../src/model/worker-entry.js";
+import type { StateStore } from "../src/port/state-store.js";
+
+const regions = { "east-a": "east", "east-b": "east", "east-c": "east", "west-a": "west" };
+const store = {
+    read: () => Promise.resolve(Result.ok({ rows: [], version: 1 })),
+    commit: () => Promise.resolve(Result.ok(2)),
+} as unknown as StateStore;
+const workersOf = (counts: Readonly<Record<string, number>>): WorkerEntry[] =>
+    Object.entries(counts).flatMap(([domain, count]) =>
+        Array.from(
+            { length: count },
+            (...[, number]) =>
+                ({
+                    id: `${domain}-${String(number)}` as WorkerId,
+                    failureDomain: domain as FailureDomainId,
+                }) as WorkerEntry,
+        )
+    );
+
+describe("the division of workers into cells", () => {
+    beforeEach(() => {
+        jest.useFakeTimers();
+    });
+    afterEach(() => {
+        jest.useRealTimers();
+    });
+    const planFor = async (
+        counts: Readonly<Record<string, number>>,
+        largestCell: number,
+    ): Promise<CellPlan | undefined> => {
+        const { signal } = createStopSignal();
+        const read = readCellPlan({
+            store,
+            directory: { read: () => Promise.resolve(Result.ok(workersOf(counts))) },
+            regions,
+            largestCell,
+            logger: pino({ level: "silent" }),
+            signal,
+        });
+        await jest.advanceTimersByTimeAsync(3_000);
+        return read;
+    };
+    // Guards against cells so small that a lasting task waits in a full one, and against one holder for too many workers.
+    it.each([
+        {
+            name: "one cell for a small site",
+            counts: { "east-a": 3, "east-b": 3, "east-c": 3, "west-a": 3 },
+            largestCell: 12,
+        },
+        {
+            name: "a cell for each region",
+            counts: { "east-a": 3, "east-b": 3, "east-c": 3, "west-a": 3 },
+            largestCell: 9,
+        },
+        {
+            name: "two cells for a large region",
+            counts: { "east-a": 3, "east-b": 3, "east-c": 3, "west-a": 3 },
+            largestCell: 5,
+        },
+        {
+            name: "a cell for each domain",
+            counts: { "east-a": 3, "east-b": 3, "east-c": 3, "west-a": 3 },
+            largestCell: 0,
+        },
+    ])("is $name", async ({ counts, largestCell }) => {
+        expect(await planFor(counts, largestCell)).toMatchSnapshot();
+    });
+});
