--- a/packages/bench/tests/workflow/accepted-elsewhere.test.ts
+++ b/packages/bench/tests/workflow/accepted-elsewhere.test.ts
@@ -5,9 +5,8 @@
 import type { FakeTime } from "../../src/util/fake-time.js";
 import { installFakeTime } from "../../src/util/fake-time.js";
 import type { WorkflowCluster } from "../../src/workflow/workflow-cluster.js";
-import { createWorkflowCluster } from "../../src/workflow/workflow-cluster.js";
+import { startTwoCells } from "./two-cells.js";
 
-const warmUp = 4_000;
 /** Milliseconds after which a write without answer is done: after the holder's tries, before the next cell's. */
 const lateWrite = 1_000;
 /** Milliseconds in which a submission has its answer. */
@@ -21,13 +20,7 @@
     let cluster: WorkflowCluster;
     beforeEach(async () => {
         time = installFakeTime();
-        cluster = createWorkflowCluster({
-            hosts: { "east-a": 2, "east-b": 2 },
-            workers: { "east-a": 3, "east-b": 3 },
-            cpuOf: () => 1_000,
-            largestCell: 0,
-        });
-        await time.advance(warmUp);
+        cluster = await startTwoCells(time);
     });
     afterEach(() => {
         cluster.stop();
@@ -55,7 +48,7 @@
             delay: lateWrite,
         });
 
-    // Guards against a 410 for an accepted workflow: another cell vouched for it, and the holder of its own never
+    // Guards against a 410 for an accepted workflow: another cell had answered for it, and the holder of its own never
     // learned that its late write had been done.
     it.each(cells)(
         "runs and is known everywhere after another cell was offered it, late in %s",
--- a/packages/bench/tests/workflow/configuration-cut-region.test.ts
+++ b/packages/bench/tests/workflow/configuration-cut-region.test.ts
@@ -92,7 +92,7 @@
         },
     );
 
-    // Guards against a herd of readers, each of which reads the whole row over the narrow link.
+    // Guards against all hosts reading the whole row at once over the narrow link.
     it("reaches the far region while all relays are cut off from the store", async () => {
         storeCut([...relays]);
         cluster.platform.configure(configurationOf(12));
--- a/packages/bench/tests/workflow/write-without-answer.test.ts
+++ b/packages/bench/tests/workflow/write-without-answer.test.ts
@@ -5,7 +5,7 @@
 import type { FakeTime } from "../../src/util/fake-time.js";
 import { installFakeTime } from "../../src/util/fake-time.js";
 import type { WorkflowCluster } from "../../src/workflow/workflow-cluster.js";
-import { createWorkflowCluster } from "../../src/workflow/workflow-cluster.js";
+import { startTwoCells } from "./two-cells.js";
 
 const job = "00000000000000a1";
 /** Milliseconds after which a write without answer can't be done any more, as the cluster has it. */
@@ -16,13 +16,7 @@
     let cluster: WorkflowCluster;
     beforeEach(async () => {
         time = installFakeTime();
-        cluster = createWorkflowCluster({
-            hosts: { "east-a": 2, "east-b": 2 },
-            workers: { "east-a": 3, "east-b": 3 },
-            cpuOf: () => 1_000,
-            largestCell: 0,
-        });
-        await time.advance(4_000);
+        cluster = await startTwoCells(time);
     });
     afterEach(() => {
         cluster.stop();
