--- a/packages/bench/tests/workflow/configuration-cut-region.test.ts
+++ b/packages/bench/tests/workflow/configuration-cut-region.test.ts
@@ -1,4 +1,3 @@
-import { deskConfiguration } from "@jayfront/platform-stand-in";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 
 import type { FakeTime } from "../../src/util/fake-time.js";
@@ -6,30 +5,12 @@
 import { createRegionLink } from "../../src/workflow/region-link.js";
 import type { WorkflowCluster } from "../../src/workflow/workflow-cluster.js";
 import { createWorkflowCluster } from "../../src/workflow/workflow-cluster.js";
+import { largeConfiguration } from "./large-configuration.js";
 
 const warmUp = 5_000;
 const bound = 2_500;
-const queues = 1_800;
 const [near, far] = ["near", "far"] as const;
 
-const configurationOf = (version: number): object => ({
-    ...deskConfiguration,
-    version,
-    routes: [
-        ...deskConfiguration.routes,
-        ...Array.from({ length: queues }, (...[, number]) => ({
-            name: `queue-${String(number)}`,
-            host: `${Math.abs(Math.sin(number)).toString(36).slice(2)}.example`,
-            pathPrefix: `/queue-${String(number)}/`,
-            service: "desk",
-            priority: number % 3,
-            maxAttempts: 3,
-            slackFactor: 2,
-            targetLatencyMs: number === version % queues ? version : 500,
-        })),
-    ],
-});
-
 describe.each([
     { name: "9 hosts, 8 Mbit/s", hosts: { "near-a": 3, "near-b": 3, "far-a": 3 }, rate: 8 },
     {
@@ -57,10 +38,10 @@
             },
         });
         await time.advance(warmUp);
-        cluster.platform.configure(configurationOf(10));
+        cluster.platform.configure(largeConfiguration(10));
         await time.advance(2 * warmUp);
         relays.clear();
-        cluster.platform.configure(configurationOf(11));
+        cluster.platform.configure(largeConfiguration(11));
         await time.advance(warmUp);
     });
     afterEach(() => {
@@ -87,7 +68,7 @@
         async before => {
             storeCut(idsOf(near));
             await time.advance(before);
-            cluster.platform.configure(configurationOf(12));
+            cluster.platform.configure(largeConfiguration(12));
             expect(await timeTo(12, idsOf(far))).toBeLessThan(bound);
         },
     );
@@ -95,13 +76,13 @@
     // Guards against all hosts reading the whole row at once over the narrow link.
     it("reaches the far region while all relays are cut off from the store", async () => {
         storeCut([...relays]);
-        cluster.platform.configure(configurationOf(12));
+        cluster.platform.configure(largeConfiguration(12));
         expect(await timeTo(12, [...cluster.hosts.keys()])).toBeLessThan(bound);
     });
 
     it("reaches all hosts after all relays were killed", async () => {
         [...relays].forEach(cluster.kill);
-        cluster.platform.configure(configurationOf(12));
+        cluster.platform.configure(largeConfiguration(12));
         expect(await timeTo(12, [...cluster.hosts.keys()])).toBeLessThan(bound);
     });
 });
--- a/packages/bench/tests/workflow/configuration-spread.test.ts
+++ b/packages/bench/tests/workflow/configuration-spread.test.ts
@@ -1,4 +1,3 @@
-import { deskConfiguration } from "@jayfront/platform-stand-in";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 
 import type { FakeTime } from "../../src/util/fake-time.js";
@@ -7,13 +6,13 @@
 import { createRegionLink } from "../../src/workflow/region-link.js";
 import type { WorkflowCluster } from "../../src/workflow/workflow-cluster.js";
 import { createWorkflowCluster } from "../../src/workflow/workflow-cluster.js";
+import { largeConfiguration } from "./large-configuration.js";
 
 const warmUp = 5_000;
 /** Milliseconds after which every host has to have a version. */
 const bound = 2_500;
 /** Milliseconds in which each relay says that it is one. */
 const noticeTime = 500;
-const queues = 1_800;
 /** Megabits per second between the regions. */
 const linkRate = 42;
 /** Milliseconds between versions that follow each other quickly, and their number. */
@@ -21,23 +20,6 @@
 const stormLength = 27;
 const [near, far] = ["near", "far"] as const;
 
-const configurationOf = (version: number): object => ({
-    ...deskConfiguration,
-    version,
-    routes: [
-        ...deskConfiguration.routes,
-        ...Array.from({ length: queues }, (...[, number]) => ({
-            name: `queue-${String(number)}`,
-            host: `${Math.abs(Math.sin(number)).toString(36).slice(2)}.example`,
-            pathPrefix: `/queue-${String(number)}/`,
-            service: "desk",
-            priority: number % 3,
-            maxAttempts: 3,
-            slackFactor: 2,
-            targetLatencyMs: number === version % queues ? version : 500,
-        })),
-    ],
-});
 const sizeOf = (configuration: object): number => Buffer.from(JSON.stringify(configuration)).toString("base64").length;
 
 describe("a version of the configuration, with two regions", () => {
@@ -80,7 +62,7 @@
     /** Hosts that tell others of a new version, in steady state. */
     const relaysOf = async (version: number): Promise<string[]> => {
         relays.clear();
-        cluster.platform.configure(configurationOf(version));
+        cluster.platform.configure(largeConfiguration(version));
         await waitFor(version);
         await time.advance(noticeTime);
         return [...relays];
@@ -88,14 +70,14 @@
 
     // Guards against a narrow link that each host of a region loads with a copy of its own.
     it("crosses the link a few times, not once for each host", async () => {
-        cluster.platform.configure(configurationOf(10));
+        cluster.platform.configure(largeConfiguration(10));
         await waitFor(10);
         await time.advance(bound);
         const before = link.carried(near, far);
-        cluster.platform.configure(configurationOf(11));
+        cluster.platform.configure(largeConfiguration(11));
         expect(await waitFor(11)).toBe(true);
         await time.advance(bound);
-        const copies = (link.carried(near, far) - before) / sizeOf(configurationOf(11));
+        const copies = (link.carried(near, far) - before) / sizeOf(largeConfiguration(11));
         expect(copies).toBeLessThan(4);
     });
 
@@ -104,7 +86,7 @@
         const late: string[] = [];
         const sentAt: number[] = [];
         for (let number = 0; number < stormLength; number += 1) {
-            cluster.platform.configure(configurationOf(20 + number));
+            cluster.platform.configure(largeConfiguration(20 + number));
             sentAt.push(time.now());
             await time.advance(stormInterval);
             const due = sentAt.filter(at => time.now() - at > bound).length;
@@ -119,21 +101,21 @@
         const killed = (await relaysOf(30)).filter(id => id.startsWith(`h-${region}`));
         expect(killed).toHaveLength(2);
         killed.forEach(cluster.kill);
-        cluster.platform.configure(configurationOf(31));
+        cluster.platform.configure(largeConfiguration(31));
         expect(await waitFor(31)).toBe(true);
     });
 
     // Guards against hosts that wait for relays which are killed all at once, in both regions.
     it("reaches all hosts after all relays were killed", async () => {
         (await relaysOf(32)).forEach(cluster.kill);
-        cluster.platform.configure(configurationOf(33));
+        cluster.platform.configure(largeConfiguration(33));
         expect(await waitFor(33)).toBe(true);
     });
 
     // Guards against hosts that wait for relays to which the store is silent.
     it("reaches all hosts while all relays are cut off from the store, these too", async () => {
         const heal = storeCut(await relaysOf(40));
-        cluster.platform.configure(configurationOf(41));
+        cluster.platform.configure(largeConfiguration(41));
         expect(await waitFor(41)).toBe(true);
         heal();
     });
@@ -151,7 +133,7 @@
     // Guards against hosts that only the store could tell: peers of the other region can.
     it("reaches a region that is cut off from the store", async () => {
         const heal = storeCut(farHosts());
-        cluster.platform.configure(configurationOf(50));
+        cluster.platform.configure(largeConfiguration(50));
         expect(await waitFor(50)).toBe(true);
         heal();
     });
@@ -160,14 +142,14 @@
     it("reaches a host that is cut off from its peers but not from the store", async () => {
         const [host = ""] = farHosts();
         const heal = cluster.isolatePeers(host);
-        cluster.platform.configure(configurationOf(60));
+        cluster.platform.configure(largeConfiguration(60));
         expect(await waitFor(60)).toBe(true);
         heal();
     });
 
     // Guards against a host that starts while the store is away and serves nothing: peers have the configuration.
     it("reaches a host that starts again while its region is cut off from the store", async () => {
-        cluster.platform.configure(configurationOf(70));
+        cluster.platform.configure(largeConfiguration(70));
         expect(await waitFor(70)).toBe(true);
         const [host = ""] = farHosts();
         const heal = cluster.platform.network.addFault({
@@ -191,7 +173,7 @@
             delay: 800,
         });
         for (let number = 0; number < 60; number += 1) {
-            cluster.platform.configure(configurationOf(80 + number));
+            cluster.platform.configure(largeConfiguration(80 + number));
             await time.advance(100);
             for (const id of cluster.hosts.keys()) {
                 if (versionOf(id) < (newest.get(id) ?? 0)) {
--- a/packages/workflow/src/entry/cell-keeper.ts
+++ b/packages/workflow/src/entry/cell-keeper.ts
@@ -55,7 +55,7 @@
 const firstLookWait = 300;
 /** Like {@link rankDelay}, for a cell that nobody ever held: hosts don't read the plan at the same moment. */
 const firstRankDelay = 500;
-/** Rank from which on hosts wait for a cell that nobody ever held no longer than the one before them. */
+/** Rank from which on hosts wait for a cell no longer than the one before them: hosts that are gone still count. */
 const lastRank = 3;
 /** Milliseconds between tries to read the other hosts' rows. */
 const retryInterval = 150;
