Raise the token of a worker's orders after an unanswered start or acknowledgement

Cause: orders to a worker carried one token for each incarnation that the holder knew of. An order without answer is carried out up to 12 s later.

The missing invariant: no worker accepts an order that was sent before an unanswered one once it has accepted one sent after it, in whichever incarnation.

Ruled out: ends that were acknowledged before they were written (the order of writes and acknowledgements is right in all traces); ends that a successor did not load.

Change: the token rises after each unanswered start and acknowledgement; an order that the worker refused only for that is repeated. While a start may still arrive late, the worker is polled at least every 200 ms, so that a new incarnation soon receives the higher token. An acknowledging poll does not wait for ends, and is superseded if it has no answer after 100 ms.

--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -99,7 +99,7 @@
 const storeWait = 500;
 /** Milliseconds between attempts to send a stop that is not answered. */
 const stopRetryInterval = 300;
-/** Tokens per epoch, one for each incarnation of a worker; those of a later holder are all higher. */
+/** Tokens per epoch and worker, see `raiseToken`; those of a later holder are all higher. */
 const tokensPerEpoch = 1_024;
 /** Remaining share of a lease below which the lease is extended. */
 const extensionShare = 0.6;
@@ -109,7 +109,8 @@
 const lapseMargin = 100;
 /**
  * Milliseconds for which a report proves that the worker's incarnation goes on: too short for a worker to restart,
- * receive a task and end it.
+ * receive a task and end it. Starts that are sent later than this after an unanswered acknowledgement have a higher
+ * token, so that a new incarnation that runs them refuses the acknowledgement.
  */
 const incarnationProofTime = 100;
 
@@ -141,7 +142,8 @@
     /** Latest deadline that the worker has confirmed, in ms on its clock. */
     let grantedDeadline = 0;
     let consecutiveFailures = 0;
-    let incarnations = 0;
+    /** Number of times that the token has been raised, see `raiseToken`. */
+    let tokenRaises = 0;
     /** Monotonic time in ms of the last unanswered call, or -Infinity if a report came since. */
     let unansweredAt = -Infinity;
     /** Monotonic time in ms at which the current incarnation last reported or was detected. */
@@ -160,13 +162,34 @@
             events.onContactChange(session);
         }
     };
+    const token = (): number => epoch * tokensPerEpoch + tokenRaises;
     /**
-     * Token of orders to the current incarnation. It rises with each incarnation, so that a delayed order to an earlier
-     * one has no effect once the current one has received an order.
+     * Raises the token of all further orders. Once one of them has reached the worker, earlier orders that are still
+     * on their way have no effect there, even if the worker has restarted unnoticed in between.
      */
-    const token = (): number => epoch * tokensPerEpoch + Math.min(incarnations, tokensPerEpoch - 1);
+    const raiseToken = (): void => {
+        tokenRaises = Math.min(tokenRaises + 1, tokensPerEpoch - 1);
+    };
+    /** Raises the token after an order that was not answered and may be carried out late, unless it was raised since. */
+    const supersedeOrder = (sentToken: number): void => {
+        if (sentToken === token()) {
+            raiseToken();
+        }
+    };
+    /** Sends an order; repeats it if the worker refused it only because the token was raised meanwhile. */
+    const sendOrder = async <Value>(
+        send: (sentToken: number) => Promise<Result<Value, OrderError>>,
+    ): Promise<Result<Value, OrderError>> => {
+        let sentToken = token();
+        let result = await send(sentToken);
+        while (result.isErr && result.error.kind === "fenced" && sentToken < token()) {
+            sentToken = token();
+            result = await send(sentToken);
+        }
+        return result;
+    };
     const resetIncarnation = (): void => {
-        incarnations += 1;
+        raiseToken();
         clock.reset();
         recordedEnd = 0;
         listedEnd = 0;
@@ -205,9 +228,11 @@
      */
     const isReplaced = (error: OrderError, sentAt: number): boolean =>
         error.kind === "reborn" && sentAt > incarnationSeenAt && contact !== "lapsed";
-    const handleFailure = (error: OrderError, sentAt: number): void => {
+    const handleFailure = (error: OrderError, sentAt: number, sentToken: number): void => {
         if (error.kind === "fenced") {
-            events.onFenced(session);
+            if (sentToken === token()) {
+                events.onFenced(session);
+            }
             return;
         }
         if (isReplaced(error, sentAt)) {
@@ -263,14 +288,22 @@
             ? undefined
             : leaseExpiry.recordDeadlineSent(clock.timeUntil(deadline));
         const endToAcknowledge = hasUnacknowledgedEnds() && isIncarnationProven() ? recordedEnd : 0;
+        const sentToken = token();
+        const supersedeTimer = endToAcknowledge > 0
+            ? setTimeout(supersedeOrder, incarnationProofTime, sentToken)
+            : undefined;
         const report = await gateway.poll(entry, {
-            token: token(),
+            token: sentToken,
             recordedEnd: endToAcknowledge,
             ...(wait > 0 ? { wait } : {}),
             ...(deadline === undefined ? {} : { deadline }),
         });
+        clearTimeout(supersedeTimer);
         if (report.isErr) {
-            handleFailure(report.error, sentAt);
+            if (report.error.kind === "unknown" && endToAcknowledge > 0) {
+                supersedeOrder(sentToken);
+            }
+            handleFailure(report.error, sentAt, sentToken);
             return false;
         }
         confirmDeadline?.();
@@ -329,7 +362,11 @@
             const deadline = clock.deadline() ?? 0;
             const confirmDeadline = leaseExpiry.recordDeadlineSent(clock.timeUntil(deadline));
             startPossibleUntil = Math.max(startPossibleUntil, performance.now());
-            const result = await gateway.start(entry, { ...order, token: token(), deadline });
+            let lastToken = token();
+            const result = await sendOrder(sentToken => {
+                lastToken = sentToken;
+                return gateway.start(entry, { ...order, token: sentToken, deadline });
+            });
             startPossibleUntil = Math.max(startPossibleUntil, performance.now());
             if (result.isOk || result.error.kind !== "unknown") {
                 confirmDeadline();
@@ -338,6 +375,8 @@
                 unansweredAt = performance.now();
                 unansweredStartAt = unansweredAt;
                 startPossibleUntil = unansweredAt + timing.lateOrderTime;
+                supersedeOrder(lastToken);
+                wakeUp.notify();
             }
             if (result.isOk) {
                 clock.recordReading(result.value);
@@ -351,7 +390,7 @@
         },
         stop: async (task, run) => {
             while (contact !== "lapsed") {
-                const result = await gateway.stop(entry, { task, run, token: token() });
+                const result = await sendOrder(sentToken => gateway.stop(entry, { task, run, token: sentToken }));
                 if (result.isOk) {
                     wakeUp.notify();
                     return true;
@@ -365,7 +404,7 @@
             return false;
         },
         throttle: async (task, run, percent) =>
-            (await gateway.throttle(entry, { task, run, token: token(), percent })).isOk,
+            (await sendOrder(sentToken => gateway.throttle(entry, { task, run, token: sentToken, percent }))).isOk,
         recordEnds: number => {
             recordedEnd = Math.max(recordedEnd, number);
             wakeUp.notify();
@@ -379,10 +418,15 @@
         },
         run: async signal => {
             while (!signal.aborted) {
-                const canAcknowledge = !hasUnacknowledgedEnds() || isIncarnationProven();
+                // An acknowledgement has to be answered at once, see `incarnationProofTime`.
                 const canWait = contact === "known" && consecutiveFailures === 0 && isBusy() && listedEnd <= recordedEnd
-                    && canAcknowledge;
-                const wasAnswered = await poll(canWait ? mayInterfere() ? interferencePollWait : pollWait : 0);
+                    && !hasUnacknowledgedEnds();
+                const longestWait = isStartPending()
+                    ? pendingStartInterval
+                    : mayInterfere()
+                    ? interferencePollWait
+                    : pollWait;
+                const wasAnswered = await poll(canWait ? longestWait : 0);
                 await pause(wasAnswered, signal);
             }
             gateway.disconnect(entry);
--- a/packages/workflow/tests/worker-session.test.ts
+++ b/packages/workflow/tests/worker-session.test.ts
@@ -29,6 +29,12 @@
     const stop = createStopSignal();
     let answer: Result<WorkerReport, OrderError>;
     let tokens: number[];
+    /** Milliseconds for which polls allowed the worker to delay its answer. */
+    let waits: number[];
+    /** Tokens of the start orders. */
+    let startTokens: number[];
+    /** Results of the next stop orders, in order; later ones are `closed`. */
+    let stopResults: (() => Promise<Result<number, OrderError>>)[];
     /** Numbers of the ends that polls allowed the worker to forget. */
     let acknowledged: number[];
     /** Delays in ms of the answers to the next polls, in order; later answers arrive at once. */
@@ -47,6 +53,9 @@
         jest.useFakeTimers();
         answer = report(1);
         tokens = [];
+        waits = [];
+        startTokens = [];
+        stopResults = [];
         acknowledged = [];
         delays = [];
         const lateOrderDetector = createLateOrderDetector();
@@ -56,10 +65,14 @@
             timing: { longestLease: 10_000, stopTime: 900, retention: 1, clockDrift: 0.02, lateOrderTime: 12_000 },
             logger: pino({ level: "silent" }),
             gateway: {
-                start: () => Promise.resolve(Result.err({ kind: "unknown", message: "no answer" })),
-                stop: () => Promise.resolve(closed),
-                poll: async (...[, { token, recordedEnd }]) => {
+                start: (...[, { token }]) => {
+                    startTokens.push(token);
+                    return Promise.resolve(Result.err({ kind: "unknown", message: "no answer" }));
+                },
+                stop: () => stopResults.shift()?.() ?? Promise.resolve(closed),
+                poll: async (...[, { token, recordedEnd, wait = 0 }]) => {
                     tokens.push(token);
+                    waits.push(wait);
                     acknowledged.push(recordedEnd);
                     const given = answer;
                     const delay = delays.shift();
@@ -179,4 +192,46 @@
         await jest.advanceTimersByTimeAsync(10);
         expect(acknowledged.slice(0, 2)).toEqual([0, 57]);
     });
+
+    // Guards against a task that runs again because its unanswered start was carried out after a restart of the worker.
+    it("sends all orders after an unanswered start with a higher token", async () => {
+        await jest.advanceTimersByTimeAsync(300);
+        expect(tokens.at(-1)).toBeGreaterThan(startTokens[0] ?? Infinity);
+    });
+
+    // Guards against the same: the worker has to receive a higher token soon after it has restarted.
+    it("polls at least every 200 ms while an unanswered start may be carried out", async () => {
+        tokens = [];
+        waits = [];
+        await jest.advanceTimersByTimeAsync(2_000);
+        expect(tokens.length).toBeGreaterThanOrEqual(10);
+        expect(Math.max(...waits)).toBeLessThanOrEqual(200);
+    });
+
+    // Guards against a new incarnation that forgets a `done` task because of an acknowledgement to its predecessor.
+    it("sends starts with a higher token if an acknowledgement has not been answered for 100 ms", async () => {
+        answer = listing(57);
+        await jest.advanceTimersByTimeAsync(300);
+        acknowledged = [];
+        tokens = [];
+        session.recordEnds(57);
+        delays = [0, 2_000];
+        await jest.advanceTimersByTimeAsync(150);
+        const unanswered = tokens[acknowledged.indexOf(57)] ?? Infinity;
+        await session.start({ task: "j.0.0.1" as never, run: 1, payload: "", checkpoint: "" });
+        expect(startTokens.at(-1)).toBeGreaterThan(unanswered);
+    });
+
+    // Guards against a run that goes on because its stop was overtaken by a poll with a higher token.
+    it("repeats a stop that the worker refused for a token that was raised meanwhile", async () => {
+        stopResults = [
+            async () => {
+                await session.start({ task: "j.0.0.1" as never, run: 1, payload: "", checkpoint: "" });
+                return Result.err({ kind: "fenced", message: "409" });
+            },
+            () => Promise.resolve(Result.ok(500_000)),
+        ];
+        await expect(session.stop("j.0.0.0" as never, 1)).resolves.toBe(true);
+        expect(stopResults).toEqual([]);
+    });
 });
