Store submissions in groups, with timeouts that follow the store

Cause: each submission was a transaction of its own, and the store carries out those of a cell one after another, about five a second when slow. A fixed timeout of 700 ms gave up on answers that would have come, each such failure refused all new submissions until the next proof of the lease, and the repeated writes added to the queue. A 429 counted as a failure of the store, too.

Change: submissions that arrive while a transaction is under way share the next one, up to the store's 100 entries and 1 MB. A second transaction goes out only once the first has been under way for 150 ms. If the index has the id of one member, the others go again without it; an unanswered transaction leaves all of its members unknown, and each is settled by a repeated write or a read as before. Submissions that nobody waits for any more are not written. A 429 is repeated after 100 ms while the submitter waits, and refuses nobody else.

The stand-in's store can be slowed down, and then carries out the transactions of a partition one after another.

--- a/packages/bench/src/workflow/planted-faults.ts
+++ b/packages/bench/src/workflow/planted-faults.ts
@@ -83,8 +83,8 @@
     "an unanswered write counts as refused": {
         store: store => ({
             ...store,
-            commit: async transaction => {
-                const result = await store.commit(transaction);
+            commit: async (transaction, timeout) => {
+                const result = await store.commit(transaction, timeout);
                 return result.isErr && result.error.kind === "unknown"
                     ? Result.err({ kind: "refused", message: result.error.message })
                     : result;
--- a/packages/platform-stand-in/src/protocol/protocol-store.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-store.ts
@@ -33,6 +33,11 @@
     ) => readonly { readonly part: string; readonly key: string; readonly value: unknown; }[];
     /** Deletes the history of changes, so that feeds from earlier versions fail. */
     readonly compact: () => void;
+    /**
+     * Factor by which reads and transactions take longer. Above 1, the transactions of a partition are also carried out
+     * one after another, and refused if more than a second of them is waiting. Default 1: all are carried out at once.
+     */
+    slowdown: number;
 }
 
 /** Largest number of checks, writes and removals of a transaction. */
@@ -41,6 +46,16 @@
 const maxValueBytes = 65_536;
 /** Largest number of rows in the answer to a read. */
 const pageSize = 500;
+/** Milliseconds that a read takes. */
+const readTime = 4;
+/** Milliseconds that a transaction keeps its partition busy; twice as long if it has several partitions. */
+const transactionTime = 1_000 / 300;
+/** Milliseconds of waiting transactions above which a partition refuses more. */
+const longestQueue = 1_000;
+const pause = (milliseconds: number): Promise<void> =>
+    new Promise(resolve => {
+        setTimeout(resolve, milliseconds);
+    });
 const rowKey = (row: Pick<WireRow, "table" | "part" | "key">): string =>
     `${row.table}\u0000${row.part}\u0000${row.key}`;
 const encode = (value: unknown): string => Buffer.from(JSON.stringify(value)).toString("base64");
@@ -62,6 +77,9 @@
     let history: WireRow[] = [];
     let compactedUpTo = 0;
     let version = 0;
+    let slowdown = 1;
+    /** Monotonic time in ms until which a partition is busy with transactions. */
+    const busyUntil = new Map<string, number>();
 
     const versionAndTime = (): { schemaVersion: number; nowMs: number; } => ({
         schemaVersion: version,
@@ -107,6 +125,19 @@
         wakeAll();
         return { status: 200, body: versionAndTime() };
     };
+    const transactInTurn = async (transaction: WireTransaction): Promise<ProtocolAnswer> => {
+        const { expectedRevision = [], puts = [], removals = [] } = transaction;
+        const parts = new Set([...expectedRevision, ...puts, ...removals].map(row => row.part));
+        const now = performance.now();
+        const startAt = Math.max(now, ...[...parts].map(part => busyUntil.get(part) ?? now));
+        if (startAt - now > longestQueue) {
+            return { status: 429 };
+        }
+        const endAt = startAt + transactionTime * slowdown * Math.min(parts.size, 2);
+        parts.forEach(part => busyUntil.set(part, endAt));
+        await pause(endAt - now);
+        return transact(transaction);
+    };
     const read = ({ query }: ProtocolCall): ProtocolAnswer => {
         const from = query.get("from") ?? "";
         const limit = Math.min(pageSize, Number(query.get("limit") ?? pageSize));
@@ -145,8 +176,14 @@
             : { status: 200, body: { rows: changesAfter(table, after), ...versionAndTime() } };
     };
     const handlers: Record<string, ProtocolHandler> = {
-        "POST /api/rows-tx": ({ body }) => transact(body as WireTransaction),
-        "GET /api/rows-get": read,
+        "POST /api/rows-tx": ({ body }) =>
+            slowdown > 1 ? transactInTurn(body as WireTransaction) : transact(body as WireTransaction),
+        "GET /api/rows-get": async call => {
+            if (slowdown > 1) {
+                await pause(readTime * slowdown);
+            }
+            return read(call);
+        },
         "GET /api/rows-feed": follow,
     };
     return {
@@ -174,5 +211,11 @@
             compactedUpTo = version;
             wakeAll();
         },
+        get slowdown() {
+            return slowdown;
+        },
+        set slowdown(value: number) {
+            slowdown = value;
+        },
     };
 };
--- /dev/null
+++ b/packages/workflow/src/cell/store-workflows.ts
@@ -0,0 +1,110 @@
+import type { CellId, JobId } from "@jayfront/world";
+import type { Logger } from "pino";
+
+import type { Workflow } from "../model/workflow.js";
+import type { RowKey, StateStore, StoredRow, StoreError } from "../port/state-store.js";
+import type { CellLease } from "./cell-lease.js";
+import { rowKeys } from "./row-keys.js";
+
+/** Result of one attempt to store a workflow. */
+export type StoreAttempt =
+    /**
+     * `refused`: this attempt wrote nothing. `throttled`: as `refused`, since the store has too many calls; another
+     * attempt may succeed shortly. `unknown`: its write may have taken effect, or may do so later.
+     * `impossible`: no write of this or an earlier attempt can take effect any more, since another host holds the cell
+     * or the longest delay of a write has passed. `not-written`: this attempt wrote nothing, since the index has the id
+     * of another workflow in the same transaction.
+     */
+    | { readonly kind: "refused" | "throttled" | "unknown" | "impossible" | "not-written"; }
+    | { readonly kind: "stored"; readonly workflow: Workflow; }
+    /** The index already names `cell` for this id, which is this cell or another one. */
+    | { readonly kind: "indexed"; readonly cell: CellId; readonly id: JobId; };
+
+/** A workflow as it is written to the store. */
+export interface EncodedWorkflow {
+    readonly workflow: Workflow;
+    /** Value of its row. */
+    readonly value: string;
+}
+
+/** Options of {@link storeWorkflows}. */
+export interface StoreWorkflowsOptions {
+    readonly store: StateStore;
+    readonly lease: CellLease;
+    /** At most {@link maxWorkflowsPerTransaction}, each with another id. */
+    readonly workflows: readonly EncodedWorkflow[];
+    readonly logger: Logger;
+}
+
+/** Entries of a transaction that a workflow takes: the check and the write of its index row, and its own row. */
+const entriesPerWorkflow = 3;
+/** Entries that the store accepts per transaction; one is the lease check. */
+const maxEntries = 100;
+/** Workflows that one transaction can store. */
+export const maxWorkflowsPerTransaction = Math.floor((maxEntries - 1) / entriesPerWorkflow);
+
+/** Outcome of an attempt whose call failed with this error. */
+const outcomeByError: Record<Exclude<StoreError["kind"], "conflict">, "refused" | "throttled" | "unknown"> = {
+    refused: "refused",
+    throttled: "throttled",
+    "history-gone": "refused",
+    unknown: "unknown",
+};
+
+const findRow = (rows: readonly StoredRow[], { table, key }: RowKey): StoredRow | undefined =>
+    rows.find(row => row.table === table && row.key === key);
+
+/**
+ * Tries once to store workflows whose ids no cell has yet, all in one transaction; repeated attempts never store a
+ * workflow twice. If the index has some of the ids, the others get `not-written`: nothing speaks against another
+ * attempt without those.
+ */
+export const storeWorkflows = async (
+    { store, lease, workflows, logger }: StoreWorkflowsOptions,
+): Promise<ReadonlyMap<JobId, StoreAttempt>> => {
+    const attemptsBy = (attemptOf: (id: JobId, workflow: Workflow) => StoreAttempt): Map<JobId, StoreAttempt> =>
+        new Map(workflows.map(({ workflow }) => [workflow.id, attemptOf(workflow.id, workflow)]));
+    const recordProof = lease.trackCall();
+    const written = await store.commit({
+        checks: [lease.check, ...workflows.map(({ workflow: { id } }) => ({ ...rowKeys.index(id), version: 0 }))],
+        writes: workflows.flatMap(({ workflow: { id }, value }) => [
+            { ...rowKeys.index(id), value: lease.cell },
+            { ...rowKeys.workflow(lease.cell, id), value },
+        ]),
+    });
+    if (written.isOk) {
+        recordProof();
+        return attemptsBy((...[, workflow]) => ({ kind: "stored", workflow }));
+    }
+    const { error } = written;
+    if (error.kind !== "conflict") {
+        if (error.kind !== "throttled") {
+            lease.recordStoreFailure();
+        }
+        const { cell, epoch } = lease;
+        logger.warn({
+            jobs: workflows.map(({ workflow }) => workflow.id),
+            cell,
+            epoch,
+            error: error.kind,
+            message: error.message,
+        }, "storing workflows failed");
+        return attemptsBy(() => ({ kind: outcomeByError[error.kind] }));
+    }
+    const holderRow = findRow(error.rows, lease.check);
+    const isSuperseded = holderRow !== undefined && holderRow.version !== lease.check.version;
+    if (isSuperseded) {
+        lease.markLost("a submission found another holder in the cell's holder row");
+    }
+    const indexedCells = new Map(workflows.map(({ workflow: { id } }) => {
+        const indexRow = findRow(error.rows, rowKeys.index(id));
+        return [id, indexRow?.value as CellId | undefined];
+    }));
+    const isExplained = isSuperseded || [...indexedCells.values()].some(cell => cell !== undefined);
+    return attemptsBy(id => {
+        const indexedCell = indexedCells.get(id);
+        return indexedCell !== undefined
+            ? { kind: "indexed", cell: indexedCell, id }
+            : { kind: isSuperseded ? "impossible" : isExplained ? "not-written" : "unknown" };
+    });
+};
--- /dev/null
+++ b/packages/workflow/src/cell/submission-writer.ts
@@ -0,0 +1,115 @@
+import type { Logger } from "pino";
+
+import type { Workflow } from "../model/workflow.js";
+import type { StateStore } from "../port/state-store.js";
+import type { WorkflowMetrics } from "../workflow-metrics.js";
+import type { CellLease } from "./cell-lease.js";
+import type { EncodedWorkflow, StoreAttempt } from "./store-workflows.js";
+import { maxWorkflowsPerTransaction, storeWorkflows } from "./store-workflows.js";
+
+/**
+ * Stores the new workflows of a cell. A workflow that arrives while no transaction is under way is written at once; all
+ * that arrive while one is share the next one, so that a slow store takes more workflows per transaction instead of
+ * more transactions.
+ */
+export interface SubmissionWriter {
+    /**
+     * Tries once to store a workflow. `isAwaited` is asked before the write is sent: a workflow that nobody waits for
+     * any more is not written, and the attempt is `refused`.
+     */
+    readonly store: (workflow: Workflow, isAwaited: () => boolean) => Promise<StoreAttempt>;
+}
+
+/** Options of {@link createSubmissionWriter}. */
+export interface SubmissionWriterOptions {
+    readonly store: StateStore;
+    readonly lease: CellLease;
+    readonly logger: Logger;
+    readonly metrics: Pick<WorkflowMetrics, "submissionGroups">;
+}
+
+interface WaitingSubmission extends EncodedWorkflow {
+    readonly isAwaited: () => boolean;
+    readonly resolve: (attempt: StoreAttempt) => void;
+}
+
+/**
+ * Transactions under way at a time. The store carries out the transactions of a cell one after another, so that a
+ * second one only bridges the time until the loss of an answer is noticed.
+ */
+const maxTransactions = 2;
+/** Milliseconds for which the first transaction must be under way before a second one is sent. */
+const secondTransactionDelay = 150;
+/** Characters of the rows in one transaction; the store accepts 1 MB, of which encoding takes a third. */
+const maxTransactionLength = 600_000;
+/** Characters of a row that is written alone, since the store may refuse a row of this size with all of its group. */
+const largeRowLength = 48_000;
+
+/** Creates a writer without waiting submissions. */
+export const createSubmissionWriter = (
+    { store, lease, logger, metrics }: SubmissionWriterOptions,
+): SubmissionWriter => {
+    let waiting: WaitingSubmission[] = [];
+    let transactions = 0;
+
+    /** Removes the submissions of the next transaction from the queue. */
+    const takeGroup = (): readonly WaitingSubmission[] => {
+        const group: WaitingSubmission[] = [];
+        let length = 0;
+        for (const submission of waiting.slice(0, maxWorkflowsPerTransaction)) {
+            const isLarge = submission.value.length > largeRowLength;
+            length += submission.value.length;
+            if (group.length > 0 && (isLarge || length > maxTransactionLength)) {
+                break;
+            }
+            group.push(submission);
+            if (isLarge) {
+                break;
+            }
+        }
+        waiting = waiting.slice(group.length);
+        return group;
+    };
+    const dropUnawaited = (): void => {
+        const unawaited = waiting.filter(({ isAwaited }) => !isAwaited());
+        waiting = waiting.filter(submission => !unawaited.includes(submission));
+        unawaited.forEach(({ resolve }) => {
+            resolve({ kind: "refused" });
+        });
+    };
+    const writeGroup = async (group: readonly WaitingSubmission[]): Promise<void> => {
+        metrics.submissionGroups.observe(group.length);
+        const attempts = await storeWorkflows({ store, lease, workflows: group, logger });
+        const repeated = group.filter(({ workflow }) => attempts.get(workflow.id)?.kind === "not-written");
+        waiting = [...repeated, ...waiting];
+        for (const { workflow, resolve } of group) {
+            const attempt = attempts.get(workflow.id);
+            if (attempt !== undefined && attempt.kind !== "not-written") {
+                resolve(attempt);
+            }
+        }
+    };
+    const writeNext = (): void => {
+        dropUnawaited();
+        if (waiting.length === 0 || transactions >= maxTransactions) {
+            return;
+        }
+        transactions += 1;
+        const group = takeGroup();
+        const secondTransaction = setTimeout(writeNext, secondTransactionDelay);
+        void writeGroup(group).finally(() => {
+            clearTimeout(secondTransaction);
+            transactions -= 1;
+            writeNext();
+        });
+    };
+    return {
+        store: (workflow, isAwaited) =>
+            new Promise(resolve => {
+                waiting.push({ workflow, value: JSON.stringify(workflow), isAwaited, resolve });
+                if (transactions === 0) {
+                    writeNext();
+                }
+            }),
+    };
+};
--- a/packages/workflow/src/cell/workflow-intake.ts
+++ b/packages/workflow/src/cell/workflow-intake.ts
@@ -7,11 +7,11 @@
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { CellLease } from "./cell-lease.js";
 import { readWorkflowIndex } from "./read-workflow-index.js";
-import type { StoreAttempt } from "./store-workflow.js";
-import { storeWorkflow } from "./store-workflow.js";
+import type { StoreAttempt } from "./store-workflows.js";
 import type { OpenWorkflow } from "./stored-workflow.js";
 import { readStoredWorkflow } from "./stored-workflow.js";
 import type { SubmissionReply } from "./submission-reply.js";
+import { createSubmissionWriter } from "./submission-writer.js";
 
 /** Adds workflows to a cell: new submissions, and stored ones that the holder does not have in memory. */
 export interface WorkflowIntake {
@@ -58,6 +58,8 @@
 const replyTimeout = 900;
 /** Milliseconds between two attempts to store a workflow while a submitter waits. */
 const retryDelay = 150;
+/** Milliseconds before the next attempt after the store refused one because it has too many calls. */
+const throttledDelay = 100;
 /** Milliseconds between two reads of the index once no submitter waits. */
 const indexInterval = 500;
 /** Number of workflows that ended under earlier holders whose end states are cached. */
@@ -69,6 +71,7 @@
     const { cell, epoch } = lease;
     const pendingSubmissions = new Map<JobId, PendingSubmission>();
     const endStates = new Map<JobId, WorkflowState>();
+    const submissionWriter = createSubmissionWriter({ store, lease, logger, metrics });
 
     const adopt = (stored: OpenWorkflow): boolean => {
         const isNew = stateOf(stored.workflow.id) === undefined && !lease.isLost() && !signal.aborted;
@@ -111,7 +114,10 @@
         return stateOf(id) ?? "unknown";
     };
     /** The reply that follows from an attempt; undefined if another attempt is needed. */
-    const replyFor = async (attempt: StoreAttempt, mayBeStored: boolean): Promise<SubmissionReply | undefined> => {
+    const replyFor = async (
+        attempt: StoreAttempt,
+        { unansweredAt, awaitedUntil }: PendingSubmission,
+    ): Promise<SubmissionReply | undefined> => {
         if (attempt.kind === "indexed" && (attempt.cell !== cell || lease.isLost())) {
             return { kind: "elsewhere", cell: attempt.cell };
         }
@@ -123,7 +129,10 @@
             adopt({ kind: "open", workflow: attempt.workflow, progress: undefined, progressVersion: 0 });
             return { kind: "accepted" };
         }
-        const isRefused = attempt.kind === "impossible" || attempt.kind === "refused" && !mayBeStored;
+        const mayBeStored = unansweredAt > -Infinity;
+        const hasTimeLeft = performance.now() + throttledDelay < awaitedUntil - retryDelay;
+        const isRefused = attempt.kind === "impossible"
+            || !mayBeStored && (attempt.kind === "refused" || attempt.kind === "throttled" && !hasTimeLeft);
         return isRefused ? { kind: "refused" } : undefined;
     };
     /** Finds out from the index whether an earlier write has stored the workflow. */
@@ -165,13 +174,13 @@
     const completeSubmission = async (entry: PendingSubmission): Promise<SubmissionReply> => {
         const { workflow } = entry;
         const startedAt = performance.now();
+        const isStillAwaited = (): boolean => performance.now() < entry.awaitedUntil;
         while (!signal.aborted && !lease.isLost()) {
-            const isAwaited = performance.now() < entry.awaitedUntil;
-            const mayBeStored = entry.unansweredAt > -Infinity;
+            const isAwaited = isStillAwaited();
             const attempt = isAwaited
-                ? await storeWorkflow({ store, lease, workflow, logger })
+                ? await submissionWriter.store(workflow, isStillAwaited)
                 : await checkIndex(entry);
-            const reply = await replyFor(attempt, mayBeStored);
+            const reply = await replyFor(attempt, entry);
             if (reply !== undefined) {
                 logOutcome(workflow, reply, attempt, startedAt);
                 return reply;
@@ -179,7 +188,7 @@
             if (isAwaited && attempt.kind === "unknown") {
                 entry.unansweredAt = performance.now();
             }
-            await waitForStore(isAwaited ? retryDelay : indexInterval);
+            await waitForStore(attempt.kind === "throttled" ? throttledDelay : isAwaited ? retryDelay : indexInterval);
         }
         metrics.submissions.inc({ outcome: "unknown" });
         return { kind: "unknown" };
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -19,6 +19,7 @@
 import type { StateStore } from "../port/state-store.js";
 import type { WorkerDirectory } from "../port/worker-directory.js";
 import type { WorkerGateway } from "../port/worker-gateway.js";
+import { createAdaptiveTimeoutStore } from "../store/adaptive-timeout-store.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import { createCellClaims } from "./cell-claims.js";
 import { createCellHeartbeats } from "./cell-heartbeats.js";
@@ -87,8 +88,9 @@
 
 /** Creates a host that is not started. */
 export const createWorkflowHost = (options: WorkflowHostOptions): WorkflowHost => {
-    const { self, regions, timing, store, gateway, directory, metrics, logger, storeHeardAt } = options;
+    const { self, regions, timing, gateway, directory, metrics, logger, storeHeardAt } = options;
     const { largestCell = defaultLargestCell } = options;
+    const store = createAdaptiveTimeoutStore({ store: options.store, metrics });
     const stop = createStopSignal();
     const claims = createCellClaims();
     const network: WorkflowNetwork = {
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -19,7 +19,7 @@
 export type * from "./cell/run.js";
 export * from "./cell/settled-workflow.js";
 export * from "./cell/stage-scheduler.js";
-export * from "./cell/store-workflow.js";
+export * from "./cell/store-workflows.js";
 export * from "./cell/stored-workflow.js";
 export type * from "./cell/submission-reply.js";
 export * from "./cell/summarize-cell.js";
--- a/packages/workflow/src/port/state-store.ts
+++ b/packages/workflow/src/port/state-store.ts
@@ -40,8 +40,11 @@
 
 /** The platform's transactional store, which alone keeps state beyond the life of a process. */
 export interface StateStore {
-    /** Commits a transaction; resolves to the version that all written rows now have. */
-    readonly commit: (transaction: Transaction) => Promise<Result<number, StoreError>>;
+    /**
+     * Commits a transaction; resolves to the version that all written rows now have. `timeout`: milliseconds after
+     * which the call counts as unanswered; by default the adapter's.
+     */
+    readonly commit: (transaction: Transaction, timeout?: number) => Promise<Result<number, StoreError>>;
     /**
      * Reads all rows of a partition, or one key, as of one moment. `timeout`: milliseconds after which a call counts
      * as unanswered, for large rows; by default the adapter's.
--- a/packages/workflow/src/workflow-metrics.ts
+++ b/packages/workflow/src/workflow-metrics.ts
@@ -14,6 +14,12 @@
     readonly runEnds: Counter<"queue" | "outcome">;
     /** Calls to the store, by operation and outcome. */
     readonly storeCalls: Counter<"operation" | "outcome">;
+    /** Seconds that answered calls to the store took, by operation. */
+    readonly storeSeconds: Histogram<"operation">;
+    /** Seconds after which the next call to the store counts as unanswered. */
+    readonly storeTimeout: Gauge;
+    /** Workflows per transaction that stores submissions. */
+    readonly submissionGroups: Histogram;
     /** Calls to workers, by order and outcome. */
     readonly workerCalls: Counter<"order" | "outcome">;
     /** Changes of the pace of spare-CPU tasks, by direction. */
@@ -28,6 +34,8 @@
 const requestBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4];
 /** Upper bounds in seconds. */
 const workflowBuckets = [0.25, 0.5, 1, 2, 4, 8, 16, 32, 64, 300];
+/** Upper bounds in workflows. */
+const groupBuckets = [1, 2, 4, 8, 16, 33];
 
 /** Registers all metrics with `registry`. */
 export const createWorkflowMetrics = (registry: Registry): WorkflowMetrics => {
@@ -66,6 +74,24 @@
             labelNames: ["operation", "outcome"],
             registers,
         }),
+        storeSeconds: new Histogram({
+            name: "jayfront_store_call_seconds",
+            help: "Seconds that answered calls to the store took",
+            labelNames: ["operation"],
+            buckets: requestBuckets,
+            registers,
+        }),
+        storeTimeout: new Gauge({
+            name: "jayfront_store_timeout_seconds",
+            help: "Seconds after which the next call to the store counts as unanswered",
+            registers,
+        }),
+        submissionGroups: new Histogram({
+            name: "jayfront_submission_group_workflows",
+            help: "Workflows stored by one transaction",
+            buckets: groupBuckets,
+            registers,
+        }),
         workerCalls: new Counter({
             name: "jayfront_worker_calls_total",
             help: "Calls to workers",
