Set the pace of tasks where it is not known

What callers saw: after a change of the holder, spare-CPU tasks that the former holder had halted stayed halted. They were stopped after 1.8 s as standing still, their work was lost, and their workers counted as failing.

Cause: a holder assumed that tasks it adopts work at full pace, and that each pace order is carried out; it sends an order only if the wanted pace differs from the assumed one. Orders without answer and late orders had the same effect. Adopted tasks also counted as run in full since their adoption, so that learned run times were too short.

Change: the pace of an adopted task, or of one whose last order was not answered, is unknown, and the next review sets it. The same if a worker reports neither progress nor use of processor time for 0.9 s although the task should work. A run whose beginning this holder did not see is no basis for run times.

--- a/packages/workflow/src/cell/create-run.ts
+++ b/packages/workflow/src/cell/create-run.ts
@@ -17,7 +17,7 @@
         reportedAt: now,
         measure: 0,
         pace: 100,
-        wasSlowed: false,
+        hasFullRunTime: origin.checkpoint === "",
         stopReason: undefined,
     };
 };
--- a/packages/workflow/src/cell/interference-controller.ts
+++ b/packages/workflow/src/cell/interference-controller.ts
@@ -68,6 +68,8 @@
 const minPaceChange = 12;
 /** Interference below which the tail-latency throttle spares a task: it can't be the cause of a high tail latency. */
 const minThrottledInterference = 1.2;
+/** Milliseconds without use of processor time and without progress after which a run counts as halted. */
+const haltedTime = 900;
 /** Pace in percent below which a task is halted, since its progress would not justify the interference. */
 const minPace = 10;
 
@@ -93,6 +95,10 @@
         image: step.image ?? "",
         share: step.cpu / worker.resources.capacity().cpu,
     });
+    /** Whether the worker reports no progress although the run should work; a delayed order may have halted it. */
+    const isHaltedUnexpectedly = (run: Run): boolean =>
+        run.pace !== undefined && run.pace > 0 && run.measure === 0
+        && run.reportedAt - run.percentChangedAt > haltedTime;
     const toServingTask = (run: Run, ownSpeed: number): ServingTask => ({ image: run.step.image ?? "", ownSpeed });
     const learn = (worker: CellWorker, runs: readonly Run[], now: number): void => {
         const mix = new Map<string, number>();
@@ -101,7 +107,7 @@
         });
         for (const run of spareRuns(runs)) {
             const { image, share } = toSpareTask(worker, run.step);
-            const used = run.measure > 0 ? run.measure / worker.resources.capacity().cpu : share * run.pace / 100;
+            const used = run.measure > 0 ? run.measure / worker.resources.capacity().cpu : share * (run.pace ?? 100) / 100;
             mix.set(image, (mix.get(image) ?? 0) + used);
             spareDemand.set(image, (spareDemand.get(image) ?? 0) + share);
         }
@@ -131,10 +137,11 @@
         spare.forEach((run, index) => {
             const planned = Math.round((paces[index] ?? 1) * (isHarmless(run) ? 1 : level) * 100);
             const pace = planned < minPace ? 0 : planned;
-            const isAtLimit = pace !== run.pace && (pace === 0 || pace === 100);
-            if (isAtLimit || Math.abs(pace - run.pace) >= minPaceChange) {
+            const current = isHaltedUnexpectedly(run) ? undefined : run.pace;
+            const isAtLimit = pace !== current && (pace === 0 || pace === 100);
+            if (current === undefined || isAtLimit || Math.abs(pace - current) >= minPaceChange) {
                 const { job } = run.position;
-                logger.info({ job, task: run.task, worker: run.worker, from: run.pace, to: pace, level }, "pace set");
+                logger.info({ job, task: run.task, worker: run.worker, from: current, to: pace, level }, "pace set");
                 throttle(run, pace);
             }
         });
--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -313,6 +313,8 @@
         run.answeredAt = -Infinity;
         run.percent = row.percent;
         run.measure = row.measure;
+        run.pace = undefined;
+        run.hasFullRunTime = false;
         addRun(run);
     };
     const updateRun = (run: Run, row: ReportedRun, now: number): void => {
--- a/packages/workflow/src/cell/run-statistics.ts
+++ b/packages/workflow/src/cell/run-statistics.ts
@@ -79,8 +79,7 @@
             failedOn.delete(run.task);
             health.recordEnd(worker, position.job, false);
             const queue = queueOf(ledger);
-            // A run that was throttled or resumed from a checkpoint does not show the time of a full run.
-            if (run.checkpoint === "" && !run.wasSlowed) {
+            if (run.hasFullRunTime) {
                 runTimes.record(subjectOf(position.job, queue, step, position.step), performance.now() - run.startedAt);
             }
         }
--- a/packages/workflow/src/cell/run-watchdog.ts
+++ b/packages/workflow/src/cell/run-watchdog.ts
@@ -56,7 +56,8 @@
             unchangedFor: now - run.percentChangedAt,
             reportAge: now - run.reportedAt,
             percent: run.percent,
-            pace: run.pace,
+            // A run whose pace is not known may have been halted.
+            pace: run.pace ?? 0,
             expectedTime: runTime(run.position.job, queue, step, run.position.step),
             ...remainingStay(worker, now),
             hasRoomElsewhere: worker.drainingSince !== undefined && step.isLasting && hasRoomElsewhere(run, queue),
--- a/packages/workflow/src/cell/run.ts
+++ b/packages/workflow/src/cell/run.ts
@@ -32,10 +32,13 @@
     measure: number;
     /** Newest checkpoint that the worker reported. */
     checkpoint: string;
-    /** Percentage of its full speed at which the run was last set to work. */
-    pace: number;
-    /** Whether the run was ever throttled, so that its run time is no basis for estimates. */
-    wasSlowed: boolean;
+    /**
+     * Percentage of its full speed at which the run works; undefined while it is not known, since an earlier holder set
+     * it or the worker has not answered the last order.
+     */
+    pace: number | undefined;
+    /** Whether the time since `startedAt` is the time that the task takes at full speed, from its beginning. */
+    hasFullRunTime: boolean;
     /** Why the run is being stopped; undefined while it is not. */
     stopReason: string | undefined;
 }
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -191,10 +191,14 @@
     const interferenceController = createInterferenceController({
         model: interferenceModel,
         throttle: (run: Run, percent: number) => {
-            metrics.paceChanges.inc({ direction: percent < run.pace ? "down" : "up" });
+            metrics.paceChanges.inc({ direction: percent < (run.pace ?? 0) ? "down" : "up" });
             run.pace = percent;
-            run.wasSlowed ||= percent < 100;
-            void workers.get(run.worker)?.session.throttle(run.task, run.number, percent);
+            run.hasFullRunTime &&= percent === 100;
+            void workers.get(run.worker)?.session.throttle(run.task, run.number, percent).then(wasAnswered => {
+                if (!wasAnswered && run.pace === percent) {
+                    run.pace = undefined;
+                }
+            });
         },
         logger,
     });
