Expect progress of a run only since it was set to work faster

Cause: the time without progress counted on while the run was halted or slowed, and the limit of 1.8 s applied as soon as the pace was 100 again.

Change: record-pace lets the time in which progress is expected begin anew when the pace rises.

--- a/packages/workflow/src/cell/create-run.ts
+++ b/packages/workflow/src/cell/create-run.ts
@@ -17,6 +17,7 @@
         reportedAt: now,
         measure: 0,
         pace: 100,
+        haltedSince: Infinity,
         hasFullRunTime: origin.checkpoint === "",
         stopReason: undefined,
     };
--- a/packages/workflow/src/cell/run.ts
+++ b/packages/workflow/src/cell/run.ts
@@ -24,7 +24,7 @@
     startedAt: number;
     /** Last reported percentage of the work that is done. */
     percent: number;
-    /** Monotonic time in ms at which `percent` last changed. */
+    /** Monotonic time in ms at which `percent` last changed, or at which the run was last set to work faster. */
     percentChangedAt: number;
     /** Monotonic time in ms of the last report that listed the run. */
     reportedAt: number;
@@ -37,6 +37,8 @@
      * it or the worker has not answered the last order.
      */
     pace: number | undefined;
+    /** Monotonic time in ms since which `pace` is 0; Infinity while it is not. */
+    haltedSince: number;
     /** Whether the time since `startedAt` is the time that the task takes at full speed, from its beginning. */
     hasFullRunTime: boolean;
     /** Why the run is being stopped; undefined while it is not. */
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -26,6 +26,7 @@
 import { loadCell } from "./load-cell.js";
 import { createProgressWriter } from "./progress-writer.js";
 import { createQueueLookup } from "./queue-lookup.js";
+import { recordPace } from "./record-pace.js";
 import { createRunController } from "./run-controller.js";
 import { createRunRegistry } from "./run-registry.js";
 import { createRunStatistics } from "./run-statistics.js";
@@ -192,8 +193,7 @@
         model: interferenceModel,
         throttle: (run: Run, percent: number) => {
             metrics.paceChanges.inc({ direction: percent < (run.pace ?? 0) ? "down" : "up" });
-            run.pace = percent;
-            run.hasFullRunTime &&= percent === 100;
+            recordPace(run, percent);
             void workers.get(run.worker)?.session.throttle(run.task, run.number, percent).then(wasAnswered => {
                 if (!wasAnswered && run.pace === percent) {
                     run.pace = undefined;
