Move halted checkpointing tasks to other workers

Change: a checkpointing run that has been halted for 0.6 s is stopped and waits for a worker again. New spare-CPU tasks that may slow the serving tasks do not start beside halted ones, since the next review would halt them.

Tests: relocation-reason.test.ts, interference-controller.test.ts.

--- a/packages/workflow/src/cell/interference-controller.ts
+++ b/packages/workflow/src/cell/interference-controller.ts
@@ -43,6 +43,8 @@
     readonly servingWorkflows: ReadonlySet<JobId>;
     /** Millicores that the serving tasks reserve. */
     readonly servingCpu: number;
+    /** Whether spare-CPU tasks are halted for the sake of the serving tasks. */
+    readonly hasHaltedTasks: boolean;
     /** Slowest task of each serving image, with current spare-CPU tasks and the load forecast for `ahead` ms. */
     readonly slowestTasksWithin: (ahead: number) => readonly ServingTask[];
 }
@@ -195,6 +197,7 @@
                 servingImages,
                 servingWorkflows: new Set(serving.map(run => run.position.job)),
                 servingCpu: serving.reduce((sum, run) => sum + run.step.cpu, 0),
+                hasHaltedTasks: spareRuns(runs).some(run => run.pace === 0),
                 slowestTasksWithin: ahead => {
                     const cached = slowestTasks.get(ahead) ?? findSlowestTasks(serving, spare, losses, ahead);
                     slowestTasks.set(ahead, cached);
@@ -214,7 +217,18 @@
         slackWith: (worker, summary, step, runTime) => {
             const wanted = runTime * runTimeMargin;
             const ahead = placementHorizons.find(horizon => horizon >= wanted) ?? placementHorizons.at(-1) ?? wanted;
-            return servingSlack(summary.slowestTasksWithin(ahead), [], toSpareTask(worker, step), model.interference);
+            const slack = servingSlack(
+                summary.slowestTasksWithin(ahead),
+                [],
+                toSpareTask(worker, step),
+                model.interference,
+            );
+            const isHarmful = (): boolean =>
+                [...summary.servingImages.keys()].some(image =>
+                    model.interference(image, step.image ?? "") >= minThrottledInterference
+                );
+            // What would be halted at the next review should start elsewhere.
+            return summary.hasHaltedTasks && isHarmful() ? { ...slack, after: -Infinity } : slack;
         },
     };
 };
--- a/packages/workflow/src/cell/run-watchdog.ts
+++ b/packages/workflow/src/cell/run-watchdog.ts
@@ -53,6 +53,7 @@
             isCheckpointing: step.isCheckpointing,
             isGang: step.isGang,
             age: now - run.startedAt,
+            haltedFor: Math.max(0, now - run.haltedSince),
             unchangedFor: now - run.percentChangedAt,
             reportAge: now - run.reportedAt,
             percent: run.percent,
--- a/packages/workflow/src/policy/relocation-reason.ts
+++ b/packages/workflow/src/policy/relocation-reason.ts
@@ -16,6 +16,8 @@
     readonly percent: number;
     /** Pace that the run was given, in percent of full speed. */
     readonly pace: number;
+    /** Milliseconds for which the run has been halted for the sake of others on its worker; 0 while it works. */
+    readonly haltedFor: number;
     /** Milliseconds that the whole task is expected to take. */
     readonly expectedTime: number;
     /** Milliseconds for which a draining worker stays at least; undefined while the worker is not draining. */
@@ -32,6 +34,8 @@
 const stallTime = 1_800;
 /** Milliseconds within which a long-running task must begin to serve. */
 const servingTime = 4_000;
+/** Milliseconds after which a halted run is moved, if a stop saves its work; a move takes about as long. */
+const longestHalt = 600;
 /** Milliseconds for which a report counts as current. */
 const freshReport = 1_500;
 
@@ -61,6 +65,15 @@
     return facts.unchangedFor > stallTime * 100 / Math.max(facts.pace, 20) + facts.expectedTime / 20;
 };
 
+const isHaltedForLong = (facts: RelocationFacts): boolean =>
+    facts.isCheckpointing && !facts.isGang && facts.haltedFor >= longestHalt;
+
 /** Why a run should be stopped and started on another worker; undefined where it should go on. */
-export const relocationReason = (facts: RelocationFacts): "worker leaves" | "stands still" | undefined =>
-    mustLeaveDrainingWorker(facts) ? "worker leaves" : isStalled(facts) ? "stands still" : undefined;
+export const relocationReason = (facts: RelocationFacts): "worker leaves" | "stands still" | "halted" | undefined =>
+    mustLeaveDrainingWorker(facts)
+        ? "worker leaves"
+        : isStalled(facts)
+        ? "stands still"
+        : isHaltedForLong(facts)
+        ? "halted"
+        : undefined;
--- a/packages/workflow/tests/interference-controller.test.ts
+++ b/packages/workflow/tests/interference-controller.test.ts
@@ -85,4 +85,14 @@
         controller.review(worker, [servingRun(), run]);
         expect(orders).toEqual([]);
     });
+
+    // Guards against tasks that start beside halted ones and are halted themselves at the next review.
+    it("leave no slack for further harmful tasks while tasks are halted", () => {
+        const step = createStep({ usesSpareCpu: true, image: "b", cpu: 1_000 });
+        const slackBeside = (pace: number): number => {
+            const summary = controller.summarizeServing(worker, [servingRun(), spareRun({ pace })]);
+            return controller.slackWith(worker, summary, step, 1_000).after;
+        };
+        expect([Number.isFinite(slackBeside(100)), slackBeside(0)]).toEqual([true, -Infinity]);
+    });
 });
--- a/packages/workflow/tests/relocation-reason.test.ts
+++ b/packages/workflow/tests/relocation-reason.test.ts
@@ -8,6 +8,7 @@
     isCheckpointing: false,
     isGang: false,
     age: 1_000,
+    haltedFor: 0,
     unchangedFor: 100,
     reportAge: 100,
     percent: 50,
@@ -54,6 +55,14 @@
         }, "worker leaves"],
         ["stops a run without progress", { unchangedFor: 2_500 }, "stands still"],
         ["expects no progress of a halted run", { unchangedFor: 9_000, pace: 0 }, undefined],
+        ["moves a halted run whose work a stop saves", { isCheckpointing: true, pace: 0, haltedFor: 700 }, "halted"],
+        ["leaves a run that was halted just now", { isCheckpointing: true, pace: 0, haltedFor: 300 }, undefined],
+        ["leaves a halted run whose work a stop would lose", { pace: 0, haltedFor: 5_000 }, undefined],
+        [
+            "leaves a halted member of a gang",
+            { isCheckpointing: true, isGang: true, pace: 0, haltedFor: 5_000 },
+            undefined,
+        ],
         ["gives a slowed run more time for progress", { unchangedFor: 2_500, pace: 40 }, undefined],
         [
             "expects no progress of a gang member, which may wait for the others",
