Count only the present isolation before a silent holder counts as down

A host that was cut off from its peers, was healed without another probe, and was cut off again counted the whole time between, and took the cell of a live holder at once.

Change: unanswered probes belong together only if no more than 1.5 s lie between them; a probe takes up to 2.4 s and the next follows within one round of the cell manager.

Tests: the new one in holder-probe.test.ts fails on the commit before. The one beside it let 4 s pass between two probes and expected the holder to count as down; such a gap does not happen while a host asks, so it now probes every 500 ms and checks each result.

--- a/packages/workflow/src/entry/holder-probe.ts
+++ b/packages/workflow/src/entry/holder-probe.ts
@@ -46,13 +46,21 @@
 const heardValidity = 600;
 /** Milliseconds without an answer from any peer after which a holder counts as down nonetheless. */
 const isolationTimeout = 4_000;
+/** Milliseconds between two unanswered probes above which they do not belong to the same isolation. */
+const maxProbeGap = 1_500;
+
+/** A time in which no peer has answered, in ms of the monotonic clock. */
+interface Isolation {
+    readonly since: number;
+    /** End of its latest probe. */
+    readonly lastProbeAt: number;
+}
 
 /** Creates a probe that has asked no peer yet. */
 export const createHolderProbe = ({ network, logger }: HolderProbeOptions): HolderProbe => {
     /** Monotonic time in ms at which a peer last confirmed that the holder is alive, by cell. */
     const heardAt = new Map<CellId, number>();
-    /** Monotonic time in ms since which no peer has answered, by cell. */
-    const isolatedSince = new Map<CellId, number>();
+    const isolations = new Map<CellId, Isolation>();
 
     /**
      * Resolves to the milliseconds since each peer last heard the holder, without those that do not answer; as soon as
@@ -101,11 +109,13 @@
             }
             const silences = await askInBatches(peers, cell, epoch);
             if (silences.length === 0) {
-                const since = isolatedSince.get(cell) ?? now;
-                isolatedSince.set(cell, since);
+                const previous = isolations.get(cell);
+                const isOngoing = previous !== undefined && now - previous.lastProbeAt <= maxProbeGap;
+                const since = isOngoing ? previous.since : now;
+                isolations.set(cell, { since, lastProbeAt: performance.now() });
                 return performance.now() - since >= isolationTimeout;
             }
-            isolatedSince.delete(cell);
+            isolations.delete(cell);
             const silence = Math.min(...silences);
             if (silence < maxAliveSilence) {
                 heardAt.set(cell, performance.now());
--- a/packages/workflow/tests/holder-probe.test.ts
+++ b/packages/workflow/tests/holder-probe.test.ts
@@ -53,10 +53,22 @@
 
     // Guards against a last remaining host that waits forever for peers that are all lost.
     it("considers a holder down after a while if no peer answers", async () => {
+        const { probe, probed } = createProbe([undefined, undefined]);
+        const results: boolean[] = [];
+        for (let passed = 0; passed <= 4_000; passed += 500) {
+            results.push(await probe.isDown(probed));
+            jest.advanceTimersByTime(500);
+        }
+        expect(results).toEqual([...Array<boolean>(8).fill(false), true]);
+    });
+
+    // Guards against a host that was cut off from its peers before and takes a cell from a live holder as soon as it is
+    // cut off again.
+    it("does not count the time of an earlier isolation", async () => {
         const { probe, probed } = createProbe([undefined, undefined]);
         await probe.isDown(probed);
-        jest.advanceTimersByTime(4_000);
-        expect(await probe.isDown(probed)).toBe(true);
+        jest.advanceTimersByTime(20_000);
+        expect(await probe.isDown(probed)).toBe(false);
     });
 
     it("does not ask again at once after a peer has heard the holder", async () => {
