Tell all hosts a cell's capacity as soon as its holder knows it

Cause: of the 104 long-running workflows that were accepted in the half second before the traffic, 83 went to one of the two cells, which they filled (7 of 2,190 cores left), and 21 to the other (1,554 cores left). A new holder sends a summary to all hosts when it has loaded its cell, before its workers have answered: capacity 0. Most hosts get the next one up to 1.2 s later, and until then offer the cell nothing. Long-running work stays, so that a cell that is filled once stays full.

Ruled out: cells that decline wrongly (6 submissions were declined by the full cell, none by the other).

Change: another summary goes to all hosts once nine tenths of the workers have answered.

--- a/packages/bench/tests/workflow/cell-spread.test.ts
+++ b/packages/bench/tests/workflow/cell-spread.test.ts
@@ -14,6 +14,12 @@
 const firstHolderBound = 2_000;
 /** Milliseconds within which the cell of a killed holder has a new one. */
 const takeoverBound = 2_500;
+/** Workflows that are submitted just after a takeover. */
+const submissions = 48;
+/** Milliseconds that a worker takes to answer a poll. */
+const workerDelay = 50;
+/** Milliseconds from a takeover within which other hosts know the capacity of the cell. */
+const capacityDelay = 100;
 /** Milliseconds within which a holder returns one cell to the cell's own domain. */
 const returnTime = 12_000;
 
@@ -145,6 +151,35 @@
         });
     });
 
+    // Guards against long-running work that fills some cells for good while another is nearly empty: entry hosts learned
+    // the capacity of a new holder's cell only from its next regular heartbeat.
+    it("get their shares of the work that arrives just after a takeover", async () => {
+        const created = await create({ workers: perDomain(3), hosts: perDomain(4) });
+        created.platform.network.addFault({
+            matches: (...[, call]) => call.path === "/api/hold",
+            action: "slow",
+            delay: workerDelay,
+        });
+        const killed = holders(created)[0] ?? "";
+        created.kill(killed);
+        await time.advanceUntil(() => holders(created)[0] !== killed, takeoverBound);
+        await time.advance(capacityDelay);
+        const hosts = [...created.hosts.keys()];
+        for (let number = 0; number < submissions; number += 1) {
+            const id = number.toString(16).padStart(16, "0");
+            void created.submit(hosts[number % hosts.length] ?? "", id, [{ cpu: 1_000, isLasting: true }], {
+                isLasting: true,
+            });
+            await time.advance(2);
+        }
+        await time.advance(2_000);
+        const perCell = domains.map(domain =>
+            created.platform.store.rows("workflows").filter(({ part }) => part === `${domain}/0`).length
+        );
+        const evenShare = submissions / domains.length;
+        expect(Math.min(...perCell)).toBeGreaterThanOrEqual(evenShare / 2);
+    });
+
     // Guards against hosts that exchange their cells when all of them restart.
     it("are taken back by their holders when all hosts restart", async () => {
         const created = await create();
--- a/packages/workflow/src/cell/interference-controller.ts
+++ b/packages/workflow/src/cell/interference-controller.ts
@@ -109,7 +109,9 @@
         });
         for (const run of spareRuns(runs)) {
             const { image, share } = toSpareTask(worker, run.step);
-            const used = run.measure > 0 ? run.measure / worker.resources.capacity().cpu : share * (run.pace ?? 100) / 100;
+            const used = run.measure > 0
+                ? run.measure / worker.resources.capacity().cpu
+                : share * (run.pace ?? 100) / 100;
             mix.set(image, (mix.get(image) ?? 0) + used);
             spareDemand.set(image, (spareDemand.get(image) ?? 0) + share);
         }
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -86,6 +86,8 @@
     readonly hasSuccessor: (epoch: number) => Promise<boolean>;
     /** Called once the workflows and the roster of earlier holders have been loaded. */
     readonly onActive: () => void;
+    /** Called once most workers have answered, so that the cell's summary shows its capacity. */
+    readonly onCapacityKnown: () => void;
 }
 
 /** Milliseconds between proofs of the lease; short enough that a lease survives several failed attempts. */
@@ -98,6 +100,8 @@
 const passInterval = 200;
 /** Milliseconds between reviews of all runs. */
 const reviewInterval = 250;
+/** Share of the workers whose answers show the cell's capacity; some may be down for long. */
+const answeringShare = 0.9;
 /** Milliseconds before a failed load of the cell's rows is retried. */
 const loadRetryDelay = 200;
 
@@ -280,14 +284,23 @@
             inheritedJobs.clear();
         }
     };
+    const isCapacityKnown = (): boolean => {
+        const answering = [...workers.values()].filter(({ session }) => session.contact() === "known").length;
+        return answering > 0 && answering >= workers.size * answeringShare;
+    };
     const runPasses = async (): Promise<void> => {
         let reviewedAt = performance.now();
+        let hasReportedCapacity = false;
         while (!signal.aborted) {
             await passWakeUp.wait(passInterval, signal);
             await sleep(passBatchDelay, signal);
             if (!signal.aborted) {
                 releaseInherited();
                 scheduler.runPass();
+                if (!hasReportedCapacity && isCapacityKnown()) {
+                    hasReportedCapacity = true;
+                    options.onCapacityKnown();
+                }
             }
             if (performance.now() - reviewedAt >= reviewInterval) {
                 reviewedAt = performance.now();
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -154,6 +154,9 @@
                 onActive: () => {
                     heartbeats.sendToAll();
                 },
+                onCapacityKnown: () => {
+                    heartbeats.sendToAll();
+                },
             }),
         onChange: () => {
             heartbeats.sendToAll();
--- a/packages/workflow/tests/interference-controller.test.ts
+++ b/packages/workflow/tests/interference-controller.test.ts
@@ -37,7 +37,8 @@
         const origin = { task: taskName(position), position, number: 1, worker: worker.session.id, ledger };
         return { ...createRun({ ...origin, step: createStep(step), checkpoint: "" }), phase: "running", ...reported };
     };
-    const spareRun = (reported: Partial<Run>): Run => runOf(1, { usesSpareCpu: true, image: "b", cpu: 1_000 }, reported);
+    const spareRun = (reported: Partial<Run>): Run =>
+        runOf(1, { usesSpareCpu: true, image: "b", cpu: 1_000 }, reported);
     const servingRun = (): Run =>
         runOf(0, { isLasting: true, image: "a", tailTarget: 100, cpu: 4_000 }, { percent: 100, measure: 40 });
 
