Poll often for a late start also while ends wait to be stored

The holder had not polled the worker for 0.5 s, since ends of that worker waited for a store that was cut off.

Change: the wait for the store is cut to 0.2 s while an unanswered start may still be carried out.

--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -322,7 +322,7 @@
             await sleep(isStartPending() ? pendingStartInterval : retryInterval, signal);
         }
         else if (listedEnd > recordedEnd) {
-            await wakeUp.wait(storeWait, signal);
+            await wakeUp.wait(isStartPending() ? pendingStartInterval : storeWait, signal);
         }
         else if (hasUnacknowledgedEnds()) {
             // The poll proved that the incarnation goes on; the acknowledgement has to follow shortly after.
--- a/packages/workflow/tests/worker-session.test.ts
+++ b/packages/workflow/tests/worker-session.test.ts
@@ -39,6 +39,8 @@
     let acknowledged: number[];
     /** Delays in ms of the answers to the next polls, in order; later answers arrive at once. */
     let delays: number[];
+    /** Delay in ms of the answers to polls that acknowledge ends, in place of `delays`; undefined for none. */
+    let acknowledgementDelay: number | undefined;
     let session: WorkerSession;
     const report = (bornAt: number): Result<WorkerReport, OrderError> =>
         Result.ok({ clock: 500_000 + performance.now(), bornAt, running: [], ended: [] });
@@ -58,6 +60,7 @@
         stopResults = [];
         acknowledged = [];
         delays = [];
+        acknowledgementDelay = undefined;
         const lateOrderDetector = createLateOrderDetector();
         session = createWorkerSession({
             entry,
@@ -75,7 +78,9 @@
                     waits.push(wait);
                     acknowledged.push(recordedEnd);
                     const given = answer;
-                    const delay = delays.shift();
+                    const delay = recordedEnd > 0 && acknowledgementDelay !== undefined
+                        ? acknowledgementDelay
+                        : delays.shift();
                     if (delay !== undefined) {
                         await sleep(delay);
                     }
@@ -208,6 +213,15 @@
         expect(Math.max(...waits)).toBeLessThanOrEqual(200);
     });
 
+    // Guards against the same while the ends of other tasks wait for a store that does not answer.
+    it("polls at least every 200 ms for that also while ends wait to be stored", async () => {
+        answer = listing(57);
+        await jest.advanceTimersByTimeAsync(500);
+        tokens = [];
+        await jest.advanceTimersByTimeAsync(2_000);
+        expect(tokens.length).toBeGreaterThanOrEqual(10);
+    });
+
     // Guards against a new incarnation that forgets a `done` task because of an acknowledgement to its predecessor.
     it("sends starts with a higher token if an acknowledgement has not been answered for 100 ms", async () => {
         answer = listing(57);
@@ -215,7 +229,7 @@
         acknowledged = [];
         tokens = [];
         session.recordEnds(57);
-        delays = [0, 2_000];
+        acknowledgementDelay = 2_000;
         await jest.advanceTimersByTimeAsync(150);
         const unanswered = tokens[acknowledged.indexOf(57)] ?? Infinity;
         await session.start({ task: "j.0.0.1" as never, run: 1, payload: "", checkpoint: "" });
