--- a/packages/workflow/src/cell/store-workflows.ts
+++ b/packages/workflow/src/cell/store-workflows.ts
@@ -9,13 +9,18 @@
 /** Result of one attempt to store a workflow. */
 export type StoreAttempt =
     /**
-     * `refused`: this attempt wrote nothing. `throttled`: as `refused`, since the store has too many calls; another
-     * attempt may succeed shortly. `unknown`: its write may have taken effect, or may do so later.
-     * `impossible`: no write of this or an earlier attempt can take effect any more, since another host holds the cell
-     * or the longest delay of a write has passed. `not-written`: this attempt wrote nothing, since the index has the id
-     * of another workflow in the same transaction.
+     * This attempt wrote nothing. `throttled`: the store has too many calls, so that another attempt may succeed
+     * shortly. `not-written`: the index has the id of another workflow in the same transaction. `refused`: any other
+     * reason.
      */
-    | { readonly kind: "refused" | "throttled" | "unknown" | "impossible" | "not-written"; }
+    | { readonly kind: "refused" | "throttled" | "not-written"; }
+    /** The write of this attempt may have taken effect, or may do so later. */
+    | { readonly kind: "unknown"; }
+    /**
+     * No write of this or an earlier attempt can take effect any more, since another host holds the cell or the longest
+     * delay of a write has passed.
+     */
+    | { readonly kind: "impossible"; }
     | { readonly kind: "stored"; readonly workflow: Workflow; }
     /** The index already names `cell` for this id, which is this cell or another one. */
     | { readonly kind: "indexed"; readonly cell: CellId; readonly id: JobId; };
@@ -55,9 +60,8 @@
     rows.find(row => row.table === table && row.key === key);
 
 /**
- * Tries once to store workflows whose ids no cell has yet, all in one transaction; repeated attempts never store a
- * workflow twice. If the index has some of the ids, the others get `not-written`: nothing speaks against another
- * attempt without those.
+ * Tries once to store workflows, all in one transaction. Fails for all of them if the index already has the id of one;
+ * the others then get `not-written` and can be stored by another attempt. No workflow is ever stored twice.
  */
 export const storeWorkflows = async (
     { store, lease, workflows, logger }: StoreWorkflowsOptions,
--- a/packages/workflow/src/cell/submission-writer.ts
+++ b/packages/workflow/src/cell/submission-writer.ts
@@ -34,8 +34,8 @@
 }
 
 /**
- * Transactions under way at a time. The store carries out the transactions of a cell one after another, so that a
- * second one only bridges the time until the loss of an answer is noticed.
+ * Transactions under way at a time. The store carries out the transactions of a cell one after another, so that more of
+ * them would only wait there; the second one matters if the answer to the first is lost.
  */
 const maxTransactions = 2;
 /** Milliseconds for which the first transaction must be under way before a second one is sent. */
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -165,7 +165,8 @@
     const token = (): number => epoch * tokensPerEpoch + tokenRaises;
     /**
      * Raises the token of all further orders. Once one of them has reached the worker, earlier orders that are still
-     * on their way have no effect there, even if the worker has restarted unnoticed in between.
+     * on their way have no effect there, even if the worker has restarted unnoticed in between. After
+     * `tokensPerEpoch - 1` raises the token stays as it is, and only later holders raise it again.
      */
     const raiseToken = (): void => {
         tokenRaises = Math.min(tokenRaises + 1, tokensPerEpoch - 1);
