--- /dev/null
+++ b/packages/workflow/src/cell/order-tokens.ts
@@ -0,0 +1,54 @@
+import type { Result } from "true-myth";
+
+import type { OrderError } from "../port/worker-gateway.js";
+
+/**
+ * Fencing tokens of the orders to one worker. A worker refuses orders with a lower token than the highest that it has
+ * seen. Therefore, once an order with a raised token has reached it, earlier orders that are still on their way have
+ * no effect there, even if the worker has restarted unnoticed in between.
+ */
+export interface OrderTokens {
+    /** The token of the next order. */
+    readonly current: () => number;
+    /** Raises the token of all further orders. */
+    readonly raise: () => void;
+    /** Raises the token after an order that was not answered and may be carried out late, unless it was raised since. */
+    readonly supersede: (sentToken: number) => void;
+    /** Sends an order; repeats it if the worker refused it only because the token was raised meanwhile. */
+    readonly send: <Value>(
+        order: (token: number) => Promise<Result<Value, OrderError>>,
+    ) => Promise<Result<Value, OrderError>>;
+}
+
+/**
+ * Tokens per epoch and worker; those of a later holder are all higher. When they are used up, the token stays as it is
+ * until the next holder raises it.
+ */
+const tokensPerEpoch = 1_024;
+
+/** Creates the tokens of the holder with the given epoch. */
+export const createOrderTokens = (epoch: number): OrderTokens => {
+    let raises = 0;
+    const current = (): number => epoch * tokensPerEpoch + raises;
+    const raise = (): void => {
+        raises = Math.min(raises + 1, tokensPerEpoch - 1);
+    };
+    return {
+        current,
+        raise,
+        supersede: sentToken => {
+            if (sentToken === current()) {
+                raise();
+            }
+        },
+        send: async order => {
+            let token = current();
+            let result = await order(token);
+            while (result.isErr && result.error.kind === "fenced" && token < current()) {
+                token = current();
+                result = await order(token);
+            }
+            return result;
+        },
+    };
+};
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -11,6 +11,7 @@
 import type { LateOrderDetector } from "./late-order-detector.js";
 import type { LeaseExpiry } from "./lease-expiry.js";
 import { createLeaseExpiry } from "./lease-expiry.js";
+import { createOrderTokens } from "./order-tokens.js";
 import { createWorkerClock } from "./worker-clock.js";
 
 /**
@@ -99,8 +100,6 @@
 const storeWait = 500;
 /** Milliseconds between attempts to send a stop that is not answered. */
 const stopRetryInterval = 300;
-/** Tokens per epoch and worker, see `raiseToken`; those of a later holder are all higher. */
-const tokensPerEpoch = 1_024;
 /** Remaining share of a lease below which the lease is extended. */
 const extensionShare = 0.6;
 /** Milliseconds after an unanswered call within which an answer to another call shows that the worker was reachable. */
@@ -120,6 +119,7 @@
     const lease = leaseDuration(timing);
     const clock = createWorkerClock(lease, timing.clockDrift);
     const wakeUp = createWakeUp();
+    const tokens = createOrderTokens(epoch);
     const newLeaseExpiry = (initial: number): LeaseExpiry =>
         createLeaseExpiry({
             longestLease: timing.longestLease,
@@ -142,8 +142,6 @@
     /** Latest deadline that the worker has confirmed, in ms on its clock. */
     let grantedDeadline = 0;
     let consecutiveFailures = 0;
-    /** Number of times that the token has been raised, see `raiseToken`. */
-    let tokenRaises = 0;
     /** Monotonic time in ms of the last unanswered call, or -Infinity if a report came since. */
     let unansweredAt = -Infinity;
     /** Monotonic time in ms at which the current incarnation last reported or was detected. */
@@ -162,35 +160,8 @@
             events.onContactChange(session);
         }
     };
-    const token = (): number => epoch * tokensPerEpoch + tokenRaises;
-    /**
-     * Raises the token of all further orders. Once one of them has reached the worker, earlier orders that are still
-     * on their way have no effect there, even if the worker has restarted unnoticed in between. After
-     * `tokensPerEpoch - 1` raises the token stays as it is, and only later holders raise it again.
-     */
-    const raiseToken = (): void => {
-        tokenRaises = Math.min(tokenRaises + 1, tokensPerEpoch - 1);
-    };
-    /** Raises the token after an order that was not answered and may be carried out late, unless it was raised since. */
-    const supersedeOrder = (sentToken: number): void => {
-        if (sentToken === token()) {
-            raiseToken();
-        }
-    };
-    /** Sends an order; repeats it if the worker refused it only because the token was raised meanwhile. */
-    const sendOrder = async <Value>(
-        send: (sentToken: number) => Promise<Result<Value, OrderError>>,
-    ): Promise<Result<Value, OrderError>> => {
-        let sentToken = token();
-        let result = await send(sentToken);
-        while (result.isErr && result.error.kind === "fenced" && sentToken < token()) {
-            sentToken = token();
-            result = await send(sentToken);
-        }
-        return result;
-    };
     const resetIncarnation = (): void => {
-        raiseToken();
+        tokens.raise();
         clock.reset();
         recordedEnd = 0;
         listedEnd = 0;
@@ -231,7 +202,7 @@
         error.kind === "reborn" && sentAt > incarnationSeenAt && contact !== "lapsed";
     const handleFailure = (error: OrderError, sentAt: number, sentToken: number): void => {
         if (error.kind === "fenced") {
-            if (sentToken === token()) {
+            if (sentToken === tokens.current()) {
                 events.onFenced(session);
             }
             return;
@@ -289,9 +260,9 @@
             ? undefined
             : leaseExpiry.recordDeadlineSent(clock.timeUntil(deadline));
         const endToAcknowledge = hasUnacknowledgedEnds() && isIncarnationProven() ? recordedEnd : 0;
-        const sentToken = token();
+        const sentToken = tokens.current();
         const supersedeTimer = endToAcknowledge > 0
-            ? setTimeout(supersedeOrder, incarnationProofTime, sentToken)
+            ? setTimeout(tokens.supersede, incarnationProofTime, sentToken)
             : undefined;
         const report = await gateway.poll(entry, {
             token: sentToken,
@@ -302,7 +273,7 @@
         clearTimeout(supersedeTimer);
         if (report.isErr) {
             if (report.error.kind === "unknown" && endToAcknowledge > 0) {
-                supersedeOrder(sentToken);
+                tokens.supersede(sentToken);
             }
             handleFailure(report.error, sentAt, sentToken);
             return false;
@@ -363,10 +334,10 @@
             const deadline = clock.deadline() ?? 0;
             const confirmDeadline = leaseExpiry.recordDeadlineSent(clock.timeUntil(deadline));
             startPossibleUntil = Math.max(startPossibleUntil, performance.now());
-            let lastToken = token();
-            const result = await sendOrder(sentToken => {
-                lastToken = sentToken;
-                return gateway.start(entry, { ...order, token: sentToken, deadline });
+            let sentToken = tokens.current();
+            const result = await tokens.send(token => {
+                sentToken = token;
+                return gateway.start(entry, { ...order, token, deadline });
             });
             startPossibleUntil = Math.max(startPossibleUntil, performance.now());
             if (result.isOk || result.error.kind !== "unknown") {
@@ -376,7 +347,7 @@
                 unansweredAt = performance.now();
                 unansweredStartAt = unansweredAt;
                 startPossibleUntil = unansweredAt + timing.lateOrderTime;
-                supersedeOrder(lastToken);
+                tokens.supersede(sentToken);
                 wakeUp.notify();
             }
             if (result.isOk) {
@@ -391,7 +362,7 @@
         },
         stop: async (task, run) => {
             while (contact !== "lapsed") {
-                const result = await sendOrder(sentToken => gateway.stop(entry, { task, run, token: sentToken }));
+                const result = await tokens.send(token => gateway.stop(entry, { task, run, token }));
                 if (result.isOk) {
                     wakeUp.notify();
                     return true;
@@ -405,7 +376,7 @@
             return false;
         },
         throttle: async (task, run, percent) =>
-            (await sendOrder(sentToken => gateway.throttle(entry, { task, run, token: sentToken, percent }))).isOk,
+            (await tokens.send(token => gateway.throttle(entry, { task, run, token, percent }))).isOk,
         recordEnds: number => {
             recordedEnd = Math.max(recordedEnd, number);
             wakeUp.notify();
--- a/packages/workflow/src/store/adaptive-timeout-store.ts
+++ b/packages/workflow/src/store/adaptive-timeout-store.ts
@@ -1,3 +1,5 @@
+import type { Result } from "true-myth";
+
 import type { StateStore, StoreError } from "../port/state-store.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import { createResponseTimeEstimate } from "./response-time-estimate.js";
@@ -19,42 +21,30 @@
  */
 export const createAdaptiveTimeoutStore = ({ store, metrics }: AdaptiveTimeoutStoreOptions): StateStore => {
     const estimate = createResponseTimeEstimate({ minTimeout, maxTimeout });
-    /** Errors that the store has answered with, so that their time is a sample; a refusal takes no work. */
-    const isAnswer = (error: StoreError): boolean => error.kind === "conflict";
-    const measure = async <Answer extends { readonly isErr: boolean; }>(
+    const measure = async <Value>(
         operation: string,
-        errorOf: (answer: Answer) => StoreError | undefined,
-        send: (timeout: number) => Promise<Answer>,
-    ): Promise<Answer> => {
+        send: (timeout: number) => Promise<Result<Value, StoreError>>,
+    ): Promise<Result<Value, StoreError>> => {
         const timeout = estimate.timeout();
         const sentAt = performance.now();
-        const answer = await send(timeout);
+        const result = await send(timeout);
         const took = performance.now() - sentAt;
-        const error = errorOf(answer);
-        if (error === undefined || isAnswer(error)) {
+        // A refusal takes the store no work, so that its time says nothing.
+        if (result.isOk || result.error.kind === "conflict") {
             estimate.recordAnswer(took);
             metrics.storeSeconds.observe({ operation }, took / 1_000);
         }
-        else if (error.kind === "unknown" && took >= timeout) {
+        else if (result.error.kind === "unknown" && took >= timeout) {
             estimate.recordTimeout(timeout);
         }
         metrics.storeTimeout.set(estimate.timeout() / 1_000);
-        return answer;
+        return result;
     };
     return {
-        commit: transaction =>
-            measure(
-                "commit",
-                answer => answer.isErr ? answer.error : undefined,
-                timeout => store.commit(transaction, timeout),
-            ),
-        read: async (table, partition, key, timeout) =>
+        commit: transaction => measure("commit", timeout => store.commit(transaction, timeout)),
+        read: (table, partition, key, timeout) =>
             timeout === undefined
-                ? measure(
-                    "read",
-                    answer => answer.isErr ? answer.error : undefined,
-                    adaptive => store.read(table, partition, key, adaptive),
-                )
+                ? measure("read", adaptive => store.read(table, partition, key, adaptive))
                 : store.read(table, partition, key, timeout),
         follow: store.follow,
     };
