--- a/packages/bench/tests/workflow/slow-store.test.ts
+++ b/packages/bench/tests/workflow/slow-store.test.ts
@@ -72,7 +72,17 @@
     };
     const acceptedShare = (outcomes: readonly string[]): number =>
         outcomes.filter(outcome => outcome === "accepted").length / outcomes.length;
-    const disturbCalls = (fault: NetworkFault) => (): () => void => cluster.platform.network.addFault(fault);
+    /** Applies a fault to every `period`th write. */
+    const disturbWrites = (period: number, fault: Omit<NetworkFault, "matches">) => (): () => void => {
+        let writes = 0;
+        return cluster.platform.network.addFault({
+            ...fault,
+            matches: (...[, call]) => {
+                writes += isWriteCall(call) ? 1 : 0;
+                return isWriteCall(call) && writes % period === 0;
+            },
+        });
+    };
 
     // Guards against submitters that are refused for seconds since each submission is a transaction of its own.
     it("are accepted while the store is 60 times slower", async () => {
@@ -82,53 +92,27 @@
                 cluster.platform.store.slowdown = 1;
             };
         });
-        expect({ outcomes, breach: findBreach(cluster.platform.journal.events) }).toEqual({
-            outcomes,
-            breach: undefined,
-        });
         expect(acceptedShare(outcomes)).toBeGreaterThanOrEqual(0.9);
+        expect(findBreach(cluster.platform.journal.events)).toBeUndefined();
     });
 
     // Guards against a lost answer to one transaction that keeps all later submissions waiting.
     it("are accepted while a third of the answers to writes is lost", async () => {
-        let writes = 0;
-        const outcomes = await submitThroughout(disturbCalls({
-            matches: (...[, call]) => {
-                writes += isWriteCall(call) ? 1 : 0;
-                return isWriteCall(call) && writes % 3 === 0;
-            },
-            action: "lose-answer",
-        }));
+        const outcomes = await submitThroughout(disturbWrites(3, { action: "lose-answer" }));
         expect(acceptedShare(outcomes)).toBeGreaterThanOrEqual(0.9);
         expect(findBreach(cluster.platform.journal.events)).toBeUndefined();
     });
 
     // Guards against retries that add to the load of a store that refuses every other write.
     it("are accepted while the store refuses every other write with 429", async () => {
-        let writes = 0;
-        const outcomes = await submitThroughout(disturbCalls({
-            matches: (...[, call]) => {
-                writes += isWriteCall(call) ? 1 : 0;
-                return isWriteCall(call) && writes % 2 === 0;
-            },
-            action: "refuse",
-            status: 429,
-        }));
+        const outcomes = await submitThroughout(disturbWrites(2, { action: "refuse", status: 429 }));
         expect(acceptedShare(outcomes)).toBeGreaterThanOrEqual(0.9);
         expect(findBreach(cluster.platform.journal.events)).toBeUndefined();
     });
 
     // Guards against a workflow that is stored twice, or called refused, because its write was carried out late.
     it("run once each while a third of the writes is carried out 2 s late", async () => {
-        let writes = 0;
-        const outcomes = await submitThroughout(disturbCalls({
-            matches: (...[, call]) => {
-                writes += isWriteCall(call) ? 1 : 0;
-                return isWriteCall(call) && writes % 3 === 0;
-            },
-            action: "late",
-            delay: 2_000,
-        }));
+        const outcomes = await submitThroughout(disturbWrites(3, { action: "late", delay: 2_000 }));
         const ran = new Set(
             cluster.platform.journal.events.filter(({ kind }) => kind === "started").map(({ task }) =>
                 Number.parseInt(task.split(".")[0] ?? "", 16)
