Use one check of harmless pairs and the common sleep

Found on the last read of the change: slackWith tested again, negated, what setPaces tests of a spare-CPU task and the serving images beside it; both call isHarmless now. The stand-in's store had a pause of its own beside sleep of @jayfront/world.

--- a/packages/platform-stand-in/src/protocol/protocol-store.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-store.ts
@@ -1,3 +1,5 @@
+import { sleep } from "@jayfront/world";
+
 import type { ProtocolAnswer, ProtocolCall, ProtocolHandler } from "./protocol-answer.js";
 
 /** A row as in the store's protocol; `value` is base64, `schemaVersion` the version of the row. */
@@ -52,10 +54,6 @@
 const transactionTime = 1_000 / 300;
 /** Milliseconds of waiting transactions above which a partition refuses more. */
 const longestQueue = 1_000;
-const pause = (milliseconds: number): Promise<void> =>
-    new Promise(resolve => {
-        setTimeout(resolve, milliseconds);
-    });
 const rowKey = (row: Pick<WireRow, "table" | "part" | "key">): string =>
     `${row.table}\u0000${row.part}\u0000${row.key}`;
 const encode = (value: unknown): string => Buffer.from(JSON.stringify(value)).toString("base64");
@@ -135,7 +133,7 @@
         }
         const endAt = startAt + transactionTime * slowdown * Math.min(parts.size, 2);
         parts.forEach(part => busyUntil.set(part, endAt));
-        await pause(endAt - now);
+        await sleep(endAt - now);
         return transact(transaction);
     };
     const read = ({ query }: ProtocolCall): ProtocolAnswer => {
@@ -180,7 +178,7 @@
             slowdown > 1 ? transactInTurn(body as WireTransaction) : transact(body as WireTransaction),
         "GET /api/rows-get": async call => {
             if (slowdown > 1) {
-                await pause(readTime * slowdown);
+                await sleep(readTime * slowdown);
             }
             return read(call);
         },
--- a/packages/workflow/src/cell/interference-controller.ts
+++ b/packages/workflow/src/cell/interference-controller.ts
@@ -123,6 +123,9 @@
         }));
         model.learn(samples, mix, now);
     };
+    /** Whether tasks of the step are too harmless to serving tasks of these images to be throttled by tail latency. */
+    const isHarmless = ({ image = "" }: Step, servingImages: readonly string[]): boolean =>
+        servingImages.every(serving => model.interference(serving, image) < minThrottledInterference);
     const setPaces = (worker: CellWorker, runs: readonly Run[]): void => {
         // Among tasks with equal interference, those with the most progress go first, so that their steps complete.
         const spare = spareRuns(runs)
@@ -136,10 +139,9 @@
             toServingTask(run, model.soloSpeed(run.position.job, performance.now()))
         );
         const paces = planPaces(servingTasks, spare.map(run => toSpareTask(worker, run.step)), model.interference);
-        const isHarmless = (run: Run): boolean =>
-            servingTasks.every(task => model.interference(task.image, run.step.image ?? "") < minThrottledInterference);
+        const servingImages = servingTasks.map(task => task.image);
         spare.forEach((run, index) => {
-            const planned = Math.round((paces[index] ?? 1) * (isHarmless(run) ? 1 : level) * 100);
+            const planned = Math.round((paces[index] ?? 1) * (isHarmless(run.step, servingImages) ? 1 : level) * 100);
             const pace = planned < minPace ? 0 : planned;
             const current = isHaltedUnexpectedly(run) ? undefined : run.pace;
             const isAtLimit = pace !== current && (pace === 0 || pace === 100);
@@ -225,12 +227,10 @@
                 toSpareTask(worker, step),
                 model.interference,
             );
-            const isHarmful = (): boolean =>
-                [...summary.servingImages.keys()].some(image =>
-                    model.interference(image, step.image ?? "") >= minThrottledInterference
-                );
             // What would be halted at the next review should start elsewhere.
-            return summary.hasHaltedTasks && isHarmful() ? { ...slack, after: -Infinity } : slack;
+            return summary.hasHaltedTasks && !isHarmless(step, [...summary.servingImages.keys()])
+                ? { ...slack, after: -Infinity }
+                : slack;
         },
     };
 };
