Log what excludes the workers with room where a step waits

`waited` counts from the readiness of the step, so that a long-running task that lost its run a moment ago can't be told from one that has waited for seconds.

The line `step waits` now counts the workers with room by the filter that excludes them (`excluded`), and tells the urgency class (`lasting`) and, for long-running tasks, the time without a run (`withoutRunFor`). Steps that are skipped because a step with the same requirements and no greater size found no worker, gangs that can't be placed and tasks that wait for an unanswered start wrote no line; now they do, the first with `blockedBy` instead of the counts. As before, a step writes at most one line in 2 s; the counts are made only for a line that is due. No decision changes.

--- a/packages/workflow/src/cell/eligible-workers.ts
+++ b/packages/workflow/src/cell/eligible-workers.ts
@@ -9,12 +9,31 @@
 import { canRunStep } from "./cell-workers.js";
 import type { UnansweredStarts } from "./unanswered-starts.js";
 
+/**
+ * Numbers of workers with room by what keeps a task from starting there. A worker counts only for the first filter that
+ * excludes it, in the order of these properties.
+ */
+export interface WorkerExclusions {
+    /** Run as many tasks of the step as `Step.perWorkerLimit` allows. */
+    readonly atLimit: number;
+    /** An unanswered start of the task may still be carried out elsewhere; see `UnansweredStarts.constraintOf`. */
+    readonly unansweredStart: number;
+    /** Their health allows no start, and the task doesn't start without that. */
+    readonly untrusted: number;
+    /** The task would interfere with serving tasks, or too little of the processor time that it uses is idle. */
+    readonly interference: number;
+    /** No filter excludes them. */
+    readonly none: number;
+}
+
 /** The workers on which tasks of one step may start in a pass; each is described anew only after a start on it. */
 export interface EligibleWorkers {
     /** The best worker for the task; undefined if it should wait. */
     readonly choose: (task: TaskName) => CellWorker | undefined;
     /** Updates the worker's entry after something has started there. */
     readonly refresh: (worker: CellWorker) => void;
+    /** Counts the workers with room by what keeps the task from starting there. */
+    readonly countExclusions: (task: TaskName) => WorkerExclusions;
 }
 
 /** Options of {@link createEligibleWorkers}. */
@@ -61,21 +80,36 @@
         const all = [...eligible.values()];
         return constraint === undefined ? all : all.filter(({ worker }) => worker.session.id === constraint);
     };
+    /** The workers that the task may start on as far as their health is concerned. */
+    const selectByHealth = (fitting: readonly EligibleWorker[]): readonly EligibleWorker[] => {
+        const trusted = fitting.filter(candidate => candidate.isTrusted);
+        // For a long-running task, a worker in quarantine is better than no run at all.
+        return trusted.length === 0 && step.isLasting ? fitting : trusted;
+    };
     workers.forEach(refresh);
     return {
         choose: task => {
-            const fitting = eligibleFor(task);
-            const trusted = fitting.filter(candidate => candidate.isTrusted);
-            // For a long-running task, a worker in quarantine is better than no run at all.
-            const considered = trusted.length === 0 && step.isLasting ? fitting : trusted;
             const best = chooseWorker(
                 step,
-                considered.map(({ worker, description }) =>
+                selectByHealth(eligibleFor(task)).map(({ worker, description }) =>
                     hasFailedOn(task, worker) ? { ...description, hasFailedBefore: true } : description
                 ),
             );
             return best === undefined ? undefined : eligible.get(best.id)?.worker;
         },
         refresh,
+        countExclusions: task => {
+            const withRoom = workers.filter(worker => canRunStep(worker, step)).length;
+            const fitting = eligibleFor(task);
+            const considered = selectByHealth(fitting);
+            const suitable = considered.filter(({ description }) => chooseWorker(step, [description]) !== undefined);
+            return {
+                atLimit: withRoom - eligible.size,
+                unansweredStart: eligible.size - fitting.length,
+                untrusted: fitting.length - considered.length,
+                interference: considered.length - suitable.length,
+                none: suitable.length,
+            };
+        },
     };
 };
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -13,8 +13,8 @@
 import { compareUrgency } from "../policy/urgency.js";
 import type { WorkerCandidate } from "../policy/worker-candidate.js";
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
-import { isOpenTo, mayStartOn } from "./cell-workers.js";
-import type { EligibleWorkers } from "./eligible-workers.js";
+import { canRunStep, isOpenTo, mayStartOn } from "./cell-workers.js";
+import type { EligibleWorkers, WorkerExclusions } from "./eligible-workers.js";
 import { createEligibleWorkers } from "./eligible-workers.js";
 import type { InterferenceController, ServingSummary } from "./interference-controller.js";
 import { createLongRunningAdmission } from "./long-running-admission.js";
@@ -52,6 +52,22 @@
     readonly interference: Pick<InterferenceController, "summarizeServing" | "slackWith" | "compatibleShareLoss">;
 }
 
+/** Properties that tell in the log what excludes the workers with room. */
+interface WaitDetails {
+    /**
+     * Numbers of workers with room by the filter that excludes them: `reserved` for other tasks, those of
+     * `WorkerExclusions`, and room that is kept for urgent work.
+     */
+    readonly excluded?: Omit<WorkerExclusions, "none"> & { readonly reserved: number; readonly keptForUrgent: number; };
+    /** Step that found no worker in the same pass, named by its workflow, occurrence and index; its tasks need no more. */
+    readonly blockedBy?: string;
+}
+
+const stageName = ({ ledger, stage }: StageCandidate): string =>
+    `${ledger.workflow.id}.${String(stage.occurrence)}.${String(stage.stepIndex)}`;
+
+const isAtLeastAsLarge = (step: Step, other: Step): boolean => step.cpu >= other.cpu && step.memory >= other.memory;
+
 const taskOf = ({ ledger, stage }: StageCandidate, index: number): TaskName =>
     taskName({ job: ledger.workflow.id, occurrence: stage.occurrence, step: stage.stepIndex, index });
 
@@ -107,8 +123,8 @@
     const summaries = new Map<WorkerId, ServingSummary>();
     /** Workers that accept new tasks, by service. */
     const openWorkers = new Map<ServiceId, readonly CellWorker[]>();
-    /** Size of a step that found no worker, by the step's other requirements. */
-    const blockedSizes = new Map<string, Pick<Step, "cpu" | "memory">>();
+    /** Stages that found no worker, by the requirements of their steps except the size. */
+    const blockedStages = new Map<string, StageCandidate>();
 
     const runTimesOf = (ledger: WorkflowLedger, queue: Queue) => (step: Step, number: number): number =>
         runTime(ledger.workflow.id, queue, step, number);
@@ -217,11 +233,16 @@
             constraintOf,
         });
     };
+    /** Milliseconds for which the task that has waited longest has had no run; it may have run before. */
+    const longestAbsence = ({ stage: { record }, indices }: StageCandidate, now: number): number => {
+        const since = indices.map(index => record.lastEnds.get(index) ?? record.readySince ?? now);
+        return now - Math.min(now, ...since);
+    };
     /**
-     * Logs what tasks of a step wait for: room, a healthy worker with room, less interference there, or room that is
-     * not kept for urgent work.
+     * Logs what tasks of a step wait for: room, or what excludes the workers with room. `details` returns further
+     * properties of the line and is called only if the line is due.
      */
-    const logWait = (candidate: StageCandidate): void => {
+    const logWait = (candidate: StageCandidate, details: () => WaitDetails): void => {
         const { ledger, queue, stage: { step, stepIndex, record }, urgency, indices } = candidate;
         const now = performance.now();
         if (now - record.waitLoggedAt < waitLogInterval) {
@@ -239,8 +260,19 @@
             withRoom: fitting.length,
             trusted: fitting.filter(worker => health.allowance(worker.session.id) > 0).length,
             isKeptForUrgent: fitting.length > 0 && !admission.mayStart(candidate),
+            lasting: urgency.lasting,
+            withoutRunFor: step.isLasting ? Math.round(longestAbsence(candidate, now)) : undefined,
+            ...details(),
         }, "step waits");
     };
+    /** Counts the workers with room on which the task may not start in this pass, by what excludes them. */
+    const countExcluded = (candidate: StageCandidate, index: number, eligibleWorkers: EligibleWorkers): WaitDetails => {
+        const { queue, stage: { step } } = candidate;
+        const reserved = workersOpenTo(queue.service)
+            .filter(worker => reservations.isReserved(worker) && canRunStep(worker, step)).length;
+        const { none, ...excluded } = eligibleWorkers.countExclusions(taskOf(candidate, index));
+        return { excluded: { reserved, ...excluded, keptForUrgent: admission.mayStart(candidate) ? 0 : none } };
+    };
     const startOne = (candidate: StageCandidate, index: number, worker: CellWorker, number?: number): void => {
         health.recordStart(worker.session.id);
         summaries.delete(worker.session.id);
@@ -295,6 +327,8 @@
             : undefined;
         const plan = oneRackPlan ?? planGang(candidate);
         if (plan === undefined) {
+            const [first = 0] = record.waiting;
+            logWait(candidate, () => countExcluded(candidate, first, eligibleWorkersFor(candidate)));
             return;
         }
         const indices = [...record.waiting];
@@ -331,39 +365,47 @@
     const startTasks = (candidate: StageCandidate): void => {
         const { stage: { step }, indices } = candidate;
         const requirements = requirementsOf(candidate);
-        const blocked = blockedSizes.get(requirements);
-        if (blocked !== undefined && step.cpu >= blocked.cpu && step.memory >= blocked.memory) {
+        const blocked = blockedStages.get(requirements);
+        if (blocked !== undefined && isAtLeastAsLarge(step, blocked.stage.step)) {
+            logWait(candidate, () => ({ blockedBy: stageName(blocked) }));
             reserveWorkers(candidate, indices);
             return;
         }
         let eligibleWorkers: EligibleWorkers | undefined;
+        let constrainedIndex: number | undefined;
         for (const [position, index] of indices.entries()) {
             if (!admission.mayStart(candidate)) {
-                logWait(candidate);
+                logWait(candidate, () => countExcluded(candidate, index, eligibleWorkersFor(candidate)));
                 return;
             }
-            eligibleWorkers ??= eligibleWorkersFor(candidate);
-            const worker = eligibleWorkers.choose(taskOf(candidate, index));
+            const eligible = eligibleWorkers ??= eligibleWorkersFor(candidate);
+            const worker = eligible.choose(taskOf(candidate, index));
             if (worker === undefined && constraintOf(taskOf(candidate, index)) !== undefined) {
+                constrainedIndex ??= index;
                 continue;
             }
             if (worker === undefined) {
                 if (step.perWorkerLimit === undefined) {
-                    blockedSizes.set(requirements, step);
+                    blockedStages.set(requirements, candidate);
                 }
+                logWait(candidate, () => countExcluded(candidate, index, eligible));
                 reserveWorkers(candidate, indices.slice(position));
-                logWait(candidate);
                 return;
             }
             startOne(candidate, index, worker);
-            eligibleWorkers.refresh(worker);
+            eligible.refresh(worker);
+        }
+        if (constrainedIndex !== undefined && eligibleWorkers !== undefined) {
+            const index = constrainedIndex;
+            const eligible = eligibleWorkers;
+            logWait(candidate, () => countExcluded(candidate, index, eligible));
         }
     };
     return {
         runPass: () => {
             summaries.clear();
             openWorkers.clear();
-            blockedSizes.clear();
+            blockedStages.clear();
             const waiting = findCandidates();
             admission.beginPass(waiting);
             reservations.beginPass();
--- a/packages/workflow/src/ledger/step-record.ts
+++ b/packages/workflow/src/ledger/step-record.ts
@@ -10,6 +10,8 @@
     readonly waiting: Set<number>;
     /** Indices of tasks that have run under the present holder of the workflow. */
     readonly started: Set<number>;
+    /** Times at which the last runs of waiting tasks ended under the present holder, by task index, in monotonic ms. */
+    readonly lastEnds: Map<number, number>;
     /** Time at which the step's tasks could first start, in ms of the monotonic clock; undefined before. */
     readySince: number | undefined;
     /** Time at which the reason why the step's tasks wait was last logged, in ms of the monotonic clock. */
@@ -23,6 +25,7 @@
     checkpoints: new Map(),
     waiting: new Set(Array(count).keys()),
     started: new Set(),
+    lastEnds: new Map(),
     readySince: undefined,
     waitLoggedAt: -Infinity,
 });
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -169,6 +169,7 @@
             if (stage !== undefined) {
                 stage.record.waiting.delete(position.index);
                 stage.record.started.add(position.index);
+                stage.record.lastEnds.delete(position.index);
             }
             hasStarted = true;
         },
@@ -176,6 +177,7 @@
             const stage = stageOf(position);
             if (stage !== undefined && !stage.record.done.has(position.index)) {
                 stage.record.waiting.add(position.index);
+                stage.record.lastEnds.set(position.index, performance.now());
             }
         },
         recordDone: position => {
--- a/packages/workflow/tests/stage-scheduler.test.ts
+++ b/packages/workflow/tests/stage-scheduler.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
 
 import type { Run } from "../src/cell/run.js";
+import type { WorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import type { TestCell } from "./test-cell.js";
 import { createTestCell } from "./test-cell.js";
 
@@ -115,3 +116,128 @@
         expect(absent).toBeLessThanOrEqual(longestAbsence);
     });
 });
+
+describe("the log line on a step that waits", () => {
+    beforeEach(() => {
+        jest.useFakeTimers();
+    });
+    afterEach(() => {
+        jest.useRealTimers();
+    });
+    const noExclusions = {
+        reserved: 0,
+        atLimit: 0,
+        unansweredStart: 0,
+        untrusted: 0,
+        interference: 0,
+        keptForUrgent: 0,
+    };
+    const waits = (cell: TestCell, ledger: WorkflowLedger): Readonly<Record<string, unknown>>[] =>
+        cell.logged("step waits").filter(line => line["job"] === ledger.workflow.id);
+
+    it("counts the workers that are reserved for other tasks", () => {
+        const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: 1_000 });
+        cell.submit({}, [{ count: 2, cpu: 10_000 }]);
+        cell.scheduler.runPass();
+        cell.submit({}, [{ cpu: 16_000, isLasting: true }]);
+        const late = cell.submit({ priority: 2 }, [{ count: 2, cpu: 4_000 }]);
+        cell.scheduler.runPass();
+        expect(waits(cell, late)).toMatchObject([
+            { lasting: "no", withRoom: 1, excluded: { ...noExclusions, reserved: 1 } },
+        ]);
+    });
+
+    it("counts the workers that run as many tasks of the step as they may", () => {
+        const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: 1_000 });
+        const workflow = cell.submit({}, [{ count: 3, perWorkerLimit: 1 }]);
+        cell.scheduler.runPass();
+        expect(waits(cell, workflow)).toMatchObject([{ withRoom: 2, excluded: { ...noExclusions, atLimit: 2 } }]);
+    });
+
+    it("counts the workers on which a task may not start after an unanswered start", () => {
+        const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: 1_000, constraintOf: () => "nowhere" });
+        const workflow = cell.submit({}, [{ count: 3 }]);
+        cell.scheduler.runPass();
+        expect(waits(cell, workflow)).toMatchObject([
+            { tasks: 3, withRoom: 2, excluded: { ...noExclusions, unansweredStart: 2 } },
+        ]);
+    });
+
+    it("counts the workers that are not trusted", () => {
+        const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: 1_000, startLimit: 1 });
+        const workflow = cell.submit({}, [{ count: 3 }]);
+        cell.scheduler.runPass();
+        expect(waits(cell, workflow)).toMatchObject([
+            { withRoom: 2, trusted: 0, excluded: { ...noExclusions, untrusted: 2 } },
+        ]);
+    });
+
+    it("counts the workers on which the task would interfere with serving tasks", () => {
+        const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: 1_000 });
+        const workflow = cell.submit({}, [{ cpu: 60_000, usesSpareCpu: true, image: "batch" }]);
+        cell.scheduler.runPass();
+        expect(waits(cell, workflow)).toMatchObject([{ withRoom: 2, excluded: { ...noExclusions, interference: 2 } }]);
+    });
+
+    it("counts the workers whose room is kept for urgent work", () => {
+        const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: 1_000 });
+        cell.submit({}, [{ count: 8, cpu: 4_000 }]);
+        cell.scheduler.runPass();
+        jest.advanceTimersByTime(passInterval);
+        cell.scheduler.runPass();
+        for (const run of [...cell.runRegistry.all()]) {
+            cell.endRun(run, "done");
+        }
+        jest.advanceTimersByTime(passInterval);
+        const workflow = cell.submit({}, [{ count: 2, cpu: 4_000, isLasting: true }]);
+        cell.scheduler.runPass();
+        expect(waits(cell, workflow)).toMatchObject([
+            {
+                tasks: 1,
+                lasting: "new",
+                withRoom: 2,
+                isKeptForUrgent: true,
+                excluded: { ...noExclusions, keptForUrgent: 2 },
+            },
+        ]);
+    });
+
+    // Guards against steps that wait without a line in the log: those with the requirements of a step that found no
+    // worker in the same pass.
+    it("names the step without a worker that an equal or larger step waits behind", () => {
+        const cell = createTestCell({ workers: 1, cpu: 16_000, runTime: 1_000 });
+        const first = cell.submit({}, [{ cpu: 17_000 }]);
+        const second = cell.submit({}, [{ cpu: 18_000 }]);
+        cell.scheduler.runPass();
+        expect(waits(cell, second)).toMatchObject([{ withRoom: 0, blockedBy: `${first.workflow.id}.0.0` }]);
+    });
+
+    // Guards against gangs that wait without a line in the log.
+    it("is written for a gang whose members can't all start", () => {
+        const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: 1_000 });
+        const gang = cell.submit({}, [{ count: 3, cpu: 9_000, isGang: true }]);
+        cell.scheduler.runPass();
+        expect(waits(cell, gang)).toMatchObject([{ tasks: 3, withRoom: 2, excluded: noExclusions }]);
+    });
+
+    // Guards against a log that can't tell a task that lost its run just now from one that has waited since its step
+    // was ready.
+    it("tells for how long a long-running task has had no run", () => {
+        const cell = createTestCell({ workers: 1, cpu: 16_000, runTime: 1_000 });
+        const workflow = cell.submit({}, [{ cpu: 16_000, isLasting: true }]);
+        cell.scheduler.runPass();
+        jest.advanceTimersByTime(10_000);
+        for (const run of [...cell.runRegistry.all()]) {
+            cell.endRun(run, "lost");
+            cell.removeWorker(run.worker);
+        }
+        for (const pause of [400, 600, 999, 401]) {
+            jest.advanceTimersByTime(pause);
+            cell.scheduler.runPass();
+        }
+        expect(waits(cell, workflow)).toMatchObject([
+            { waited: 10_400, withoutRunFor: 400, lasting: "first" },
+            { waited: 12_400, withoutRunFor: 2_400 },
+        ]);
+    });
+});
--- a/packages/workflow/tests/test-cell.ts
+++ b/packages/workflow/tests/test-cell.ts
@@ -13,6 +13,7 @@
 import type { Run } from "../src/cell/run.js";
 import type { StageScheduler } from "../src/cell/stage-scheduler.js";
 import { createStageScheduler } from "../src/cell/stage-scheduler.js";
+import type { UnansweredStarts } from "../src/cell/unanswered-starts.js";
 import type { WorkerSession } from "../src/cell/worker-session.js";
 import type { WorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { createWorkflowLedger } from "../src/ledger/workflow-ledger.js";
@@ -32,6 +33,8 @@
      * expected run times.
      */
     readonly counts: { summaries: number; deadlines: number; interferences: number; runTimes: number; };
+    /** Lines of the scheduler's log with this message, oldest first. */
+    readonly logged: (message: string) => readonly Readonly<Record<string, unknown>>[];
     /** Adds a workflow; properties that are not given have the defaults of `testQueue` and `createStep`. */
     readonly submit: (queue: Partial<Queue>, steps: readonly Partial<Step>[]) => WorkflowLedger;
     /** Ends a run; its task is done, or waits again if the run was lost. */
@@ -47,6 +50,10 @@
     readonly cpu: number;
     /** Expected run time of all tasks in milliseconds. */
     readonly runTime: number;
+    /** Starts that a worker gets within 2 s without a success; default 1,000. */
+    readonly startLimit?: number;
+    /** See `UnansweredStarts.constraintOf`; no task is constrained by default. */
+    readonly constraintOf?: UnansweredStarts["constraintOf"];
 }
 
 const openSession = (id: WorkerId, cpu: number, deadline: () => number): WorkerSession => {
@@ -74,8 +81,15 @@
 });
 
 /** Creates a cell in which starts succeed immediately. */
-export const createTestCell = ({ workers: count, cpu, runTime }: TestCellOptions): TestCell => {
-    const logger = pino({ level: "silent" });
+export const createTestCell = (
+    { workers: count, cpu, runTime, startLimit = 1_000, constraintOf = () => undefined }: TestCellOptions,
+): TestCell => {
+    const lines: Readonly<Record<string, unknown>>[] = [];
+    const logger = pino({}, {
+        write: line => {
+            lines.push(JSON.parse(line) as Record<string, unknown>);
+        },
+    });
     const ids = [...Array(count).keys()].map(number => `w-${String(number)}` as WorkerId);
     const counts = { summaries: 0, deadlines: 0, interferences: 0, runTimes: 0 };
     const deadline = (): number => {
@@ -121,18 +135,19 @@
             counts.runTimes += 1;
             return runTime;
         },
-        health: createWorkerHealth({ initialStartLimit: 1_000 }),
+        health: createWorkerHealth({ initialStartLimit: startLimit }),
         logger,
         queueOf: ledger => ledger.workflow.queue,
         isHeldBack: () => false,
         hasFailedOn: () => false,
-        constraintOf: () => undefined,
+        constraintOf,
         interference,
     });
     return {
         scheduler,
         runRegistry,
         counts,
+        logged: message => lines.filter(line => line["msg"] === message),
         submit: (queue, steps) => {
             const ledger = createWorkflowLedger({
                 id: ledgers.length.toString(16).padStart(16, "0") as JobId,
