Ignore reads of a transfer row that were overtaken by later writes

What could be seen: a task that two cells run at the same time. The holder of the other cell reports a return once a second until the row has changed, and each report makes the workflow's cell read the row. A read that is answered late, after the return was applied, the row removed and the task transferred anew, was applied as a second return: the task waited in its own cell while the other one ran it.

Cause: a removed row had the known version 0, so that a read of any version counted as newer, and so did a read of the version that is known already; and a return by one cell also took a task back that another cell runs.

Evidence: outgoing-transfers.test.ts plays the sequence on a store with late answers.

Change: the known state of a row has the store's version that made it so, also after a removal; only later rows are applied. A ledger takes a task back only from the cell that runs it.

--- a/packages/workflow/src/cell/transfer-row-changes.ts
+++ b/packages/workflow/src/cell/transfer-row-changes.ts
@@ -16,19 +16,28 @@
         ledger: WorkflowLedger,
         find: (key: RowKey) => StoredRow | undefined,
     ) => readonly (readonly [CellId, StoredRow])[];
-    /** Takes over the version of a row that was read; false if a later one is known. */
+    /** Takes over the version of a row that was read; false if the same or a later state of the row is known. */
     readonly recordRead: (id: JobId, other: CellId, version: number) => boolean;
     /** Drops the versions of a workflow that is no longer kept in memory. */
     readonly forget: (id: JobId) => void;
 }
 
+/** Last known state of a row in the store. */
+interface RowState {
+    /** Version of the row; 0 if it is absent. */
+    readonly version: number;
+    /** Version of the store that made it so; rows of earlier versions are out of date. */
+    readonly since: number;
+}
+
 /** Creates the changes for a cell; rows that earlier holders wrote are read on the first conflict with them. */
 export const createTransferRowChanges = (cell: CellId): TransferRowChanges => {
-    /** Versions of the rows by workflow and cell, as far as known; 0 for a row that is absent. */
-    const versions = new Map<JobId, Map<CellId, number>>();
-    const versionOf = (id: JobId, other: CellId): number => versions.get(id)?.get(other) ?? 0;
-    const setVersion = (id: JobId, other: CellId, version: number): void => {
-        versions.set(id, (versions.get(id) ?? new Map<CellId, number>()).set(other, version));
+    /** States of the rows by workflow and cell, as far as known. */
+    const states = new Map<JobId, Map<CellId, RowState>>();
+    const stateOf = (id: JobId, other: CellId): RowState => states.get(id)?.get(other) ?? { version: 0, since: 0 };
+    const versionOf = (id: JobId, other: CellId): number => stateOf(id, other).version;
+    const setState = (id: JobId, other: CellId, state: RowState): void => {
+        states.set(id, (states.get(id) ?? new Map<CellId, RowState>()).set(other, state));
     };
     /** Cells that run tasks of the workflow, or that have given all of them back since the row was last written. */
     const cellsWithRow = ({ workflow: { id }, transfers }: WorkflowLedger): readonly CellId[] =>
@@ -58,30 +67,31 @@
         },
         recordStored: (id, { writes, removals }, version) => {
             writes.forEach(({ partition }) => {
-                setVersion(id, partition as CellId, version);
+                setState(id, partition as CellId, { version, since: version });
             });
             removals.forEach(({ partition }) => {
-                setVersion(id, partition as CellId, 0);
+                setState(id, partition as CellId, { version: 0, since: version });
             });
         },
         resolveConflict: (ledger, find) => {
             const { id } = ledger.workflow;
             return cellsWithRow(ledger).flatMap(other => {
                 const row = find(rowKeys.transfer(other, id));
-                const isChanged = versionOf(id, other) !== (row?.version ?? 0);
-                setVersion(id, other, row?.version ?? 0);
+                const { version, since } = stateOf(id, other);
+                const isChanged = version !== (row?.version ?? 0);
+                setState(id, other, { version: row?.version ?? 0, since: row?.version ?? since });
                 return row !== undefined && isChanged ? [[other, row] as const] : [];
             });
         },
         recordRead: (id, other, version) => {
-            const isNewer = version >= versionOf(id, other);
+            const isNewer = version > stateOf(id, other).since;
             if (isNewer) {
-                setVersion(id, other, version);
+                setState(id, other, { version, since: version });
             }
             return isNewer;
         },
         forget: id => {
-            versions.delete(id);
+            states.delete(id);
         },
     };
 };
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -58,7 +58,7 @@
     readonly recordCancellation: () => void;
     /** Records that `cell` runs the waiting long-running task from now on; its runs there have higher numbers. */
     readonly recordTransfer: (task: TransferredTask, cell: CellId) => void;
-    /** Records that `cell` has given the task back, which waits here again. */
+    /** Records that `cell` has given the task back, which waits here again; ignored unless `cell` runs the task. */
     readonly recordReturn: (position: TaskPosition, cell: CellId) => void;
     /** Records that a task which counted as done here, since another cell ran it, waits to be run here instead. */
     readonly recordArrival: (position: TaskPosition) => void;
@@ -248,12 +248,14 @@
             raiseRevision();
         },
         recordReturn: (position, cell) => {
-            const remaining = transfers.get(cell)?.filter(({ occurrence, step, index }) =>
+            const tasks = transfers.get(cell) ?? [];
+            const remaining = tasks.filter(({ occurrence, step, index }) =>
                 occurrence !== position.occurrence || step !== position.step || index !== position.index
             );
             const record = stageOf(position)?.record;
-            if (remaining !== undefined && record?.transferred.delete(position.index) === true) {
+            if (record !== undefined && remaining.length < tasks.length) {
                 transfers.set(cell, remaining);
+                record.transferred.delete(position.index);
                 record.waiting.add(position.index);
                 record.started.add(position.index);
                 raiseRevision();
--- /dev/null
+++ b/packages/workflow/tests/outgoing-transfers.test.ts
@@ -0,0 +1,210 @@
+import type { CellId, JobId } from "@jayfront/world";
+import { createStopSignal } from "@jayfront/world";
+import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
+import pino from "pino";
+import { Result } from "true-myth";
+
+import type { CellLease } from "../src/cell/cell-lease.js";
+import { createOutgoingTransfers } from "../src/cell/outgoing-transfers.js";
+import type { OutgoingTransfers } from "../src/cell/outgoing-transfers.js";
+import { createProgressWriter } from "../src/cell/progress-writer.js";
+import { rowKeys } from "../src/cell/row-keys.js";
+import { createRunNumbers } from "../src/cell/run-numbers.js";
+import type { StrandedTasks } from "../src/cell/stranded-tasks.js";
+import type { TransferRow } from "../src/cell/transfer-row.js";
+import type { WorkflowLedger } from "../src/ledger/workflow-ledger.js";
+import { createWorkflowLedger } from "../src/ledger/workflow-ledger.js";
+import { createStep } from "../src/model/create-step.js";
+import { taskName } from "../src/model/task-name.js";
+import type { RowKey, StateStore, StoredRow } from "../src/port/state-store.js";
+import { testQueue } from "./test-queue.js";
+
+const cell = "east-a/0" as CellId;
+const other = "east-b/0" as CellId;
+const third = "east-c/0" as CellId;
+const id = "00000000000000aa" as JobId;
+/** Milliseconds within which queued changes are stored. */
+const writeTime = 50;
+
+const addressOf = ({ table, partition, key }: RowKey): string => [table, partition, key].join(" ");
+
+describe("tasks transferred to another cell", () => {
+    let rows: Map<string, StoredRow>;
+    let version: number;
+    let ledgers: Map<JobId, WorkflowLedger>;
+    /** Number of tasks for which each cell has room; cells with more free CPU come first. */
+    let room: Map<CellId, number>;
+    let stranded: StrandedTasks[];
+    /** Whether the answers of the store wait until they are released. */
+    let areReadsHeld: boolean;
+    let areCommitsHeld: boolean;
+    let heldReads: (() => void)[];
+    let heldCommits: (() => void)[];
+    let transfers: OutgoingTransfers;
+    let stop: ReturnType<typeof createStopSignal>;
+
+    const find = (key: RowKey): StoredRow | undefined => rows.get(addressOf(key));
+    const put = (key: RowKey, value: string): void => {
+        rows.set(addressOf(key), { ...key, value, version });
+    };
+    const waitIf = async (isHeld: boolean, held: (() => void)[]): Promise<void> => {
+        if (isHeld) {
+            await new Promise<void>(resolve => {
+                held.push(resolve);
+            });
+        }
+    };
+    const store: Partial<StateStore> = {
+        read: async (table, partition, key = "") => {
+            const row = find({ table, partition, key });
+            await waitIf(areReadsHeld, heldReads);
+            return Result.ok({ rows: row === undefined ? [] : [row], version });
+        },
+        commit: async ({ checks, writes, removals = [] }) => {
+            if (checks.some(check => (find(check)?.version ?? 0) !== check.version)) {
+                const found = checks.map(find).filter(row => row !== undefined);
+                return Result.err({ kind: "conflict", rows: found, message: "another version" });
+            }
+            version += 1;
+            const stored = version;
+            writes.forEach(({ value, ...key }) => {
+                put(key, value);
+            });
+            removals.forEach(key => rows.delete(addressOf(key)));
+            await waitIf(areCommitsHeld, heldCommits);
+            return Result.ok(stored);
+        },
+    };
+    beforeEach(() => {
+        jest.useFakeTimers();
+        rows = new Map();
+        version = 5;
+        ledgers = new Map();
+        room = new Map();
+        stranded = [];
+        areReadsHeld = false;
+        areCommitsHeld = false;
+        heldReads = [];
+        heldCommits = [];
+        stop = createStopSignal();
+        put(rowKeys.holder(cell), "");
+        const lease: Partial<CellLease> = {
+            cell,
+            epoch: 1,
+            check: { ...rowKeys.holder(cell), version },
+            trackCall: () => () => undefined,
+            recordStoreFailure: () => undefined,
+        };
+        const logger = pino({ level: "silent" });
+        const writer = createProgressWriter({
+            cell,
+            lease: lease as CellLease,
+            store: store as StateStore,
+            logger,
+            onWritten: () => undefined,
+            onTransferChanged: (ledger, from, row) => {
+                transfers.applyReturns(ledger, from, row);
+            },
+        });
+        const runNumbers = createRunNumbers(1);
+        transfers = createOutgoingTransfers({
+            cell,
+            store: store as StateStore,
+            otherCells: {
+                withFreeCpu: () => [...room.keys()],
+                roomIn: (target, { count }) => Promise.resolve(Math.min(count, room.get(target) ?? 0)),
+                notifyTransfer: () => undefined,
+                notifyReturn: () => undefined,
+            },
+            findStranded: () => stranded,
+            ledgerOf: job => ledgers.get(job),
+            runController: { nextNumber: runNumbers.next, reserveNumbers: runNumbers.markUsed },
+            writer,
+            logger,
+            metrics: { transferredTasks: { inc: () => undefined } as never },
+            queueOf: () => testQueue,
+            signal: stop.signal,
+        });
+        void writer.run(stop.signal);
+    });
+    afterEach(() => {
+        stop.abort();
+        jest.useRealTimers();
+    });
+    const accept = (job: JobId, count: number): WorkflowLedger => {
+        const steps = [createStep({ count, isLasting: true })];
+        const ledger = createWorkflowLedger({ id: job, queue: testQueue, payload: "", steps, acceptedAt: 0 });
+        ledgers.set(job, ledger);
+        return ledger;
+    };
+    const waitingOf = (
+        ledger: WorkflowLedger,
+    ): readonly number[] => [...ledger.stage({ occurrence: 0, step: 0, index: 0 })?.record.waiting ?? []];
+    /** All waiting tasks of the workflow have found no room. */
+    const strand = (ledger: WorkflowLedger): StrandedTasks[] =>
+        ledger.openStages(0, 0).map(stage => ({
+            ledger,
+            stage,
+            since: 0,
+            movable: () => waitingOf(ledger),
+            nameOf: index => taskName({ job: ledger.workflow.id, occurrence: 0, step: 0, index }),
+        }));
+    const settle = async (): Promise<void> => {
+        await jest.advanceTimersByTimeAsync(writeTime);
+    };
+    /** Transfers the waiting tasks of the workflow to the cell. */
+    const transferTo = async (ledger: WorkflowLedger, target: CellId): Promise<void> => {
+        room = new Map([[target, 100]]);
+        stranded = strand(ledger);
+        transfers.review();
+        await settle();
+    };
+    /** The holder of the cell marks all tasks in the workflow's row as returned. */
+    const returnFrom = (source: CellId): void => {
+        const key = rowKeys.transfer(source, id);
+        const content = JSON.parse(find(key)?.value ?? "") as TransferRow;
+        version += 1;
+        put(key, JSON.stringify({ ...content, tasks: content.tasks.map(task => ({ ...task, isReturned: true })) }));
+    };
+    const release = async (held: (() => void)[]): Promise<void> => {
+        held.splice(0).forEach(resolve => {
+            resolve();
+        });
+        await settle();
+    };
+
+    it("wait again once they are returned and the row is gone", async () => {
+        const ledger = accept(id, 1);
+        await transferTo(ledger, other);
+        expect(waitingOf(ledger)).toEqual([]);
+        returnFrom(other);
+        await transfers.readReturns(id, other);
+        await settle();
+        expect(waitingOf(ledger)).toEqual([0]);
+        expect(find(rowKeys.transfer(other, id))).toBeUndefined();
+    });
+
+    // Guards against two runs of one task: a read of the row that returned it is answered after it was transferred anew.
+    it.each([
+        { target: other, isStored: false },
+        { target: other, isStored: true },
+        { target: third, isStored: false },
+        { target: third, isStored: true },
+    ])("stay away if their earlier return is read late, %j", async ({ target, isStored }) => {
+        const ledger = accept(id, 1);
+        await transferTo(ledger, other);
+        returnFrom(other);
+        areReadsHeld = true;
+        void transfers.readReturns(id, other);
+        areReadsHeld = false;
+        await transfers.readReturns(id, other);
+        await settle();
+        areCommitsHeld = !isStored;
+        await transferTo(ledger, target);
+        expect(find(rowKeys.transfer(target, id))).toBeDefined();
+        await release(heldReads);
+        await release(heldCommits);
+        expect(waitingOf(ledger)).toEqual([]);
+        expect(find(rowKeys.transfer(target, id))).toBeDefined();
+    });
+});
--- a/packages/workflow/tests/transfer-row-changes.test.ts
+++ b/packages/workflow/tests/transfer-row-changes.test.ts
@@ -53,6 +53,18 @@
         expect(changes.recordRead(id, other, 13)).toBe(true);
     });
 
+    // Guards against a return that is applied twice, by a read that was answered after the row had been removed.
+    it("ignore a read of the known version, and of any version from before the removal", () => {
+        const changes = createTransferRowChanges(cell);
+        const ledger = createLedger();
+        changes.recordStored(id, changes.of(ledger), 12);
+        expect(changes.recordRead(id, other, 13)).toBe(true);
+        expect(changes.recordRead(id, other, 13)).toBe(false);
+        ledger.recordReturn(position, other);
+        changes.recordStored(id, changes.of(ledger), 14);
+        expect(changes.recordRead(id, other, 13)).toBe(false);
+    });
+
     it("remove the row once all tasks are back, or the workflow has ended", () => {
         const changes = createTransferRowChanges(cell);
         const ledger = createLedger();
--- a/packages/workflow/tests/workflow-ledger.test.ts
+++ b/packages/workflow/tests/workflow-ledger.test.ts
@@ -162,5 +162,14 @@
             expect(waiting(markStored(ledger))).toEqual([0, 1, 2]);
             expect([...reload(ledger).transfers()]).toEqual([]);
         });
+
+        // Guards against two runs of one task: an earlier return by a cell that had it before is applied late.
+        it("keeps them transferred if another cell is said to have returned them", () => {
+            const ledger = markStored(createWithTransfer());
+            ledger.recordReturn(at(0, 1), other);
+            ledger.recordTransfer(transferred(1), "east-c/0" as CellId);
+            ledger.recordReturn(at(0, 1), other);
+            expect(waiting(ledger)).toEqual([0, 2]);
+        });
     });
 });
