Notice restarts of a worker that its holder did not see

Cause: while a worker has been seen to restart under its id within a minute, a task whose start had no answer waits until that start can no longer be carried out. A holder saw a restart only if the same holder had heard the worker's previous incarnation. It missed one since the roster of its predecessor was written, and one that took longer than a lease, after which the incarnation had been given up.

The holder's log names no restart, though the roster row's time of the worker's start is older than the one in its first report.

Ruled out: an end that a successor did not load; the end was stored and acknowledged before the late start.

Change: the session compares each report with the latest known start of the worker, first that of the roster or directory entry; it keeps it when an incarnation is given up.

--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -133,6 +133,11 @@
     let isUnlisted = false;
     let contact: ContactState = "unknown";
     let bornAt: number | undefined;
+    /**
+     * Unix time in ms of the worker's latest known start, also while no incarnation is accounted for; undefined if it
+     * is not known. A worker on the roster of an earlier holder may have restarted since that was written.
+     */
+    let latestBirth = entry.bornAt > 0 ? entry.bornAt : undefined;
     /** Number up to which all ends are stored. */
     let recordedEnd = 0;
     /** Number of the last end that a report listed. */
@@ -174,10 +179,11 @@
      * comes from an outdated entry or answer and is ignored.
      */
     const updateIncarnation = (newBornAt: number): void => {
-        if (bornAt !== undefined && newBornAt > bornAt) {
-            setContact("unknown", { reason: "the worker has restarted", bornAt, newBornAt });
+        if (latestBirth !== undefined && newBornAt > latestBirth) {
+            setContact("unknown", { reason: "the worker has restarted", bornAt: latestBirth, newBornAt });
             resetIncarnation();
             bornAt = newBornAt;
+            latestBirth = newBornAt;
             incarnationSeenAt = performance.now();
             events.onRestarted(session);
             wakeUp.notify();
@@ -232,6 +238,7 @@
             return;
         }
         bornAt = report.bornAt;
+        latestBirth = report.bornAt;
         incarnationSeenAt = performance.now();
         reportSentAt = sentAt;
         consecutiveFailures = 0;
@@ -319,7 +326,9 @@
                 // An unchanged `remaining` still counts from the time at which it was first read.
                 entryAt = next.remaining === entry.remaining ? entryAt : performance.now();
                 entry = next;
-                updateIncarnation(next.bornAt);
+                if (bornAt !== undefined) {
+                    updateIncarnation(next.bornAt);
+                }
             }
         },
         deadline: () => {
--- a/packages/workflow/tests/worker-session.test.ts
+++ b/packages/workflow/tests/worker-session.test.ts
@@ -41,6 +41,8 @@
     let delays: number[];
     /** Delay in ms of the answers to polls that acknowledge ends, in place of `delays`; undefined for none. */
     let acknowledgementDelay: number | undefined;
+    /** Number of restarts of the worker that the session has seen. */
+    let restarts: number;
     let session: WorkerSession;
     const report = (bornAt: number): Result<WorkerReport, OrderError> =>
         Result.ok({ clock: 500_000 + performance.now(), bornAt, running: [], ended: [] });
@@ -61,6 +63,7 @@
         acknowledged = [];
         delays = [];
         acknowledgementDelay = undefined;
+        restarts = 0;
         const lateOrderDetector = createLateOrderDetector();
         session = createWorkerSession({
             entry,
@@ -91,7 +94,9 @@
             },
             events: {
                 onReport: () => undefined,
-                onRestarted: () => undefined,
+                onRestarted: () => {
+                    restarts += 1;
+                },
                 onLapsed: () => undefined,
                 onFenced: () => undefined,
                 onContactChange: () => undefined,
@@ -143,6 +148,22 @@
         expect(second).toBeLessThan(4 * 1_024);
     });
 
+    // Guards against a holder that does not expect further restarts, since it missed one that took longer than a lease.
+    it("sees that the worker has restarted also after its incarnation was given up", async () => {
+        const opened = restarts;
+        answer = silent;
+        await jest.advanceTimersByTimeAsync(30_000);
+        const lapsed = { contact: session.contact(), restarts };
+        answer = report(2);
+        await jest.advanceTimersByTimeAsync(1_000);
+        expect([opened, lapsed, session.contact(), restarts]).toEqual([
+            0,
+            { contact: "lapsed", restarts: 0 },
+            "known",
+            1,
+        ]);
+    });
+
     // Guards against tasks that wait for the leases of a worker whose address now belongs to another one.
     it("marks a worker as lapsed at once if another one answers at its address", async () => {
         answer = silent;
