Store the starts that no worker has answered, for the next holder

Cause: while a start without answer may still be carried out late, its sender lets the task start only on the same worker, or nowhere once workers have restarted. That was known to the sender alone. Its successor saw that the task ran nowhere, and started it on another worker.

The missing invariant: a holder lets a task start elsewhere only if no start of it, by this or an earlier holder, may still be carried out by an incarnation of a worker that this holder has not fenced yet. A later incarnation can't be fenced in advance, so that a holder has to know such starts.

Ruled out: a write before each start (more writes than the store takes); no starts by a successor for 12 s (a long-running task may be absent for 9 s at most); waiting for an answer of the worker (it did answer, in the earlier incarnation).

Change: a start that has had no answer for 200 ms is written to a row of the cell, with its age, at most every 100 ms, and once a second until none may be carried out any more. A task with unanswered starts on two workers starts nowhere; the later start hid the earlier one before. A start without answer whose worker has left or been replaced meanwhile also counts; it was forgotten before.

Not closed: a holder that is lost within 200 ms of the order, or that can't reach the store from then on, leaves no row. Without a restart of a worker in the last minute, the task may run on the worker of the unanswered start, and that worker may restart after the task is done (as before).

--- a/packages/workflow/src/cell/late-order-detector.ts
+++ b/packages/workflow/src/cell/late-order-detector.ts
@@ -1,7 +1,7 @@
 /** Detects periods in which workers may carry out unanswered orders with a delay. */
 export interface LateOrderDetector {
-    /** A worker that answers other calls has left one unanswered. */
-    readonly recordSign: () => void;
+    /** A worker that answers other calls has left one unanswered, at `at` (monotonic time in ms; default: now). */
+    readonly recordSign: (at?: number) => void;
     /** Whether an unanswered call that was sent at `sentAt` (monotonic time in ms) may be carried out late. */
     readonly mayBeDelayed: (sentAt: number) => boolean;
 }
@@ -19,9 +19,8 @@
 export const createLateOrderDetector = (): LateOrderDetector => {
     let signs: number[] = [];
     return {
-        recordSign: () => {
-            const now = performance.now();
-            signs = [...signs.filter(sign => now - sign < signRetention), now];
+        recordSign: (at = performance.now()) => {
+            signs = [...signs.filter(sign => performance.now() - sign < signRetention), at];
         },
         mayBeDelayed: sentAt => signs.some(sign => Math.abs(sign - sentAt) < suspectTime),
     };
--- a/packages/workflow/src/cell/load-cell.ts
+++ b/packages/workflow/src/cell/load-cell.ts
@@ -9,6 +9,8 @@
 import type { StateStore, StoredRow, StoreError } from "../port/state-store.js";
 import { rosterCodec } from "./roster-codec.js";
 import { rowKeys } from "./row-keys.js";
+import { startsCodec } from "./starts-codec.js";
+import type { StoredStarts } from "./stored-starts.js";
 
 /** Stored state of a cell, as earlier holders left it. */
 export interface LoadedCell {
@@ -20,16 +22,21 @@
     readonly roster: readonly WorkerEntry[];
     /** Version of the roster row; 0 if there is none. */
     readonly rosterVersion: number;
+    /** Starts of earlier holders that no worker has answered. */
+    readonly unansweredStarts: StoredStarts;
+    /** Version of the row of unanswered starts; 0 if there is none. */
+    readonly unansweredStartsVersion: number;
 }
 
-/** Reads a cell's roster and all of its workflows that have not ended. Fails if any of the reads fails. */
+/** Reads a cell's roster, its unanswered starts and all of its workflows that have not ended. Fails if any of the reads fails. */
 export const loadCell = async (store: StateStore, cell: CellId): Promise<Result<LoadedCell, StoreError>> => {
     const rosterKey = rowKeys.roster(cell);
+    const startsKey = rowKeys.unansweredStarts(cell);
     const transfersKey = rowKeys.transfer(cell, "" as JobId);
-    const [workflows, progress, roster, transfers] = await Promise.all([
+    const [workflows, progress, cellRows, transfers] = await Promise.all([
         store.read("workflows", cell),
         store.read("progress", cell),
-        store.read(rosterKey.table, rosterKey.partition, rosterKey.key),
+        store.read(rosterKey.table, rosterKey.partition),
         store.read(transfersKey.table, transfersKey.partition),
     ]);
     if (workflows.isErr) {
@@ -38,12 +45,14 @@
     if (progress.isErr) {
         return Result.err(progress.error);
     }
-    if (roster.isErr) {
-        return Result.err(roster.error);
+    if (cellRows.isErr) {
+        return Result.err(cellRows.error);
     }
     if (transfers.isErr) {
         return Result.err(transfers.error);
     }
+    const rosterRow = cellRows.value.rows.find(row => row.key === rosterKey.key);
+    const startsRow = cellRows.value.rows.find(row => row.key === startsKey.key);
     const progressRows = new Map(progress.value.rows.map(row => [row.key, row]));
     return Result.ok({
         ledgers: workflows.value.rows.map(row => {
@@ -57,7 +66,11 @@
             };
         }),
         transferRows: transfers.value.rows,
-        roster: rosterCodec.decode(roster.value.rows[0]?.value ?? "[]"),
-        rosterVersion: roster.value.rows[0]?.version ?? 0,
+        roster: rosterCodec.decode(rosterRow?.value ?? "[]"),
+        rosterVersion: rosterRow?.version ?? 0,
+        unansweredStarts: startsRow === undefined
+            ? { restartAge: undefined, starts: [] }
+            : startsCodec.decode(startsRow.value),
+        unansweredStartsVersion: startsRow?.version ?? 0,
     });
 };
--- a/packages/workflow/src/cell/row-keys.ts
+++ b/packages/workflow/src/cell/row-keys.ts
@@ -11,6 +11,8 @@
     holder: (cell: CellId): RowKey => ({ table: "cells", partition: cell, key: "holder" }),
     /** The workers on which a cell's tasks may run. */
     roster: (cell: CellId): RowKey => ({ table: "cells", partition: cell, key: "roster" }),
+    /** The starts of a cell's tasks that no worker has answered. */
+    unansweredStarts: (cell: CellId): RowKey => ({ table: "cells", partition: cell, key: "unanswered-starts" }),
     /** A workflow as it was accepted. */
     workflow: (cell: CellId, id: JobId): RowKey => ({ table: "workflows", partition: cell, key: id }),
     /** The progress of a workflow that has not ended. */
--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -71,6 +71,8 @@
 
 /** Stop reason of a run whose start was not answered. */
 const unansweredStartReason = "start without answer";
+/** Milliseconds after which a start without answer is stored for the next holder; workers usually answer in 5 ms. */
+const overdueTime = 200;
 /** Milliseconds between attempts to stop a run whose start was not answered. */
 const settleRetryInterval = 300;
 
@@ -142,6 +144,11 @@
         const { ledger, position, step } = run;
         const checkpoint = step.isCheckpointing ? run.checkpoint : "";
         const ticket = ticketOf(run);
+        const overdueTimer = setTimeout(() => {
+            if (run.reportedAt <= run.orderedAt) {
+                unansweredStarts.addOverdue(run);
+            }
+        }, overdueTime);
         const result = await session.start({
             task: run.task,
             run: run.number,
@@ -149,6 +156,15 @@
             checkpoint,
             ...(ticket === undefined ? {} : { ticket }),
         });
+        clearTimeout(overdueTimer);
+        // Only the answer was lost if the worker has listed the run.
+        const isUnanswered = result.isErr && result.error.kind === "unknown" && run.reportedAt <= run.orderedAt;
+        if (isUnanswered) {
+            unansweredStarts.add(run);
+        }
+        else {
+            unansweredStarts.remove(run.worker, run.task, run.number);
+        }
         if (runRegistry.find(run.worker, run.task, run.number) !== run) {
             return;
         }
@@ -168,16 +184,14 @@
         }
         const { kind, message } = result.error;
         logger.info({ ...details, error: kind, message }, "start not confirmed");
-        if (kind === "unknown") {
-            if (run.reportedAt > run.orderedAt) {
-                // Only the answer was lost, since the worker lists the run.
-                run.phase = run.phase === "starting" ? "running" : run.phase;
-                return;
-            }
-            unansweredStarts.add(run);
+        if (isUnanswered) {
             void settleUnanswered(run);
             return;
         }
+        if (kind === "unknown") {
+            run.phase = run.phase === "starting" ? "running" : run.phase;
+            return;
+        }
         removeRun({ run, outcome: "not-started", error: kind });
     };
     const start: RunController["start"] = (ledger, stage, index, session, number) => {
@@ -251,6 +265,7 @@
         }, "run ended");
         runNumbers.close(row.task, row.run);
         if (run !== undefined) {
+            run.reportedAt = performance.now();
             removeRun({ run, outcome: row.outcome });
         }
         if (ledger.isDone(position)) {
@@ -338,9 +353,9 @@
         const listed = new Set<Run>();
         for (const row of report.running) {
             const run = runRegistry.find(session.id, row.task, row.run);
+            unansweredStarts.remove(session.id, row.task, row.run);
             if (run !== undefined) {
                 listed.add(run);
-                unansweredStarts.markCarriedOut(run);
                 updateRun(run, row, now);
             }
             else if (isFirst) {
--- /dev/null
+++ b/packages/workflow/src/cell/stored-starts.ts
@@ -0,0 +1,26 @@
+import type { WorkerId } from "@jayfront/world";
+
+import type { TaskName } from "../model/task-name.js";
+
+/** A start that no worker has answered, as the next holder of a cell has to know it. */
+export interface StoredStart {
+    readonly task: TaskName;
+    /** Number of the run. */
+    readonly run: number;
+    readonly worker: WorkerId;
+    /** Milliseconds since the order. */
+    readonly age: number;
+    readonly isLasting: boolean;
+    /** Whether the order may be carried out late, see `LateOrderDetector`. */
+    readonly mayBeDelayed: boolean;
+    /** Whether the incarnation of the worker that the start was sent to is over. */
+    readonly isIncarnationOver: boolean;
+}
+
+/** The starts of a cell that no worker has answered. */
+export interface StoredStarts {
+    /** Milliseconds since a worker last restarted under its id; undefined if none did recently. */
+    readonly restartAge: number | undefined;
+    /** In the order in which they were sent. */
+    readonly starts: readonly StoredStart[];
+}
--- /dev/null
+++ b/packages/workflow/src/cell/unanswered-start-writer.ts
@@ -0,0 +1,87 @@
+import type { CellId } from "@jayfront/world";
+import { createWakeUp, sleep } from "@jayfront/world";
+import type { Logger } from "pino";
+
+import type { StateStore } from "../port/state-store.js";
+import type { CellLease } from "./cell-lease.js";
+import { rowKeys } from "./row-keys.js";
+import { startsCodec } from "./starts-codec.js";
+import type { StoredStarts } from "./stored-starts.js";
+
+/** Stores the unanswered starts of a cell, so that its next holder does not start their tasks elsewhere. */
+export interface UnansweredStartWriter {
+    /** Sets the version that the row has in the store; 0 if there is no row. */
+    readonly setVersion: (version: number) => void;
+    /** Has the row written soon, since the unanswered starts have changed. */
+    readonly request: () => void;
+    /** Writes the row until `signal` aborts: on request, and repeatedly while there are unanswered starts. */
+    readonly run: (signal: AbortSignal) => Promise<void>;
+}
+
+/** Options of {@link createUnansweredStartWriter}. */
+export interface UnansweredStartWriterOptions {
+    readonly cell: CellId;
+    readonly lease: CellLease;
+    readonly store: StateStore;
+    readonly logger: Logger;
+    /** See `UnansweredStarts.snapshot`. */
+    readonly snapshot: () => StoredStarts;
+}
+
+/** Milliseconds between writes while starts change. */
+const writeInterval = 100;
+/** Milliseconds between writes while there are unanswered starts: the ages in the row count up to its write. */
+const refreshInterval = 1_000;
+/** Milliseconds of one wait for a request; its length does not matter, since each request ends it. */
+const idleWait = 60_000;
+
+/** Creates a writer of the row of a cell that has none. */
+export const createUnansweredStartWriter = (options: UnansweredStartWriterOptions): UnansweredStartWriter => {
+    const { cell, lease, store, logger, snapshot } = options;
+    const key = rowKeys.unansweredStarts(cell);
+    const wakeUp = createWakeUp();
+    let version = 0;
+    /** Whether the stored row may name starts. */
+    let mayBeStored = false;
+
+    const write = async (value: StoredStarts): Promise<void> => {
+        mayBeStored = true;
+        const recordProof = lease.trackCall();
+        const written = await store.commit({
+            checks: [lease.check, { ...key, version }],
+            writes: [{ ...key, value: startsCodec.encode(value) }],
+        });
+        if (written.isOk) {
+            recordProof();
+            version = written.value;
+            mayBeStored = value.starts.length > 0;
+            return;
+        }
+        const { error } = written;
+        logger.warn(
+            { cell, starts: value.starts.length, error: error.kind, message: error.message },
+            "writing unanswered starts failed; retrying while this host holds the cell",
+        );
+        if (error.kind === "conflict") {
+            version = error.rows.find(row => row.table === key.table && row.key === key.key)?.version ?? 0;
+            await lease.renew();
+        }
+    };
+    return {
+        setVersion: storedVersion => {
+            version = storedVersion;
+            mayBeStored = storedVersion > 0;
+        },
+        request: wakeUp.notify,
+        run: async signal => {
+            while (!signal.aborted) {
+                await wakeUp.wait(mayBeStored ? refreshInterval : idleWait, signal);
+                const value = snapshot();
+                if (!signal.aborted && (mayBeStored || value.starts.length > 0)) {
+                    await write(value);
+                    await sleep(writeInterval, signal);
+                }
+            }
+        },
+    };
+};
--- a/packages/workflow/src/cell/unanswered-starts.ts
+++ b/packages/workflow/src/cell/unanswered-starts.ts
@@ -3,6 +3,7 @@
 import type { TaskName } from "../model/task-name.js";
 import type { LateOrderDetector } from "./late-order-detector.js";
 import type { Run } from "./run.js";
+import type { StoredStarts } from "./stored-starts.js";
 import type { WorkerSession } from "./worker-session.js";
 
 /**
@@ -11,18 +12,28 @@
  * may be carried out late, the task may start only on the same worker. Once that incarnation is over it may start
  * nowhere, since the order could reach another incarnation that this holder doesn't know yet. If any worker has
  * restarted under its id recently, the task may start nowhere from the beginning.
+ *
+ * The next holder of the cell has to observe the same constraints, see {@link UnansweredStarts.snapshot}.
  */
 export interface UnansweredStarts {
+    /** Adds a start that has not been answered so far, for the snapshot only: its run is still registered. */
+    readonly addOverdue: (run: Run) => void;
     /** Adds the start of a run that was not answered. */
     readonly add: (run: Run) => void;
-    /** Removes the start of a run that a worker lists: it was carried out and won't be again. */
-    readonly markCarriedOut: (run: Run) => void;
+    /** Removes a start that was answered, or that a worker lists as carried out: it won't be carried out again. */
+    readonly remove: (worker: WorkerId, task: TaskName, run: number) => void;
     /** Records that the worker has restarted, and repeats its stops: the new incarnation doesn't know earlier ones. */
     readonly recordRestart: (session: WorkerSession) => void;
     /** Records that the worker's incarnation is over; another one may start under its id. */
     readonly recordLapse: (worker: WorkerId) => void;
     /** The only worker on which the task may start, or `nowhere`; undefined if it may start on any. */
     readonly constraintOf: (task: TaskName) => WorkerId | "nowhere" | undefined;
+    /** The starts that may still be carried out, as a later holder has to know them. */
+    readonly snapshot: () => StoredStarts;
+    /** Adds the starts of an earlier holder; returns when each was ordered at the latest, in monotonic time in ms. */
+    readonly inherit: (
+        stored: StoredStarts,
+    ) => readonly { readonly worker: WorkerId; readonly orderedAt: number; }[];
 }
 
 /** Options of {@link createUnansweredStarts}. */
@@ -30,6 +41,8 @@
     /** Milliseconds after which an unanswered order is no longer carried out. */
     readonly lateOrderTime: number;
     readonly lateOrderDetector: LateOrderDetector;
+    /** Called when the result of `snapshot` has changed other than by the passage of time. */
+    readonly onChange: () => void;
 }
 
 /** Maximum milliseconds for which a long-running task is constrained, since it may not be absent for more than 9 s. */
@@ -39,60 +52,117 @@
 const restartSignTime = 60_000;
 
 interface UnansweredStart {
-    readonly run: Run;
+    readonly task: TaskName;
+    readonly run: number;
+    readonly worker: WorkerId;
+    readonly isLasting: boolean;
+    /** Monotonic time in ms. */
+    readonly orderedAt: number;
+    /** Whether its answer may still come. */
+    isOverdue: boolean;
     /** Whether the incarnation of the worker that the start was sent to is over. */
     isIncarnationOver: boolean;
 }
 
 /** Creates an empty set of unanswered starts. */
 export const createUnansweredStarts = (options: UnansweredStartsOptions): UnansweredStarts => {
-    const { lateOrderTime, lateOrderDetector } = options;
-    const starts = new Map<TaskName, UnansweredStart>();
+    const { lateOrderTime, lateOrderDetector, onChange } = options;
+    let starts: UnansweredStart[] = [];
     /** Monotonic time in ms at which a worker last restarted under its id. */
     let restartedAt = -Infinity;
-    const mayArrive = ({ run }: UnansweredStart): boolean =>
-        performance.now() - run.orderedAt
-            < (run.step.isLasting ? Math.min(longRunningWait, lateOrderTime) : lateOrderTime);
-    const startsOn = (worker: WorkerId): readonly UnansweredStart[] =>
-        [...starts.values()].filter(({ run }) => run.worker === worker);
-    const dropExpired = (): void => {
-        for (const [task, start] of starts) {
-            if (!mayArrive(start)) {
-                starts.delete(task);
-            }
+    const mayArrive = ({ orderedAt, isLasting }: UnansweredStart): boolean =>
+        performance.now() - orderedAt < (isLasting ? Math.min(longRunningWait, lateOrderTime) : lateOrderTime);
+    const find = (worker: WorkerId, task: TaskName, run: number): UnansweredStart | undefined =>
+        starts.find(start => start.task === task && start.run === run && start.worker === worker);
+    const findOrAdd = ({ worker, task, number, step, orderedAt }: Run): UnansweredStart => {
+        const existing = find(worker, task, number);
+        if (existing !== undefined) {
+            return existing;
+        }
+        const start: UnansweredStart = {
+            task,
+            run: number,
+            worker,
+            isLasting: step.isLasting,
+            orderedAt,
+            isOverdue: true,
+            isIncarnationOver: false,
+        };
+        starts = [...starts.filter(mayArrive), start];
+        onChange();
+        return start;
+    };
+    const endIncarnation = (worker: WorkerId): readonly UnansweredStart[] => {
+        const affected = starts.filter(start => start.worker === worker);
+        affected.forEach(start => {
+            start.isIncarnationOver = true;
+        });
+        if (affected.length > 0) {
+            onChange();
         }
+        return affected;
     };
+    const mayRestart = (): boolean => performance.now() - restartedAt < restartSignTime;
     return {
+        addOverdue: findOrAdd,
         add: run => {
-            dropExpired();
-            starts.set(run.task, { run, isIncarnationOver: false });
+            findOrAdd(run).isOverdue = false;
         },
-        markCarriedOut: run => {
-            if (starts.get(run.task)?.run === run) {
-                starts.delete(run.task);
+        remove: (worker, task, run) => {
+            const found = find(worker, task, run);
+            if (found !== undefined) {
+                starts = starts.filter(start => start !== found);
+                onChange();
             }
         },
         recordRestart: session => {
             restartedAt = performance.now();
-            for (const start of startsOn(session.id)) {
-                start.isIncarnationOver = true;
-                if (mayArrive(start)) {
-                    void session.stop(start.run.task, start.run.number);
+            for (const start of endIncarnation(session.id)) {
+                if (mayArrive(start) && !start.isOverdue) {
+                    void session.stop(start.task, start.run);
                 }
             }
         },
-        recordLapse: worker => {
-            startsOn(worker).forEach(start => {
-                start.isIncarnationOver = true;
-            });
-        },
+        recordLapse: endIncarnation,
         constraintOf: task => {
-            const start = starts.get(task);
-            if (start === undefined || !mayArrive(start) || !lateOrderDetector.mayBeDelayed(start.run.orderedAt)) {
+            const constraining = starts.filter(start =>
+                start.task === task && mayArrive(start) && lateOrderDetector.mayBeDelayed(start.orderedAt)
+            );
+            const [first] = constraining;
+            if (first === undefined) {
                 return undefined;
             }
-            const mayRestart = performance.now() - restartedAt < restartSignTime;
-            return start.isIncarnationOver || mayRestart ? "nowhere" : start.run.worker;
+            const isOneWorker = constraining.every(start => !start.isIncarnationOver && start.worker === first.worker);
+            return isOneWorker && !mayRestart() ? first.worker : "nowhere";
+        },
+        snapshot: () => {
+            const now = performance.now();
+            starts = starts.filter(mayArrive);
+            return {
+                restartAge: mayRestart() ? now - restartedAt : undefined,
+                starts: starts.map(({ task, run, worker, isLasting, orderedAt, isIncarnationOver }) => ({
+                    task,
+                    run,
+                    worker,
+                    isLasting,
+                    age: now - orderedAt,
+                    mayBeDelayed: lateOrderDetector.mayBeDelayed(orderedAt),
+                    isIncarnationOver,
+                })),
+            };
+        },
+        inherit: stored => {
+            const now = performance.now();
+            restartedAt = Math.max(restartedAt, now - (stored.restartAge ?? Infinity));
+            const inherited = stored.starts.map(({ age, mayBeDelayed, ...start }) => {
+                const orderedAt = now - age;
+                if (mayBeDelayed) {
+                    lateOrderDetector.recordSign(orderedAt);
+                }
+                return { ...start, orderedAt, isOverdue: false };
+            });
+            starts = [...starts, ...inherited];
+            return inherited;
         },
     };
 };
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -37,6 +37,8 @@
     readonly stop: (task: TaskName, run: number) => Promise<boolean>;
     /** Lets a run work at `percent` of its speed; true if the worker answered. */
     readonly throttle: (task: TaskName, run: number, percent: number) => Promise<boolean>;
+    /** Records that a start of an earlier holder, ordered at `orderedAt` (monotonic time in ms), has no answer. */
+    readonly expectStart: (orderedAt: number) => void;
     /** Records that all ends up to `number` are stored, so that the worker may forget them. */
     readonly recordEnds: (number: number) => void;
     /** See `WorkerClock.beginProof`. */
@@ -157,6 +159,8 @@
     let startPossibleUntil = -Infinity;
     /** Monotonic time in ms of the last unanswered start. */
     let unansweredStartAt = -Infinity;
+    /** Monotonic times in ms of the unanswered starts of earlier holders, until the worker's first report. */
+    let expectedStarts: readonly number[] = [];
 
     const setContact = (next: ContactState, details: object): void => {
         if (next !== contact) {
@@ -246,6 +250,8 @@
             lateOrderDetector.recordSign();
         }
         unansweredAt = -Infinity;
+        expectedStarts.forEach(lateOrderDetector.recordSign);
+        expectedStarts = [];
         clock.recordReading(report.clock);
         listedEnd = Math.max(listedEnd, ...report.ended.map(row => row.number));
         const isFirst = contact === "unknown" || contact === "lapsed";
@@ -386,6 +392,12 @@
         },
         throttle: async (task, run, percent) =>
             (await tokens.send(token => gateway.throttle(entry, { task, run, token, percent }))).isOk,
+        expectStart: orderedAt => {
+            unansweredStartAt = Math.max(unansweredStartAt, orderedAt);
+            startPossibleUntil = Math.max(startPossibleUntil, orderedAt + timing.lateOrderTime);
+            expectedStarts = [...expectedStarts, orderedAt];
+            wakeUp.notify();
+        },
         recordEnds: number => {
             recordedEnd = Math.max(recordedEnd, number);
             wakeUp.notify();
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -44,6 +44,7 @@
 import type { HolderRow } from "./take-cell.js";
 import { createTransferOffers } from "./transfer-offers.js";
 import type { TransferRoomRequest } from "./transfer-room.js";
+import { createUnansweredStartWriter } from "./unanswered-start-writer.js";
 import { createUnansweredStarts } from "./unanswered-starts.js";
 import { createWorkerRoster } from "./worker-roster.js";
 import type { SessionEvents } from "./worker-session.js";
@@ -205,6 +206,16 @@
     const unansweredStarts = createUnansweredStarts({
         lateOrderTime: timing.lateOrderTime,
         lateOrderDetector,
+        onChange: () => {
+            startWriter.request();
+        },
+    });
+    const startWriter = createUnansweredStartWriter({
+        cell,
+        lease,
+        store,
+        logger,
+        snapshot: unansweredStarts.snapshot,
     });
     const runController = createRunController({
         epoch,
@@ -398,12 +409,17 @@
         incomingTransfers.inherit(loaded.value.transferRows);
         [...incomingTransfers.ledgers.keys()].forEach(id => inheritedJobs.add(id));
         roster.inherit(loaded.value);
+        startWriter.setVersion(loaded.value.unansweredStartsVersion);
+        unansweredStarts.inherit(loaded.value.unansweredStarts).forEach(({ worker, orderedAt }) => {
+            workers.get(worker)?.session.expectStart(orderedAt);
+        });
         isActive = true;
         logger.info({
             cell,
             epoch,
             workflows: ledgers.size,
             workers: workers.size,
+            unansweredStarts: loaded.value.unansweredStarts.starts.length,
             took: Math.round(performance.now() - options.takenAt),
         }, "cell loaded");
         onActive();
@@ -418,6 +434,7 @@
         void runPasses();
         void sweep.run(signal);
         void incomingTransfers.run(signal);
+        void startWriter.run(signal);
         while (!signal.aborted) {
             await sleep(timing.retention / 10, signal);
             dropOldWorkflows();
--- a/packages/workflow/tests/unanswered-starts.test.ts
+++ b/packages/workflow/tests/unanswered-starts.test.ts
@@ -15,7 +15,7 @@
 const worker = "w-1" as WorkerId;
 const lateOrderTime = 12_000;
 
-const createTaskRun = (isLasting = false): Run => {
+const createTaskRun = (isLasting = false, on = worker): Run => {
     const position = { job: "j" as JobId, occurrence: 0, step: 0, index: 0 };
     const step = createStep({ isLasting });
     const ledger = createWorkflowLedger({
@@ -25,17 +25,29 @@
         steps: [step],
         acceptedAt: 0,
     });
-    return createRun({ task: taskName(position), position, number: 1, worker, ledger, step, checkpoint: "" });
+    return createRun({ task: taskName(position), position, number: 1, worker: on, ledger, step, checkpoint: "" });
 };
 
 describe("unanswered starts", () => {
     let starts: UnansweredStarts;
     let recordSign: () => void;
-    beforeEach(() => {
-        jest.useFakeTimers();
+    /** Number of changes that the next holder has to know of. */
+    let changes: number;
+    const createStarts = (): UnansweredStarts => {
         const lateOrderDetector = createLateOrderDetector();
         recordSign = lateOrderDetector.recordSign;
-        starts = createUnansweredStarts({ lateOrderTime, lateOrderDetector });
+        return createUnansweredStarts({
+            lateOrderTime,
+            lateOrderDetector,
+            onChange: () => {
+                changes += 1;
+            },
+        });
+    };
+    beforeEach(() => {
+        jest.useFakeTimers();
+        changes = 0;
+        starts = createStarts();
     });
     afterEach(() => {
         jest.useRealTimers();
@@ -93,7 +105,52 @@
         const run = createTaskRun();
         recordSign();
         starts.add(run);
-        starts.markCarriedOut(run);
+        starts.remove(run.worker, run.task, run.number);
         expect(starts.constraintOf(run.task)).toBeUndefined();
     });
+
+    // Guards against a task that runs in two places since the later of two unanswered starts hid the earlier one.
+    it("let a task start nowhere if two workers may carry out starts of it", () => {
+        recordSign();
+        starts.add(createTaskRun());
+        const run = createTaskRun(false, "w-2" as WorkerId);
+        starts.add(run);
+        expect(starts.constraintOf(run.task)).toBe("nowhere");
+    });
+
+    // Guards against a task that the next holder of the cell starts elsewhere while its start may be carried out.
+    it("restrict their tasks also under the next holder, for as long as if it had sent the orders", () => {
+        const run = createTaskRun();
+        recordSign();
+        starts.add(run);
+        jest.advanceTimersByTime(4_000);
+        const stored = starts.snapshot();
+        starts = createStarts();
+        expect(starts.inherit(stored)).toMatchObject([{ worker, orderedAt: run.orderedAt }]);
+        jest.advanceTimersByTime(lateOrderTime - 4_001);
+        expect(starts.constraintOf(run.task)).toBe(worker);
+        jest.advanceTimersByTime(1);
+        expect(starts.constraintOf(run.task)).toBeUndefined();
+    });
+
+    // Guards against the same if workers have restarted, which the next holder can't see from their entries.
+    it("keep a task waiting under the next holder if a worker restarted under an earlier one", () => {
+        const run = createTaskRun();
+        starts.recordRestart({ id: "w-2", stop: () => Promise.resolve(true) } as unknown as WorkerSession);
+        recordSign();
+        starts.add(run);
+        const stored = starts.snapshot();
+        starts = createStarts();
+        starts.inherit(stored);
+        expect(starts.constraintOf(run.task)).toBe("nowhere");
+    });
+
+    // Guards against the same if the holder ends before it gives up waiting for the answer.
+    it("are known to the next holder as soon as an answer is overdue, and until it comes", () => {
+        const run = createTaskRun();
+        starts.addOverdue(run);
+        expect([changes, starts.snapshot().starts]).toMatchObject([1, [{ task: run.task, run: 1, worker }]]);
+        starts.remove(run.worker, run.task, run.number);
+        expect([changes, starts.snapshot().starts]).toEqual([2, []]);
+    });
 });
