Count a worker's restart from its start if the holder did not see it

What callers saw: nothing yet; found while restarts were made known to holders that did not see them.

Cause: a restart that a holder learns from the difference between the stored entry and the first report counted as one of this moment. The roster is written only when its members change, so that after each takeover of a long-lived cell a restart of hours ago made tasks with unanswered starts wait for 12 s, for a minute.

Change: without contact to the previous incarnation the restart counts from the time of the worker's start, by the clocks of worker and host; one that the holder saw counts from now, whatever the clocks say.

--- a/packages/workflow/src/cell/unanswered-starts.ts
+++ b/packages/workflow/src/cell/unanswered-starts.ts
@@ -22,8 +22,11 @@
     readonly add: (run: Run) => void;
     /** Removes a start that was answered, or that a worker lists as carried out: it won't be carried out again. */
     readonly remove: (worker: WorkerId, task: TaskName, run: number) => void;
-    /** Records that the worker has restarted, and repeats its stops: the new incarnation doesn't know earlier ones. */
-    readonly recordRestart: (session: WorkerSession) => void;
+    /**
+     * Records that the worker has restarted, some `age` ms ago, and repeats its stops: the new incarnation doesn't know
+     * earlier ones.
+     */
+    readonly recordRestart: (session: WorkerSession, age: number) => void;
     /** Records that the worker's incarnation is over; another one may start under its id. */
     readonly recordLapse: (worker: WorkerId) => void;
     /** The only worker on which the task may start, or `nowhere`; undefined if it may start on any. */
@@ -115,8 +118,8 @@
                 onChange();
             }
         },
-        recordRestart: session => {
-            restartedAt = performance.now();
+        recordRestart: (session, age) => {
+            restartedAt = Math.max(restartedAt, performance.now() - age);
             for (const start of endIncarnation(session.id)) {
                 if (mayArrive(start) && !start.isOverdue) {
                     void session.stop(start.task, start.run);
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -56,8 +56,8 @@
      * report of the epoch and incarnation.
      */
     readonly onReport: (session: WorkerSession, report: WorkerReport, sentAt: number, isFirst: boolean) => void;
-    /** The worker has restarted; its next report shows what runs there. */
-    readonly onRestarted: (session: WorkerSession) => void;
+    /** The worker has restarted, some `age` ms ago; its next report shows what runs there. */
+    readonly onRestarted: (session: WorkerSession, age: number) => void;
     /** Nothing that ran on the worker still runs: its leases have expired, or it has left or been replaced. */
     readonly onLapsed: (session: WorkerSession) => void;
     /** The worker refused an order because it has seen a higher token, such as that of a later holder. */
@@ -184,12 +184,14 @@
      */
     const updateIncarnation = (newBornAt: number): void => {
         if (latestBirth !== undefined && newBornAt > latestBirth) {
+            // Without contact to the previous incarnation, it may have ended long ago.
+            const age = bornAt === undefined ? Math.max(0, Date.now() - newBornAt) : 0;
             setContact("unknown", { reason: "the worker has restarted", bornAt: latestBirth, newBornAt });
             resetIncarnation();
             bornAt = newBornAt;
             latestBirth = newBornAt;
             incarnationSeenAt = performance.now();
-            events.onRestarted(session);
+            events.onRestarted(session, age);
             wakeUp.notify();
         }
     };
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -308,8 +308,8 @@
                 interferenceController.review(worker, [...runRegistry.ofWorker(session.id)]);
             }
         },
-        onRestarted: session => {
-            unansweredStarts.recordRestart(session);
+        onRestarted: (session, age) => {
+            unansweredStarts.recordRestart(session, age);
             health.removeWorker(session.id);
         },
         onLapsed: session => {
--- a/packages/workflow/tests/unanswered-starts.test.ts
+++ b/packages/workflow/tests/unanswered-starts.test.ts
@@ -75,7 +75,7 @@
     // Guards against a start that was sent to one incarnation and is carried out by a later one after the task is done.
     it.each<[string, (session: WorkerSession) => void]>([
         ["a restart of the worker", session => {
-            starts.recordRestart(session);
+            starts.recordRestart(session, 0);
         }],
         ["the expiry of the worker's leases", ({ id }) => {
             starts.recordLapse(id);
@@ -96,11 +96,20 @@
     it("keep a task waiting while other workers restart", () => {
         const run = createTaskRun();
         recordSign();
-        starts.recordRestart({ id: "w-2", stop: () => Promise.resolve(true) } as unknown as WorkerSession);
+        starts.recordRestart({ id: "w-2", stop: () => Promise.resolve(true) } as unknown as WorkerSession, 0);
         starts.add(run);
         expect(starts.constraintOf(run.task)).toBe("nowhere");
     });
 
+    // Guards against needless waits after a takeover, when the stored entry of a worker predates a restart long ago.
+    it("don't keep a task waiting because of a restart more than a minute ago", () => {
+        const run = createTaskRun();
+        recordSign();
+        starts.recordRestart({ id: "w-2", stop: () => Promise.resolve(true) } as unknown as WorkerSession, 60_000);
+        starts.add(run);
+        expect(starts.constraintOf(run.task)).toBe(worker);
+    });
+
     it("no longer restrict a task whose start was carried out after all", () => {
         const run = createTaskRun();
         recordSign();
@@ -136,7 +145,7 @@
     // Guards against the same if workers have restarted, which the next holder can't see from their entries.
     it("keep a task waiting under the next holder if a worker restarted under an earlier one", () => {
         const run = createTaskRun();
-        starts.recordRestart({ id: "w-2", stop: () => Promise.resolve(true) } as unknown as WorkerSession);
+        starts.recordRestart({ id: "w-2", stop: () => Promise.resolve(true) } as unknown as WorkerSession, 0);
         recordSign();
         starts.add(run);
         const stored = starts.snapshot();
--- a/packages/workflow/tests/worker-session.test.ts
+++ b/packages/workflow/tests/worker-session.test.ts
@@ -41,8 +41,8 @@
     let delays: number[];
     /** Delay in ms of the answers to polls that acknowledge ends, in place of `delays`; undefined for none. */
     let acknowledgementDelay: number | undefined;
-    /** Number of restarts of the worker that the session has seen. */
-    let restarts: number;
+    /** Milliseconds since each restart of the worker that the session has seen, as of that moment. */
+    let restarts: number[];
     let session: WorkerSession;
     const report = (bornAt: number): Result<WorkerReport, OrderError> =>
         Result.ok({ clock: 500_000 + performance.now(), bornAt, running: [], ended: [] });
@@ -63,7 +63,7 @@
         acknowledged = [];
         delays = [];
         acknowledgementDelay = undefined;
-        restarts = 0;
+        restarts = [];
         const lateOrderDetector = createLateOrderDetector();
         session = createWorkerSession({
             entry,
@@ -94,8 +94,8 @@
             },
             events: {
                 onReport: () => undefined,
-                onRestarted: () => {
-                    restarts += 1;
+                onRestarted: (...[, age]) => {
+                    restarts.push(age);
                 },
                 onLapsed: () => undefined,
                 onFenced: () => undefined,
@@ -150,18 +150,14 @@
 
     // Guards against a holder that does not expect further restarts, since it missed one that took longer than a lease.
     it("sees that the worker has restarted also after its incarnation was given up", async () => {
-        const opened = restarts;
         answer = silent;
         await jest.advanceTimersByTimeAsync(30_000);
-        const lapsed = { contact: session.contact(), restarts };
-        answer = report(2);
+        const seen = [session.contact(), ...restarts];
+        answer = report(Date.now() - 5_000);
         await jest.advanceTimersByTimeAsync(1_000);
-        expect([opened, lapsed, session.contact(), restarts]).toEqual([
-            0,
-            { contact: "lapsed", restarts: 0 },
-            "known",
-            1,
-        ]);
+        expect([seen, session.contact(), restarts.length]).toEqual([["lapsed"], "known", 1]);
+        expect(restarts[0]).toBeGreaterThanOrEqual(5_000);
+        expect(restarts[0]).toBeLessThan(6_000);
     });
 
     // Guards against tasks that wait for the leases of a worker whose address now belongs to another one.
