Poll a worker again soon after a failed poll while a late start may reach it

Cause: no worker had restarted so far, so that the task ran again on the worker of its unanswered start, and was done. Then the worker restarted, which broke the connection of the poll that waited there. The next poll came 200 ms later, the late start 109 ms after the restart. A poll that is lost or carried out late has the same effect for more than 1 s, since the next one waits for its timeout.

Change: while a start may still be carried out late, the next poll is sent 50 ms after one that failed, and 400 ms after one that has no answer yet. Not closed: a start that arrives within these times (docs/PLATFORM.md, known and open).

Ruled out: a wait of 12 s for the task of each unanswered start: while half of the orders are carried out late, half of all tasks would wait.

--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -98,6 +98,8 @@
  * receive a higher token before that start reaches it.
  */
 const pendingStartInterval = 200;
+/** As `pendingStartInterval`, after a poll that failed: the worker may be restarting. */
+const pendingStartRetryInterval = 50;
 /** Milliseconds to wait for ends to be stored before the next poll, which would only list them again. */
 const storeWait = 500;
 /** Milliseconds between attempts to send a stop that is not answered. */
@@ -306,7 +308,7 @@
         performance.now() < startPossibleUntil && lateOrderDetector.mayBeDelayed(unansweredStartAt);
     const pause = async (wasAnswered: boolean, signal: AbortSignal): Promise<void> => {
         if (!wasAnswered) {
-            await sleep(isStartPending() ? pendingStartInterval : retryInterval, signal);
+            await sleep(isStartPending() ? pendingStartRetryInterval : retryInterval, signal);
         }
         else if (listedEnd > recordedEnd) {
             await wakeUp.wait(isStartPending() ? pendingStartInterval : storeWait, signal);
@@ -421,7 +423,11 @@
                     : mayInterfere()
                     ? interferencePollWait
                     : pollWait;
-                const wasAnswered = await poll(canWait ? longestWait : 0);
+                const answered = poll(canWait ? longestWait : 0);
+                // An order that is lost or carried out late must not keep the next one from a new incarnation.
+                const wasAnswered = await (isStartPending()
+                    ? Promise.race([answered, sleep(2 * pendingStartInterval, signal).then(() => false)])
+                    : answered);
                 await pause(wasAnswered, signal);
             }
             gateway.disconnect(entry);
--- a/packages/workflow/tests/worker-session.test.ts
+++ b/packages/workflow/tests/worker-session.test.ts
@@ -239,6 +239,26 @@
         expect(tokens.length).toBeGreaterThanOrEqual(10);
     });
 
+    // Guards against the same (random day 553): the connection broke as the worker restarted, and the next poll came
+    // after the late start.
+    it("polls at least every 60 ms for that while the worker refuses connections", async () => {
+        await jest.advanceTimersByTimeAsync(500);
+        answer = closed;
+        tokens = [];
+        await jest.advanceTimersByTimeAsync(1_200);
+        expect(tokens.length).toBeGreaterThanOrEqual(20);
+    });
+
+    // Guards against the same if a poll is lost or carried out late.
+    it("polls on for that while an earlier poll has no answer", async () => {
+        await jest.advanceTimersByTimeAsync(500);
+        delays = [5_000];
+        await jest.advanceTimersByTimeAsync(200);
+        tokens = [];
+        await jest.advanceTimersByTimeAsync(500);
+        expect(tokens.length).toBeGreaterThanOrEqual(1);
+    });
+
     // Guards against a new incarnation that forgets a `done` task because of an acknowledgement to its predecessor.
     it("sends starts with a higher token if an acknowledgement has not been answered for 100 ms", async () => {
         answer = listing(57);
