Transfer long-running tasks that ran before ahead of new ones

What could be seen: a step lost the run of one task, other tasks of it had never run, and another cell offered room for fewer tasks than waited; a task that never ran got the room and the lost one waited on. A task that ran before has 9 s to run again, whatever runs of its workflow.

Cause: tasks were transferred in the order of the set of waiting tasks, to which a task that loses its run is appended.

Change: tasks that ran before come first.

--- a/packages/workflow/src/cell/stranded-tasks.ts
+++ b/packages/workflow/src/cell/stranded-tasks.ts
@@ -10,7 +10,10 @@
     readonly stage: Stage;
     /** Monotonic time in ms since which they have found no room. */
     readonly since: number;
-    /** Indices of those that may move to another cell: nothing runs of them here, and nothing can start here later. */
+    /**
+     * Indices of those that may move to another cell: nothing runs of them here, and nothing can start here later. Tasks
+     * that ran before come first.
+     */
     readonly movable: () => readonly number[];
     readonly nameOf: (index: number) => TaskName;
 }
@@ -49,11 +52,17 @@
             }
             const nameOf = (index: number): TaskName =>
                 taskName({ job: ledger.workflow.id, occurrence, step: stepIndex, index });
-            const movable = (): readonly number[] =>
-                ledger.isSettled() ? [] : [...record.waiting].filter(index => {
-                    const task = nameOf(index);
-                    return constraintOf(task) === undefined && runRegistry.ofTask(task).length === 0;
-                });
+            const isMovable = (index: number): boolean => {
+                const task = nameOf(index);
+                return constraintOf(task) === undefined && runRegistry.ofTask(task).length === 0;
+            };
+            const movable = (): readonly number[] => {
+                const waiting = ledger.isSettled() ? [] : [...record.waiting].filter(isMovable);
+                return [
+                    ...waiting.filter(index => record.started.has(index)),
+                    ...waiting.filter(index => !record.started.has(index)),
+                ];
+            };
             found.push({ ledger, stage, since, movable, nameOf });
         }
     }
