Check that long-running tasks run where the service has room

Two promises are added to those of checkSubmittedWorkflows, for tasks that have run before and for those that have not: none is without a run for over 3 s, counted from 6 s after its last run or from its acceptance, while the workers have room for two of its size all the time and nothing disturbed the service from 4 s before. Room is sampled from the stand-in's workers, wherever they are; a worker counts once it has been ready for 4 s. Faults are recorded with the time that they last.

The soak's workers have six places each now, and a fifth of its workflows are long-running.

--- a/packages/bench/src/random-days.ts
+++ b/packages/bench/src/random-days.ts
@@ -3,7 +3,10 @@
 import type { FakeTime } from "./util/fake-time.js";
 import { installFakeTime } from "./util/fake-time.js";
 import { readKnownRed } from "./util/read-known-red.js";
+import { fullCellsProfile } from "./workflow/full-cells-profile.js";
 import { replacementFaults } from "./workflow/replacement-faults.js";
+import type { SeveralCellsProfile } from "./workflow/several-cells-profile.js";
+import { shortLivedProfile } from "./workflow/several-cells-profile.js";
 import type { RandomDayOptions } from "./workflow/simulate-random-day.js";
 import { simulateRandomDay } from "./workflow/simulate-random-day.js";
 import { simulateSeveralCellsDay } from "./workflow/simulate-several-cells-day.js";
@@ -11,7 +14,7 @@
 const command = meow(
     `
     Usage
-      $ npm run random-days [-- --from N --days N --cells one|several|replaced]
+      $ npm run random-days [-- --from N --days N --cells one|several|full|replaced]
 
     Simulates entry hosts on the platform stand-in under random faults in fake time, one day for each seed, and checks
     what workers did and which answers submitters got. Exits with 1 on a broken promise that KNOWN-RED.txt does not
@@ -22,6 +25,8 @@
       --days N         number of seeds, default 60
       --cells several  three failure domains with a cell each, and submitters that retry, query states and cancel;
                        default one
+      --cells full     as several, but the cells are nearly full of long-running work, which fails and is cancelled, and
+                       workers leave or crash
       --cells replaced one cell, and faults that replace workers by others at the same address
 `,
     {
@@ -29,7 +34,7 @@
         flags: {
             from: { type: "number", default: 0 },
             days: { type: "number", default: 60 },
-            cells: { type: "string", choices: ["one", "several", "replaced"], default: "one" },
+            cells: { type: "string", choices: ["one", "several", "full", "replaced"], default: "one" },
         },
     },
 );
@@ -49,17 +54,19 @@
     ];
     return { findings, faults };
 };
+const simulateSeveralCells = async (seed: number, time: FakeTime, profile: SeveralCellsProfile): Promise<DayResult> => {
+    const { broken, noted, faults } = await simulateSeveralCellsDay({ seed, time, profile });
+    noted.forEach(({ promise, detail }) => {
+        process.stdout.write(`seed ${String(seed)}: noted: ${promise}: ${detail}\n`);
+    });
+    return { findings: broken.map(({ promise, detail }) => `${promise}: ${detail}`), faults };
+};
 /** Simulations by value of `--cells`. */
 const simulations: Record<string, (seed: number, time: FakeTime) => Promise<DayResult>> = {
     one: (seed, time) => simulateOneCell({ seed, time }),
     replaced: (seed, time) => simulateOneCell({ seed, time, injectableFaults: replacementFaults }),
-    several: async (seed, time) => {
-        const { broken, noted, faults } = await simulateSeveralCellsDay({ seed, time });
-        noted.forEach(({ promise, detail }) => {
-            process.stdout.write(`seed ${String(seed)}: noted: ${promise}: ${detail}\n`);
-        });
-        return { findings: broken.map(({ promise, detail }) => `${promise}: ${detail}`), faults };
-    },
+    several: (seed, time) => simulateSeveralCells(seed, time, shortLivedProfile),
+    full: (seed, time) => simulateSeveralCells(seed, time, fullCellsProfile),
 };
 /** The name under which KNOWN-RED.txt lists a day. */
 const knownRedName = (seed: number): string =>
--- a/packages/bench/src/soak/run-soak.ts
+++ b/packages/bench/src/soak/run-soak.ts
@@ -4,10 +4,11 @@
 
 import type { BrokenPromise } from "../workflow/check-submitted-workflows.js";
 import { checkSubmittedWorkflows } from "../workflow/check-submitted-workflows.js";
+import { createServiceObserver } from "../workflow/service-observer.js";
 import type { SoakFaultContext } from "./soak-faults.js";
 import { soakFaults } from "./soak-faults.js";
 import type { SoakFleetOptions } from "./soak-fleet.js";
-import { startSoakFleet } from "./soak-fleet.js";
+import { soakTaskCpu, startSoakFleet } from "./soak-fleet.js";
 import { createSoakSubmitters } from "./soak-submitters.js";
 
 /** Result of {@link runSoak}. */
@@ -50,6 +51,29 @@
             setTimeout(action, Math.max(0, Math.min(milliseconds, endsAt - performance.now())));
         },
     };
+    const observer = createServiceObserver({ platform: fleet.platform, taskCpu: soakTaskCpu });
+    /** Injects a fault; the service counts as disturbed until all actions that the fault has scheduled have run. */
+    const injectRecorded = (inject: (faultContext: SoakFaultContext) => void): void => {
+        const end = observer.beginDisturbance();
+        let pending = 1;
+        const finishOne = (): void => {
+            pending -= 1;
+            if (pending === 0) {
+                end();
+            }
+        };
+        inject({
+            ...context,
+            runAfter: (milliseconds, action) => {
+                pending += 1;
+                context.runAfter(milliseconds, () => {
+                    action();
+                    finishOne();
+                });
+            },
+        });
+        finishOne();
+    };
     const faults: string[] = [];
     try {
         const submitters = createSoakSubmitters(context);
@@ -58,16 +82,20 @@
             if (draw() < faultProbability) {
                 const [name, inject] = context.pick(Object.entries(soakFaults)) ?? [];
                 faults.push(`${String(Math.round(performance.now() - startedAt))} ms: ${name ?? ""}`);
-                inject?.(context);
+                if (inject !== undefined) {
+                    injectRecorded(inject);
+                }
             }
             await sleep(submissionInterval);
         }
         // All scheduled heals have run by now. Starts hosts whose last start was skipped because the old process had
         // not exited yet.
         await sleep(submissionInterval);
-        fleet.hosts.forEach(host => {
-            host.signal("SIGCONT");
-            host.start();
+        injectRecorded(() => {
+            fleet.hosts.forEach(host => {
+                host.signal("SIGCONT");
+                host.start();
+            });
         });
         await sleep(recoveryTime);
         const endedAt = performance.now();
@@ -75,11 +103,12 @@
         const { events } = fleet.platform.journal;
         const running = [...fleet.platform.workers.values()].flatMap(worker => worker.running());
         const { workflows } = submitters;
-        const { broken } = checkSubmittedWorkflows({ workflows, events, running, endedAt });
+        const { broken } = checkSubmittedWorkflows({ workflows, events, running, endedAt, service: observer.history });
         const accepted = workflows.filter(({ acceptedAt }) => acceptedAt !== undefined).length;
         return { accepted, broken, unexpectedExits: fleet.unexpectedExits, faults };
     }
     finally {
+        observer.stop();
         await fleet.close();
     }
 };
--- a/packages/bench/src/soak/soak-fleet.ts
+++ b/packages/bench/src/soak/soak-fleet.ts
@@ -55,6 +55,10 @@
     readonly keepLogsIn?: string;
 }
 
+/** Millicores of each task. */
+export const soakTaskCpu = 1_000;
+/** Tasks that a worker can run at the same time. */
+const tasksPerWorker = 6;
 const failureDomains = ["east-a", "east-b", "east-c"];
 /** Milliseconds. */
 const longestLease = 6_000;
@@ -119,7 +123,8 @@
     const platform = createProtocolPlatform({
         workers: Object.fromEntries(failureDomains.map(domain => [domain, workersPerDomain])),
         longestLease,
-        cpuOf: () => 1_000,
+        cpu: tasksPerWorker * soakTaskCpu,
+        cpuOf: () => soakTaskCpu,
         addressOf: id => `127.0.0.1:${String(workerPorts.get(id)?.proxy ?? 0)}`,
     });
     platform.configure(deskConfiguration);
--- a/packages/bench/src/soak/soak-submitters.ts
+++ b/packages/bench/src/soak/soak-submitters.ts
@@ -4,6 +4,7 @@
 import type { ObservedAnswer, SubmittedWorkflow } from "../workflow/submitted-workflow.js";
 import type { SoakFaultContext } from "./soak-faults.js";
 import type { SoakHost } from "./soak-fleet.js";
+import { soakTaskCpu } from "./soak-fleet.js";
 
 /** Submitters with persistent connections that retry their submissions and query the states of their workflows. */
 export interface SoakSubmitters {
@@ -25,9 +26,16 @@
 /** Answer to a state query by HTTP status, for answers without a state. */
 const answersByStatus: Readonly<Record<number, string>> = { 410: "absent", 503: "unavailable", 504: "unavailable" };
 
+/** Share of workflows that are long-running, as long as these have fewer than {@link mostLongRunningTasks}. */
+const longRunningShare = 0.2;
+/** Tasks of all long-running workflows at most, so that there is room for short-lived ones. */
+const mostLongRunningTasks = 24;
+
 /** Creates submitters to the hosts of a fleet. */
 export const createSoakSubmitters = ({ fleet, draw, pick, runAfter }: SoakFaultContext): SoakSubmitters => {
     const workflows: SubmittedWorkflow[] = [];
+    const longRunningTasks = (): number =>
+        workflows.filter(({ isLasting }) => isLasting).reduce((sum, { taskCount }) => sum + taskCount, 0);
 
     const call = async (host: SoakHost, method: string, id: string, body?: unknown) =>
         await callJson({
@@ -88,19 +96,23 @@
             const id = Math.floor(draw() * 2 ** 48).toString(16).padStart(16, "0");
             const first = 1 + Math.floor(draw() * 3);
             const second = 1 + Math.floor(draw() * 2);
+            const work = 200 + Math.floor(draw() * 1_500);
+            const isLasting = draw() < longRunningShare && longRunningTasks() + first <= mostLongRunningTasks;
             const workflow: SubmittedWorkflow = {
                 id,
-                taskCount: first + second,
-                isLasting: false,
+                taskCount: isLasting ? first : first + second,
+                isLasting,
                 outcomes: [],
                 answers: [],
             };
             workflows.push(workflow);
-            const step = { cpu: 1_000, memoryRequestMb: 100, estimatedMs: 500 };
-            const specification = JSON.stringify({ work: 200 + Math.floor(draw() * 1_500) });
+            const step = { cpu: soakTaskCpu, memoryRequestMb: 100, estimatedMs: 500 };
             void submitWithRetries(workflow, {
-                specification,
-                steps: [{ ...step, count: first }, { ...step, count: second, after: [0] }],
+                // A long-running task fails once after some seconds, and runs on when it has been started again.
+                specification: JSON.stringify(isLasting ? { work: 10 * work, isLasting, failures: 1 } : { work }),
+                steps: isLasting
+                    ? [{ ...step, count: first, longRunning: true }]
+                    : [{ ...step, count: first }, { ...step, count: second, after: [0] }],
             });
             scheduleQueries(workflow);
         },
--- a/packages/bench/src/workflow/check-submitted-workflows.ts
+++ b/packages/bench/src/workflow/check-submitted-workflows.ts
@@ -1,6 +1,9 @@
 import type { ProtocolEvent } from "@jayfront/platform-stand-in";
 import { findBreach } from "@jayfront/platform-stand-in";
 
+import type { UnservedTask } from "./find-unserved-tasks.js";
+import { findUnservedTasks } from "./find-unserved-tasks.js";
+import type { ServiceHistory } from "./service-history.js";
 import type { ObservedAnswer, SubmittedWorkflow } from "./submitted-workflow.js";
 
 /** A promise to submitters that was broken. */
@@ -19,6 +22,8 @@
     readonly running: readonly string[];
     /** Monotonic time in ms; answers to requests sent from then on are the final ones. */
     readonly endedAt: number;
+    /** The service's free capacity and what disturbed it. */
+    readonly service: ServiceHistory;
 }
 
 /** Milliseconds from the acceptance of a workflow until every host has to know it. */
@@ -49,6 +54,9 @@
 const firstShownCompleted = ({ answers }: SubmittedWorkflow): number =>
     Math.min(...answers.filter(({ answer }) => answer === "completed").map(({ answeredAt }) => answeredAt));
 
+const describeUnserved = ({ task, from, until }: UnservedTask): string =>
+    `${task} had no run from ${at(from)} to ${at(until)}, with room for two of its size and no disturbance`;
+
 /** Whether the workflow has to complete: accepted, never cancelled, and not long-running. */
 const hasToComplete = ({ acceptedAt, cancelSentAt, isLasting }: SubmittedWorkflow): boolean =>
     acceptedAt !== undefined && cancelSentAt === undefined && !isLasting;
@@ -85,6 +93,10 @@
         answers.some(({ request, answer }) => request === "cancel" && answer === "cancelled")
             ? running.filter(task => workflowOf(task) === id).map(task => `${task} runs in the end`)
             : [],
+    "starts in time where there is room": (workflow, day) =>
+        findUnservedTasks(workflow, day).filter(({ hasRun }) => !hasRun).map(describeUnserved),
+    "runs again in time where there is room": (workflow, day) =>
+        findUnservedTasks(workflow, day).filter(({ hasRun }) => hasRun).map(describeUnserved),
 };
 
 /** Checks whose findings are reported, but tolerated: an isolated host can only answer from its last known state. */
--- a/packages/bench/src/workflow/random-submitters.ts
+++ b/packages/bench/src/workflow/random-submitters.ts
@@ -2,13 +2,17 @@
 import type { JobId } from "@jayfront/world";
 
 import type { SeveralCellsFaultContext } from "./several-cells-faults.js";
+import type { SubmissionMix } from "./submission-mix.js";
+import { shortLivedMix } from "./submission-mix.js";
 import type { ObservedAnswer, SubmittedWorkflow } from "./submitted-workflow.js";
 
 /** Submitters that retry unanswered submissions, query states at random times, and cancel some of their workflows. */
 export interface RandomSubmitters {
     readonly workflows: readonly SubmittedWorkflow[];
-    /** Submits a new workflow to a random host, with retries. */
-    readonly submit: () => void;
+    /** Submits a new workflow to a random host, with retries; `longRunning`: one that is certainly long-running. */
+    readonly submit: (longRunning?: "long-running") => void;
+    /** Number of tasks of all long-running workflows that are neither cancelled nor refused. */
+    readonly longRunningTasks: () => number;
     /** Cancels all accepted long-running workflows. */
     readonly cancelLongRunning: () => void;
     /** Queries the states of all accepted workflows at all running hosts. */
@@ -18,8 +22,10 @@
 interface Submission {
     readonly workflow: SubmittedWorkflow;
     readonly steps: readonly Partial<Step>[];
-    /** Run time of each task in ms. */
+    /** Run time in ms of each task that ends. */
     readonly work: number;
+    /** Runs of each task that fail by themselves before one does not. */
+    readonly failures: number;
 }
 
 /** Retries of a submission that was not accepted. */
@@ -30,8 +36,6 @@
 const retryAfter = 1_000;
 /** Milliseconds after the acceptance in which the submitter queries the state more often. */
 const frequentQueryTime = 6_000;
-/** Share of workflows that are long-running. */
-const longRunningShare = 0.08;
 /** Share of accepted workflows that are cancelled. */
 const cancelledShare = 0.12;
 /** Share of accepted workflows that are submitted a second time. */
@@ -43,7 +47,11 @@
     });
 
 /** Creates submitters that send requests until `endsAt`, in ms of monotonic time. */
-export const createRandomSubmitters = (context: SeveralCellsFaultContext, endsAt: number): RandomSubmitters => {
+export const createRandomSubmitters = (
+    context: SeveralCellsFaultContext,
+    endsAt: number,
+    mix: SubmissionMix = shortLivedMix,
+): RandomSubmitters => {
     const { cluster, draw, pick, runAfter } = context;
     const workflows: SubmittedWorkflow[] = [];
 
@@ -65,6 +73,8 @@
         };
         return Promise.race([answered(), pause(answerTimeout).then(() => undefined)]);
     };
+    /** Draws a whole number from 1 to `most`; draws nothing if there is only one. */
+    const drawUpTo = (most: number): number => most === 1 ? 1 : 1 + Math.floor(draw() * most);
     const pickHost = (): string => pick([...cluster.hosts.keys()]) ?? pick(cluster.hostIds) ?? "";
     const sendRequest = async <Value extends string>(
         workflow: SubmittedWorkflow,
@@ -99,10 +109,12 @@
             await pause(200);
         }
     };
-    const attempt = async ({ workflow, steps, work }: Submission): Promise<SubmissionAnswer["kind"] | "no answer"> => {
+    const attempt = async (
+        { workflow, steps, work, failures }: Submission,
+    ): Promise<SubmissionAnswer["kind"] | "no answer"> => {
         const host = pickHost();
         const index = workflow.outcomes.push("no answer") - 1;
-        const payload = { work, isLasting: workflow.isLasting };
+        const payload = { work, failures, isLasting: workflow.isLasting };
         const answer = await call(host, () => cluster.submit(host, workflow.id, steps, payload));
         workflow.outcomes[index] = answer?.kind ?? "no answer";
         return answer?.kind ?? "no answer";
@@ -121,6 +133,9 @@
         if (!workflow.isLasting && draw() < cancelledShare) {
             runAfter(draw() * 4_000, () => void cancel(workflow));
         }
+        if (workflow.isLasting && mix.cancelledLongRunningShare > 0 && draw() < mix.cancelledLongRunningShare) {
+            runAfter(draw() * remaining, () => void cancel(workflow));
+        }
     };
     const submitWithRetries = async (submission: Submission): Promise<void> => {
         for (let retries = 0; retries <= maxRetries; retries += 1) {
@@ -137,10 +152,12 @@
     };
     return {
         workflows,
-        submit: () => {
+        submit: longRunning => {
             const id = Math.floor(draw() * 2 ** 48).toString(16).padStart(16, "0");
-            const isLasting = draw() < longRunningShare;
-            const counts = isLasting ? [1] : [1 + Math.floor(draw() * 4), 1 + Math.floor(draw() * 3)];
+            const isLasting = longRunning !== undefined || draw() < mix.longRunningShare;
+            const counts = isLasting
+                ? [drawUpTo(mix.mostLongRunningTasks)]
+                : [1 + Math.floor(draw() * 4), 1 + Math.floor(draw() * 3)];
             const steps = counts.map((count, index) => ({
                 count,
                 isLasting,
@@ -149,8 +166,15 @@
             const taskCount = counts.reduce((sum, count) => sum + count, 0);
             const workflow: SubmittedWorkflow = { id, taskCount, isLasting, outcomes: [], answers: [] };
             workflows.push(workflow);
-            void submitWithRetries({ workflow, steps, work: 200 + Math.floor(draw() * 2_500) });
+            const failures = isLasting && mix.mostFailures > 0 ? drawUpTo(mix.mostFailures + 1) - 1 : 0;
+            const work = failures > 0 ? 200 + draw() * mix.longestTimeToFailure : 200 + Math.floor(draw() * 2_500);
+            void submitWithRetries({ workflow, steps, work, failures });
         },
+        longRunningTasks: () =>
+            workflows.filter(({ isLasting, cancelSentAt, outcomes }) =>
+                isLasting && cancelSentAt === undefined && outcomes[outcomes.length - 1] !== "unavailable"
+            )
+                .reduce((sum, { taskCount }) => sum + taskCount, 0),
         cancelLongRunning: () => {
             workflows.filter(workflow => workflow.isLasting && workflow.acceptedAt !== undefined)
                 .forEach(workflow => void cancel(workflow));
--- a/packages/bench/src/workflow/simulate-several-cells-day.ts
+++ b/packages/bench/src/workflow/simulate-several-cells-day.ts
@@ -6,11 +6,15 @@
 import type { FakeTime } from "../util/fake-time.js";
 import type { DayFindings } from "./check-submitted-workflows.js";
 import { checkSubmittedWorkflows } from "./check-submitted-workflows.js";
+import { createDisturbanceRecordingCluster } from "./disturbance-recording-cluster.js";
 import { createOverlapSafeCluster } from "./overlap-safe-cluster.js";
 import type { PlantedFault } from "./planted-faults.js";
 import { createRandomSubmitters } from "./random-submitters.js";
-import type { SeveralCellsFaultContext } from "./several-cells-faults.js";
-import { severalCellsFaults } from "./several-cells-faults.js";
+import type { ServiceHistory } from "./service-history.js";
+import { createServiceObserver } from "./service-observer.js";
+import type { SeveralCellsFaultContext, WeightedFault } from "./several-cells-faults.js";
+import type { SeveralCellsProfile } from "./several-cells-profile.js";
+import { shortLivedProfile } from "./several-cells-profile.js";
 import type { SubmittedWorkflow } from "./submitted-workflow.js";
 import { createWorkflowCluster } from "./workflow-cluster.js";
 
@@ -19,6 +23,8 @@
     readonly workflows: readonly SubmittedWorkflow[];
     /** Everything that workers did, in order. */
     readonly events: readonly ProtocolEvent[];
+    /** Free capacity and disturbances. */
+    readonly service: ServiceHistory;
     /** Injected faults, in order, with their monotonic time in ms. */
     readonly faults: readonly string[];
 }
@@ -33,26 +39,27 @@
     readonly logger?: Logger;
     /** Protocol fault of the hosts that the day should reveal. Default: none. */
     readonly plantedFault?: PlantedFault;
+    /** The workers, the load and the faults of the day. Default: short-lived work in cells with ample room. */
+    readonly profile?: SeveralCellsProfile;
 }
 
 /** Milliseconds from the start of all hosts to the first submission. */
 const warmUp = 4_000;
 /** Milliseconds between two submissions. */
 const submissionInterval = 400;
-/** Probability that a fault is injected along with a submission. */
-const faultProbability = 0.4;
 /** Milliseconds without new faults in which every accepted workflow has to complete. */
 const recoveryTime = 30_000;
 /** Milliseconds within which all hosts answer the final state queries. */
 const finalQueryTime = 4_000;
 const hosts = { "east-a": 2, "east-b": 2, "east-c": 2 };
-const workers = { "east-a": 3, "east-b": 3, "east-c": 3 };
+/** Millicores of each task. */
+const taskCpu = 1_000;
 
 /** Injects a fault drawn by weight; returns its name. */
-const injectOne = (context: SeveralCellsFaultContext): string => {
-    const total = severalCellsFaults.reduce((sum, { weight }) => sum + weight, 0);
+const injectOne = (faults: readonly WeightedFault[], context: SeveralCellsFaultContext): string => {
+    const total = faults.reduce((sum, { weight }) => sum + weight, 0);
     let remaining = context.draw() * total;
-    const drawnFault = severalCellsFaults.find(({ weight }) => {
+    const drawnFault = faults.find(({ weight }) => {
         remaining -= weight;
         return remaining < 0;
     });
@@ -65,18 +72,21 @@
  * seed gives the same events.
  */
 export const simulateSeveralCellsDay = async (
-    { seed, time, seconds = 20, logger, plantedFault }: SeveralCellsDayOptions,
+    { seed, time, seconds = 20, logger, plantedFault, profile = shortLivedProfile }: SeveralCellsDayOptions,
 ): Promise<SeveralCellsDay> => {
     const random = xoroshiro128plus(seed);
     const draw = (): number => uniformFloat64(random);
-    const cluster = createOverlapSafeCluster(createWorkflowCluster({
+    const hostCluster = createOverlapSafeCluster(createWorkflowCluster({
         hosts,
-        workers,
-        cpuOf: () => 1_000,
+        workers: Object.fromEntries(Object.keys(hosts).map(domain => [domain, profile.workersPerDomain])),
+        cpu: profile.tasksPerWorker * taskCpu,
+        cpuOf: () => taskCpu,
         largestCell: 0,
         ...(logger === undefined ? {} : { logger }),
         ...(plantedFault === undefined ? {} : { plantedFault }),
     }));
+    const observer = createServiceObserver({ platform: hostCluster.platform, taskCpu });
+    const cluster = createDisturbanceRecordingCluster(hostCluster, observer);
     const context: SeveralCellsFaultContext = {
         cluster,
         draw,
@@ -88,14 +98,25 @@
     const faults: string[] = [];
     await time.advance(warmUp);
     const dayLength = seconds * 1_000;
-    const submitters = createRandomSubmitters(context, performance.now() + dayLength + recoveryTime);
+    const places = Object.keys(hosts).length * profile.workersPerDomain * profile.tasksPerWorker;
+    const submitters = createRandomSubmitters(
+        context,
+        performance.now() + dayLength + profile.quietTime + recoveryTime,
+        profile.mix,
+    );
     for (let passed = 0; passed < dayLength; passed += submissionInterval) {
-        submitters.submit();
-        if (draw() < faultProbability) {
-            faults.push(`${String(Math.round(performance.now()))} ms: ${injectOne(context)}`);
+        if (profile.submissionProbability === 1 || draw() < profile.submissionProbability) {
+            submitters.submit();
+        }
+        while (submitters.longRunningTasks() < profile.longRunningLoad * places) {
+            submitters.submit("long-running");
+        }
+        if (passed >= profile.fillTime && draw() < profile.faultProbability) {
+            faults.push(`${String(Math.round(performance.now()))} ms: ${injectOne(profile.faults, context)}`);
         }
         await time.advance(submissionInterval);
     }
+    await time.advance(profile.quietTime);
     submitters.cancelLongRunning();
     await time.advance(recoveryTime);
     const endedAt = performance.now();
@@ -104,7 +125,9 @@
     await finalQueries;
     const { events } = cluster.platform.journal;
     const running = [...cluster.platform.workers.values()].flatMap(worker => worker.running());
+    observer.stop();
     cluster.stop();
     const { workflows } = submitters;
-    return { ...checkSubmittedWorkflows({ workflows, events, running, endedAt }), workflows, events, faults };
+    const findings = checkSubmittedWorkflows({ workflows, events, running, endedAt, service: observer.history });
+    return { ...findings, workflows, events, service: observer.history, faults };
 };
