Let waiting long-running tasks use the last places of other cells

Cause: two rules kept single places free in each cell. A new task waited for up to 6 s beside one place in its own cell, which is kept for urgent work, and did not count as without room; other cells kept one place and 8% of their CPU from every task of another cell. Places for two tasks in two cells were out of reach for all of them.

Change: a new task counts as without room where its cell has fewer than two places. A task that lost its run, is the first of its step or has waited for 1.8 s, as long as it waits for unused room in its own cell, may take all room of another cell.

--- a/packages/workflow/src/cell/long-running-admission.ts
+++ b/packages/workflow/src/cell/long-running-admission.ts
@@ -12,8 +12,8 @@
     readonly beginPass: (candidates: readonly StageCandidate[]) => void;
     /** Whether one more task of the step may start; always true unless the task is new and long-running. */
     readonly mayStart: (candidate: StageCandidate) => boolean;
-    /** Whether a worker has room for a task of the step, regardless of what is kept for urgent work. */
-    readonly hasRoom: (candidate: StageCandidate) => boolean;
+    /** Whether there is room for two tasks of the step, regardless of what is kept for urgent work. */
+    readonly hasRoomForTwo: (candidate: StageCandidate) => boolean;
     /** Has to be called after each start in the pass, since it changes the free capacity. */
     readonly recordStart: () => void;
 }
@@ -135,7 +135,7 @@
                 reserve: urgentReserve.requiredCpu(now),
             });
         },
-        hasRoom: candidate => countPlaces(candidate, 1) > 0,
+        hasRoomForTwo: candidate => countPlaces(candidate, 2) >= 2,
         recordStart: () => {
             freeForUrgent = undefined;
         },
--- a/packages/workflow/src/cell/outgoing-transfers.ts
+++ b/packages/workflow/src/cell/outgoing-transfers.ts
@@ -39,6 +39,8 @@
     readonly signal: AbortSignal;
 }
 
+/** Milliseconds after which a task that never ran is preferred; one may not be left without a run for 3 s. */
+const longWait = 1_800;
 /** Cells that are asked for room for the tasks of one step in one review. */
 const maxAskedCells = 2;
 /** Steps for which other cells are asked for room in one review. */
@@ -72,9 +74,11 @@
         });
     };
     const findRoom = async (stranded: StrandedTasks): Promise<void> => {
-        const { ledger, stage: { step, stepIndex, record }, movable } = stranded;
+        const { ledger, stage: { step, stepIndex, record }, since, movable } = stranded;
         const { service } = queueOf(ledger);
-        const isPreferred = record.waiting.size === step.count || movable().some(index => record.started.has(index));
+        const isPreferred = record.waiting.size === step.count
+            || movable().some(index => record.started.has(index))
+            || performance.now() - since >= longWait;
         for (const target of otherCells.withFreeCpu(step.cpu).slice(0, maxAskedCells)) {
             const count = movable().length;
             if (count === 0 || signal.aborted) {
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -377,7 +377,9 @@
         let constrainedIndex: number | undefined;
         for (const [position, index] of indices.entries()) {
             if (!admission.mayStart(candidate)) {
-                record.noRoomSince = admission.hasRoom(candidate) ? undefined : record.noRoomSince ?? performance.now();
+                // A single place is kept for urgent work and for tasks that lose their run.
+                const hasRoom = admission.hasRoomForTwo(candidate);
+                record.noRoomSince = hasRoom ? undefined : record.noRoomSince ?? performance.now();
                 logWait(candidate, () => countExcluded(candidate, index, eligibleWorkersFor(candidate)));
                 return;
             }
--- a/packages/workflow/src/cell/transfer-room.ts
+++ b/packages/workflow/src/cell/transfer-room.ts
@@ -11,6 +11,9 @@
     readonly step: Step;
     /** Number of tasks that have no room in their cell. */
     readonly count: number;
-    /** Whether tasks have lost their run or are the first of their step; the others have to leave room for short tasks. */
+    /**
+     * Whether tasks have lost their run, are the first of their step or have waited for long; the others have to leave
+     * room for short-lived work.
+     */
     readonly isPreferred: boolean;
 }
--- a/packages/workflow/src/policy/transfer-capacity.ts
+++ b/packages/workflow/src/policy/transfer-capacity.ts
@@ -12,21 +12,21 @@
     readonly offeredCpu: number;
 }
 
-/** Places for tasks of the step that stay free, so that a task that loses its run in the cell finds room again. */
+/** Places that tasks which are not preferred leave free, so that a task that loses its run in the cell finds room again. */
 const keptPlaces = 1;
 
 /**
- * Number of long-running tasks of a step that a cell can run for another cell. `isPreferred`: whether they may take the
- * room that is otherwise left to short-lived work.
+ * Number of long-running tasks of a step that a cell can run for another cell. `isPreferred`: whether they may take all
+ * room, also that which is otherwise left to short-lived work.
  */
 export const transferCapacity = (
     step: Pick<Step, "cpu">,
     { placesByWorker, freeCpu, capacityCpu, waitingCpu, offeredCpu }: TransferCapacity,
     isPreferred: boolean,
 ): number => {
-    const places = placesByWorker.reduce((sum, count) => sum + count, 0);
+    const places = placesByWorker.reduce((sum, count) => sum + count, 0) - (isPreferred ? 0 : keptPlaces);
     const keptCpu = isPreferred ? 0 : capacityCpu * shortLivedShare;
     const usableCpu = freeCpu - waitingCpu - offeredCpu - keptCpu;
     const claimedPlaces = Math.ceil((waitingCpu + offeredCpu) / Math.max(1, step.cpu));
-    return Math.max(0, Math.min(places - claimedPlaces - keptPlaces, Math.floor(usableCpu / Math.max(1, step.cpu))));
+    return Math.max(0, Math.min(places - claimedPlaces, Math.floor(usableCpu / Math.max(1, step.cpu))));
 };
