Log what the workers without room lack where a step waits

The line now has what a task requires and the number of workers that lack each resource. No decision changes.

--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -63,6 +63,16 @@
     readonly blockedBy?: string;
 }
 
+/** Whether a worker lacks what a task of the step requires, by resource. */
+const resourceChecks = {
+    label: ({ session }: CellWorker, { requiredLabel }: Step): boolean =>
+        requiredLabel !== undefined && !session.entry().labels.includes(requiredLabel),
+    cpu: ({ resources }: CellWorker, step: Step): boolean => !step.usesSpareCpu && resources.freeCpu() < step.cpu,
+    memory: ({ resources }: CellWorker, step: Step): boolean => resources.freeMemory() < step.memory,
+    accelerators: ({ resources }: CellWorker, step: Step): boolean => resources.freeAccelerators() < step.accelerators,
+};
+const resourceNames = Object.keys(resourceChecks) as readonly (keyof typeof resourceChecks)[];
+
 const stageName = ({ ledger, stage }: StageCandidate): string =>
     `${ledger.workflow.id}.${String(stage.occurrence)}.${String(stage.stepIndex)}`;
 
@@ -238,6 +248,17 @@
         const since = indices.map(index => record.lastEnds.get(index) ?? record.readySince ?? now);
         return now - Math.min(now, ...since);
     };
+    /** Counts the workers that lack a resource or the label that the step requires, each under the first one it lacks. */
+    const countLacking = (step: Step, open: readonly CellWorker[]): Record<keyof typeof resourceChecks, number> => {
+        const lacking = { label: 0, cpu: 0, memory: 0, accelerators: 0 };
+        for (const worker of open) {
+            const first = resourceNames.find(name => resourceChecks[name](worker, step));
+            if (first !== undefined) {
+                lacking[first] += 1;
+            }
+        }
+        return lacking;
+    };
     /**
      * Logs what tasks of a step wait for: room, or what excludes the workers with room. `details` returns further
      * properties of the line and is called only if the line is due.
@@ -256,7 +277,10 @@
             tasks: indices.length,
             waited: Math.round(now - (record.readySince ?? now)),
             laxity: Math.round(urgency.laxity),
+            cpu: step.cpu,
+            memory: step.memory,
             workers: workers.size,
+            lacking: countLacking(step, workersOpenTo(queue.service)),
             withRoom: fitting.length,
             trusted: fitting.filter(worker => health.allowance(worker.session.id) > 0).length,
             isKeptForUrgent: fitting.length > 0 && !admission.mayStart(candidate),
--- a/packages/workflow/tests/stage-scheduler.test.ts
+++ b/packages/workflow/tests/stage-scheduler.test.ts
@@ -135,6 +135,18 @@
     const waits = (cell: TestCell, ledger: WorkflowLedger): Readonly<Record<string, unknown>>[] =>
         cell.logged("step waits").filter(line => line["job"] === ledger.workflow.id);
 
+    it("counts the workers without room by what they lack", () => {
+        const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: 1_000 });
+        cell.submit({}, [{ count: 1, cpu: 10_000 }]);
+        cell.submit({}, [{ count: 1, memory: 60_000 }]);
+        cell.scheduler.runPass();
+        const workflow = cell.submit({}, [{ cpu: 10_000, memory: 10_000 }]);
+        cell.scheduler.runPass();
+        expect(waits(cell, workflow)).toMatchObject([
+            { cpu: 10_000, memory: 10_000, lacking: { label: 0, cpu: 1, memory: 1, accelerators: 0 }, withRoom: 0 },
+        ]);
+    });
+
     it("counts the workers that are reserved for other tasks", () => {
         const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: 1_000 });
         cell.submit({}, [{ count: 2, cpu: 10_000 }]);
