Count workflows that are being stored in the check of a cell's room

Cause: a holder that is offered a workflow compares its tasks with the free room less what waits in the cell, but a workflow waits there only once it is stored. So all that are being stored at a moment are given the same room, and the tasks that find none wait for good, since long-running work does not leave its cell.

Change: workflows whose submissions are in progress count as waiting.

--- a/packages/bench/tests/workflow/cell-spread.test.ts
+++ b/packages/bench/tests/workflow/cell-spread.test.ts
@@ -20,6 +20,8 @@
 const workerDelay = 50;
 /** Milliseconds from a takeover within which other hosts know the capacity of the cell. */
 const capacityDelay = 100;
+/** Tasks of 4.5 cores that fit on the two workers of a cell. */
+const fittingTasks = 6;
 /** Milliseconds within which a holder returns one cell to the cell's own domain. */
 const returnTime = 12_000;
 
@@ -180,6 +182,25 @@
         expect(Math.min(...perCell)).toBeGreaterThanOrEqual(evenShare / 2);
     });
 
+    // Guards against long-running tasks that wait for good in a cell while others have room: a holder that was offered
+    // several workflows at once checked the room for each as if it had not accepted the others yet.
+    it("accept no more long-running work than fits when much of it arrives at the same moment", async () => {
+        const created = await create();
+        const hosts = [...created.hosts.keys()];
+        for (let number = 0; number < 20; number += 1) {
+            const id = number.toString(16).padStart(16, "0");
+            void created.submit(hosts[number % hosts.length] ?? "", id, [{ cpu: 4_500, isLasting: true }], {
+                isLasting: true,
+            });
+        }
+        await time.advance(2_000);
+        const perCell = domains.map(domain =>
+            created.platform.store.rows("workflows").filter(({ part }) => part === `${domain}/0`).length
+        );
+        expect(perCell.reduce((sum, count) => sum + count, 0)).toBe(20);
+        expect(Math.max(...perCell)).toBeLessThanOrEqual(fittingTasks);
+    });
+
     // Guards against hosts that exchange their cells when all of them restart.
     it("are taken back by their holders when all hosts restart", async () => {
         const created = await create();
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -10,7 +10,7 @@
 import type { Workflow } from "../model/workflow.js";
 import { createInterferenceModel } from "../policy/interference-model.js";
 import type { LongRunningCapacity } from "../policy/long-running-capacity.js";
-import { hasCapacityForLongRunning } from "../policy/long-running-capacity.js";
+import { hasCapacityForLongRunning, longRunningCpu } from "../policy/long-running-capacity.js";
 import type { StateStore } from "../port/state-store.js";
 import type { WorkerDirectory } from "../port/worker-directory.js";
 import type { WorkerGateway } from "../port/worker-gateway.js";
@@ -464,6 +464,9 @@
         for (const ledger of [...ledgers.values(), ...incomingTransfers.ledgers.values()]) {
             waitingCpu += ledger.isSettled() ? 0 : waitingLongRunningCpu(ledger);
         }
+        for (const { id, steps } of intake.pendingWorkflows()) {
+            waitingCpu += ledgers.has(id) ? 0 : longRunningCpu(steps);
+        }
         return {
             freeByWorker: usable.map(({ resources }) => ({ cpu: resources.freeCpu(), memory: resources.freeMemory() })),
             capacityCpu: usable.reduce((sum, { resources }) => sum + resources.capacity().cpu, 0),
--- a/packages/workflow/src/cell/workflow-intake.ts
+++ b/packages/workflow/src/cell/workflow-intake.ts
@@ -19,6 +19,8 @@
     readonly submit: (workflow: Workflow) => Promise<SubmissionReply>;
     /** Whether a submission of the workflow is still in progress, so that it may yet be stored. */
     readonly hasPendingSubmission: (id: JobId) => boolean;
+    /** Workflows whose submissions are still in progress. */
+    readonly pendingWorkflows: () => readonly Workflow[];
     /**
      * Looks a workflow up in the cell's rows and adds it to the cell if it has not ended. `not-known`: the cell has no
      * rows of it. `unknown`: the rows could not be read, or it could not be shown that this host still holds the cell.
@@ -210,6 +212,7 @@
             endStates.clear();
         },
         hasPendingSubmission: id => pendingSubmissions.has(id),
+        pendingWorkflows: () => [...pendingSubmissions.values()].map(({ workflow }) => workflow),
         submit: async workflow => {
             if (stateOf(workflow.id) !== undefined) {
                 return { kind: "accepted" };
--- a/packages/workflow/src/policy/long-running-capacity.ts
+++ b/packages/workflow/src/policy/long-running-capacity.ts
@@ -15,10 +15,14 @@
     readonly freeByWorker: readonly FreeCapacity[];
     /** Millicores of these workers in total, used or free. */
     readonly capacityCpu: number;
-    /** Millicores of the long-running tasks that already wait in the cell. */
+    /** Millicores of the long-running tasks that already wait in the cell, or will once their workflows are stored. */
     readonly waitingCpu: number;
 }
 
+/** Millicores that all tasks of the long-running steps request. */
+export const longRunningCpu = (steps: readonly Step[]): number =>
+    steps.reduce((sum, step) => sum + (step.isLasting ? step.count * step.cpu : 0), 0);
+
 const taskCountOn = ({ cpu, memory }: FreeCapacity, step: Step): number =>
     Math.min(
         step.perWorkerLimit ?? Infinity,
@@ -39,7 +43,7 @@
     if (lasting.length === 0) {
         return true;
     }
-    const demand = lasting.reduce((sum, step) => sum + step.count * step.cpu, 0);
+    const demand = longRunningCpu(steps);
     const freeCpu = freeByWorker.reduce((sum, free) => sum + free.cpu, 0);
     const fitsOnWorkers = lasting.every(step =>
         freeByWorker.reduce((sum, free) => sum + taskCountOn(free, step), 0)
