Stop a long-running task of a draining worker only once it has a place elsewhere

Cause: the watchdog asked every 250 ms whether any worker had room for a task at that instant. Between two reviews, the placement passes gave room that became free to waiting tasks, new long-running ones among them, since the tasks of draining workers were no candidates. And one free place, also one excluded by the step's limit per worker, was enough to stop all tasks of all draining workers, most of which then waited without a run.

Change: tasks of draining workers are candidates of each pass, after tasks without a run and before urgent work and new long-running tasks. They get a place by the same filters as a start (limit, health, reservations); the place counts as used until the task starts there. Without a place, workers are reserved for them as for tasks that lost their run. The watchdog stops a task that has a place, or whose worker is about to leave. Gangs keep the former check. The stand-in's draining workers announce how long they still stay.

--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -66,6 +66,8 @@
     readonly cpuOf?: (task: string) => number;
     /** Millicores of each worker. Default 16,000. */
     readonly cpu?: number;
+    /** Minimum milliseconds for which a draining worker stays. Default: that of the stand-in. */
+    readonly drainTime?: number;
     /** Logger of the hosts. Default: silent. */
     readonly logger?: Logger;
     /** Longest time that workers run tasks without a renewed deadline, in ms. Default 6,000. */
@@ -132,6 +134,7 @@
         longestLease,
         ...(cpuOf === undefined ? {} : { cpuOf }),
         ...(options.cpu === undefined ? {} : { cpu: options.cpu }),
+        ...(options.drainTime === undefined ? {} : { drainTime: options.drainTime }),
     });
     platform.configure(deskConfiguration);
     const hosts = new Map<string, WorkflowHost>();
--- a/packages/platform-stand-in/src/protocol/protocol-platform.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-platform.ts
@@ -35,6 +35,8 @@
     readonly cpu?: number;
     /** Longest lease in milliseconds. Default 6,000. */
     readonly longestLease?: number;
+    /** Minimum milliseconds for which a draining worker stays. Default 2,500. */
+    readonly drainTime?: number;
     /** Returns the millicores that a task takes. Default 0. */
     readonly cpuOf?: (task: string) => number;
     /** Returns the `IP:port` at which callers reach a worker. Default: a name that only `network` resolves. */
@@ -54,13 +56,15 @@
 
 interface WorkerState {
     state: "ready" | "draining" | undefined;
+    /** Monotonic time in ms at which the worker last began to drain. */
+    drainingSince: number;
     readonly zone: string;
     readonly rack: string;
 }
 
 /** Creates a platform whose workers are ready, are listed and send heartbeats. */
 export const createProtocolPlatform = (options: ProtocolPlatformOptions): ProtocolPlatform => {
-    const { cpu = 16_000, longestLease = 6_000, cpuOf } = options;
+    const { cpu = 16_000, longestLease = 6_000, drainTime = 2_500, cpuOf } = options;
     const network = createProtocolNetwork();
     const store = createProtocolStore();
     const journal = createProtocolJournal();
@@ -93,7 +97,9 @@
             labels: ["a", listed.rack],
             born: worker.bornAt(),
             sequence,
-            ...(listed.state === "draining" ? { remainingMs: 2_500 } : {}),
+            ...(listed.state === "draining"
+                ? { remainingMs: Math.max(0, Math.round(drainTime - (performance.now() - listed.drainingSince))) }
+                : {}),
         });
     };
     network.addServer(storeAddress, store.handler);
@@ -115,7 +121,7 @@
     for (const [zone, count] of Object.entries(options.workers)) {
         for (let number = 0; number < count; number += 1) {
             const rack = `r-${zone}-${String(Math.floor(number / rackSize))}`;
-            addWorker(`w-${zone}-${String(number)}`, { state: "ready", zone, rack });
+            addWorker(`w-${zone}-${String(number)}`, { state: "ready", drainingSince: -Infinity, zone, rack });
         }
     }
     const replaceWorker = (id: string): string => {
@@ -129,7 +135,12 @@
             store.put("servers", id, undefined);
         }, entryTimeout);
         inheritedAddresses.set(successor, address);
-        addWorker(successor, { state: "ready", zone: listed?.zone ?? "", rack: listed?.rack ?? "" });
+        addWorker(successor, {
+            state: "ready",
+            drainingSince: -Infinity,
+            zone: listed?.zone ?? "",
+            rack: listed?.rack ?? "",
+        });
         return successor;
     };
     const timer = setInterval(() => {
@@ -147,6 +158,7 @@
         setWorkerState: (id, state) => {
             const listed = states.get(id);
             if (listed !== undefined) {
+                listed.drainingSince = listed.state === "draining" ? listed.drainingSince : performance.now();
                 listed.state = state;
                 writeEntry(id);
             }
--- a/packages/workflow/src/cell/run-watchdog.ts
+++ b/packages/workflow/src/cell/run-watchdog.ts
@@ -4,6 +4,7 @@
 import { relocationReason } from "../policy/relocation-reason.js";
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
 import { mayStartOn } from "./cell-workers.js";
+import type { ReplacementPlaces } from "./replacement-places.js";
 import type { RunController } from "./run-controller.js";
 import type { RunRegistry } from "./run-registry.js";
 import type { RunTimePredictor } from "./run-statistics.js";
@@ -23,16 +24,20 @@
     readonly health: WorkerHealth;
     readonly runTime: RunTimePredictor;
     readonly queueOf: (run: Run) => Queue;
+    readonly replacementPlaces: Pick<ReplacementPlaces, "has">;
 }
 
 /** Creates the watchdog of a cell. */
 export const createRunWatchdog = (options: RunWatchdogOptions): RunWatchdog => {
-    const { runRegistry, runController, workers, health, runTime, queueOf } = options;
+    const { runRegistry, runController, workers, health, runTime, queueOf, replacementPlaces } = options;
 
+    /** The scheduler keeps no places for gangs, since a new run of a gang needs room for all of its members. */
     const hasRoomElsewhere = (run: Run, queue: Queue): boolean =>
-        [...workers.values()].some(worker =>
-            worker.session.id !== run.worker && mayStartOn(worker, queue.service, run.step)
-        );
+        run.step.isGang
+            ? [...workers.values()].some(worker =>
+                worker.session.id !== run.worker && mayStartOn(worker, queue.service, run.step)
+            )
+            : replacementPlaces.has(run.task);
     /** Minimum milliseconds that a draining worker stays; empty for other workers. */
     const remainingStay = (
         { session, drainingSince }: CellWorker,
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -18,6 +18,7 @@
 import { createEligibleWorkers } from "./eligible-workers.js";
 import type { InterferenceController, ServingSummary } from "./interference-controller.js";
 import { createLongRunningAdmission } from "./long-running-admission.js";
+import type { ReplacementPlace, ReplacementPlaces } from "./replacement-places.js";
 import type { RunController } from "./run-controller.js";
 import type { RunRegistry } from "./run-registry.js";
 import type { RunTimePredictor } from "./run-statistics.js";
@@ -27,7 +28,7 @@
 
 /** Decides which waiting tasks start, and on which workers. */
 export interface StageScheduler {
-    /** Starts all tasks that can start now. */
+    /** Starts all waiting tasks that can start now, and keeps places for long-running tasks of draining workers. */
     readonly runPass: () => void;
 }
 
@@ -49,6 +50,8 @@
     readonly hasFailedOn: (task: TaskName, worker: CellWorker) => boolean;
     /** See `UnansweredStarts.constraintOf`. */
     readonly constraintOf: UnansweredStarts["constraintOf"];
+    /** Places for long-running tasks of draining workers; the scheduler keeps, uses and releases them. */
+    readonly replacementPlaces: ReplacementPlaces;
     readonly interference: Pick<InterferenceController, "summarizeServing" | "slackWith" | "compatibleShareLoss">;
 }
 
@@ -119,6 +122,7 @@
         isHeldBack,
         hasFailedOn,
         constraintOf,
+        replacementPlaces,
         interference,
     } = options;
 
@@ -154,14 +158,15 @@
             expiryLaxity: spareTime + objective * uselessFactor,
         };
     };
+    const objectiveOf = (ledger: WorkflowLedger, queue: Queue): number =>
+        queue.slackFactor * criticalPath(ledger.workflow.steps, runTimesOf(ledger, queue)) + queue.latencyTarget;
     const candidatesFrom = (ledger: WorkflowLedger, now: number, monotonicNow: number): StageCandidate[] => {
         const queue = queueOf(ledger);
         const waiting = ledger.openStages(now, monotonicNow).filter(({ record }) => record.waiting.size > 0);
         if (waiting.length === 0) {
             return [];
         }
-        const path = criticalPath(ledger.workflow.steps, runTimesOf(ledger, queue));
-        const objective = queue.slackFactor * path + queue.latencyTarget;
+        const objective = objectiveOf(ledger, queue);
         return waiting.flatMap(stage => {
             const urgency = urgencyOf(ledger, stage, queue, objective);
             return groupWaiting(stage).map(([lasting, indices]) => ({
@@ -173,10 +178,38 @@
             }));
         });
     };
+    /** Long-running tasks that run on draining workers and have no place on another one, by step. */
+    const leavingCandidates = (): StageCandidate[] => {
+        const byStage = new Map<Stage, { readonly ledger: WorkflowLedger; readonly indices: number[]; }>();
+        for (const worker of workers.values()) {
+            const runs = worker.drainingSince === undefined ? [] : runRegistry.ofWorker(worker.session.id);
+            for (const { ledger, phase, position, step, task } of runs) {
+                const isLeaving = step.isLasting && !step.isGang && phase === "running" && !replacementPlaces.has(task)
+                    && !ledger.isSettled() && !isHeldBack(ledger);
+                const stage = isLeaving ? ledger.stage(position) : undefined;
+                if (stage !== undefined) {
+                    const group = byStage.get(stage) ?? { ledger, indices: [] };
+                    group.indices.push(position.index);
+                    byStage.set(stage, group);
+                }
+            }
+        }
+        return [...byStage].map(([stage, { ledger, indices }]) => {
+            const queue = queueOf(ledger);
+            const objective = objectiveOf(ledger, queue);
+            return {
+                ledger,
+                stage,
+                queue,
+                urgency: { ...urgencyOf(ledger, stage, queue, objective), lasting: "leaving" },
+                indices,
+            };
+        });
+    };
     const findCandidates = (): StageCandidate[] => {
         const now = Date.now();
         const monotonicNow = performance.now();
-        const found: StageCandidate[] = [];
+        const found = leavingCandidates();
         for (const ledger of ledgers()) {
             if (!ledger.isSettled() && !isHeldBack(ledger)) {
                 found.push(...candidatesFrom(ledger, now, monotonicNow));
@@ -185,7 +218,8 @@
         return found.sort((left, right) => compareUrgency(left.urgency, right.urgency));
     };
     const countStageTasksOn = (worker: CellWorker, { ledger, stage }: StageCandidate): number => {
-        let count = 0;
+        const position = { job: ledger.workflow.id, occurrence: stage.occurrence, step: stage.stepIndex };
+        let count = replacementPlaces.countOn(worker.session.id, position);
         for (const run of runRegistry.ofWorker(worker.session.id)) {
             const { job, occurrence, step } = run.position;
             count += job === ledger.workflow.id && occurrence === stage.occurrence && step === stage.stepIndex ? 1 : 0;
@@ -366,10 +400,35 @@
             }
         });
     };
-    /** Reserves the workers with the soonest room for long-running tasks that ran before or are the first of a step. */
+    const keepPlace = (candidate: StageCandidate, index: number, worker: CellWorker): void => {
+        const { ledger, stage: { occurrence, step, stepIndex } } = candidate;
+        const position = { job: ledger.workflow.id, occurrence, step: stepIndex, index };
+        replacementPlaces.keep({ task: taskName(position), position, ledger, step, worker });
+        summaries.delete(worker.session.id);
+        reservations.recordStart(worker);
+        admission.recordStart();
+    };
+    /** Whether the place's task still has to leave its worker or has left it, and its new worker accepts tasks. */
+    const isPlaceNeeded = ({ task, position, ledger, worker }: ReplacementPlace): boolean => {
+        const isWaiting = ledger.stage(position)?.record.waiting.has(position.index) === true;
+        const isLeaving = runRegistry.ofTask(task).some(run => workers.get(run.worker)?.drainingSince !== undefined);
+        return !ledger.isSettled() && isOpenTo(worker, queueOf(ledger).service) && (isWaiting || isLeaving);
+    };
+    /** Starts the waiting tasks that have a place; returns the indices of the others. */
+    const startOnPlaces = (candidate: StageCandidate): readonly number[] =>
+        candidate.indices.filter(index => {
+            const task = taskOf(candidate, index);
+            const worker = constraintOf(task) === undefined ? replacementPlaces.release(task) : undefined;
+            if (worker === undefined || !mayStartOn(worker, candidate.queue.service, candidate.stage.step)) {
+                return true;
+            }
+            startOne(candidate, index, worker);
+            return false;
+        });
+    /** Reserves the workers with the soonest room for long-running tasks, unless they are new. */
     const reserveWorkers = (candidate: StageCandidate, indices: readonly number[]): void => {
         const { queue, stage: { step }, urgency } = candidate;
-        if (urgency.lasting !== "again" && urgency.lasting !== "first" || reservations.isFull()) {
+        if (urgency.lasting === "no" || urgency.lasting === "new" || reservations.isFull()) {
             return;
         }
         const suitable = workersOpenTo(queue.service).filter(worker =>
@@ -388,7 +447,12 @@
     const requirementsOf = ({ queue, stage: { step } }: StageCandidate): string =>
         [queue.service, step.requiredLabel, step.usesSpareCpu, step.isLasting, step.image, step.accelerators].join(" ");
     const startTasks = (candidate: StageCandidate): void => {
-        const { stage: { step, record }, indices } = candidate;
+        const { stage: { step, record }, urgency } = candidate;
+        const isLeaving = urgency.lasting === "leaving";
+        const indices = step.isLasting && !isLeaving ? startOnPlaces(candidate) : candidate.indices;
+        if (indices.length === 0) {
+            return;
+        }
         const requirements = requirementsOf(candidate);
         const blocked = blockedStages.get(requirements);
         if (blocked !== undefined && isAtLeastAsLarge(step, blocked.stage.step)) {
@@ -422,7 +486,7 @@
                 reserveWorkers(candidate, indices.slice(position));
                 return;
             }
-            startOne(candidate, index, worker);
+            (isLeaving ? keepPlace : startOne)(candidate, index, worker);
             eligible.refresh(worker);
         }
         if (constrainedIndex !== undefined && eligibleWorkers !== undefined) {
@@ -436,10 +500,11 @@
             summaries.clear();
             openWorkers.clear();
             blockedStages.clear();
-            const waiting = findCandidates();
-            admission.beginPass(waiting);
+            replacementPlaces.releaseUnneeded(isPlaceNeeded);
+            const candidates = findCandidates();
+            admission.beginPass(candidates);
             reservations.beginPass();
-            for (const candidate of waiting) {
+            for (const candidate of candidates) {
                 if (candidate.stage.step.isGang) {
                     startGang(candidate);
                 }
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -30,6 +30,7 @@
 import { createProgressWriter } from "./progress-writer.js";
 import { createQueueLookup } from "./queue-lookup.js";
 import { recordPace } from "./record-pace.js";
+import { createReplacementPlaces } from "./replacement-places.js";
 import { createRunController } from "./run-controller.js";
 import { createRunRegistry } from "./run-registry.js";
 import { createRunStatistics } from "./run-statistics.js";
@@ -278,6 +279,7 @@
         },
         logger,
     });
+    const replacementPlaces = createReplacementPlaces();
     const scheduler = createStageScheduler({
         ledgers: () => [...ledgers.values(), ...incomingTransfers.ledgers.values()],
         workers,
@@ -289,6 +291,7 @@
         queueOf,
         isHeldBack,
         interference: interferenceController,
+        replacementPlaces,
         constraintOf: unansweredStarts.constraintOf,
         hasFailedOn: (task, worker) => hasFailedOn(task, worker.session.id),
     });
@@ -299,6 +302,7 @@
         health,
         runTime,
         queueOf: run => queueOf(run.ledger),
+        replacementPlaces,
     });
     const events: SessionEvents = {
         onReport: (session, report, sentAt, isFirst) => {
--- a/packages/workflow/src/policy/relocation-reason.ts
+++ b/packages/workflow/src/policy/relocation-reason.ts
@@ -22,7 +22,7 @@
     readonly expectedTime: number;
     /** Milliseconds for which a draining worker stays at least; undefined while the worker is not draining. */
     readonly workerStays?: number;
-    /** Whether another worker has room for the task now. */
+    /** Whether another worker has room for the long-running task; except for gangs, the room is kept for it. */
     readonly hasRoomElsewhere: boolean;
 }
 
--- a/packages/workflow/tests/test-cell.ts
+++ b/packages/workflow/tests/test-cell.ts
@@ -6,6 +6,8 @@
 import { createRun } from "../src/cell/create-run.js";
 import type { InterferenceController } from "../src/cell/interference-controller.js";
 import { createInterferenceController } from "../src/cell/interference-controller.js";
+import type { ReplacementPlaces } from "../src/cell/replacement-places.js";
+import { createReplacementPlaces } from "../src/cell/replacement-places.js";
 import { createResourceAccount } from "../src/cell/resource-account.js";
 import type { RunController } from "../src/cell/run-controller.js";
 import type { RunRegistry } from "../src/cell/run-registry.js";
@@ -21,6 +23,7 @@
 import type { Queue } from "../src/model/queue.js";
 import type { Step } from "../src/model/step.js";
 import { taskName } from "../src/model/task-name.js";
+import type { WorkerEntry } from "../src/model/worker-entry.js";
 import { createInterferenceModel } from "../src/policy/interference-model.js";
 import { testQueue } from "./test-queue.js";
 
@@ -39,6 +42,9 @@
     readonly submit: (queue: Partial<Queue>, steps: readonly Partial<Step>[]) => WorkflowLedger;
     /** Ends a run; its task is done, or waits again if the run was lost. */
     readonly endRun: (run: Run, outcome: "done" | "lost") => void;
+    readonly replacementPlaces: ReplacementPlaces;
+    /** Lets the worker drain: it takes no new tasks. */
+    readonly drainWorker: (worker: WorkerId) => void;
     /** Removes the worker from the cell, but not its runs. */
     readonly removeWorker: (worker: WorkerId) => void;
 }
@@ -57,7 +63,7 @@
 }
 
 const openSession = (id: WorkerId, cpu: number, deadline: () => number): WorkerSession => {
-    const entry = {
+    let entry: WorkerEntry = {
         id,
         address: `${id}:1`,
         service: testQueue.service,
@@ -68,7 +74,15 @@
         isDraining: false,
         bornAt: 0,
     };
-    const session: Partial<WorkerSession> = { id, entry: () => entry, contact: () => "known", deadline };
+    const session: Partial<WorkerSession> = {
+        id,
+        entry: () => entry,
+        setEntry: next => {
+            entry = next ?? entry;
+        },
+        contact: () => "known",
+        deadline,
+    };
     return session as WorkerSession;
 };
 const createWorker = (id: WorkerId, cpu: number, deadline: () => number): CellWorker => ({
@@ -126,6 +140,7 @@
         workers.get(session.id)?.resources.add(step);
     };
     const runController: Partial<RunController> = { start, nextNumber: () => 1 };
+    const replacementPlaces = createReplacementPlaces();
     const scheduler = createStageScheduler({
         ledgers: () => ledgers,
         workers,
@@ -141,6 +156,7 @@
         isHeldBack: () => false,
         hasFailedOn: () => false,
         constraintOf,
+        replacementPlaces,
         interference,
     });
     return {
@@ -170,6 +186,14 @@
                 run.ledger.markWaiting(run.position);
             }
         },
+        replacementPlaces,
+        drainWorker: id => {
+            const worker = workers.get(id);
+            if (worker !== undefined) {
+                worker.session.setEntry({ ...worker.session.entry(), isDraining: true });
+                worker.drainingSince = performance.now();
+            }
+        },
         removeWorker: worker => {
             workers.delete(worker);
         },
--- a/packages/workflow/tests/urgency.test.ts
+++ b/packages/workflow/tests/urgency.test.ts
@@ -20,6 +20,13 @@
         ["the first task of a long-running step before urgent work", { lasting: "first", priority: 2 }, {
             priority: 0,
         }],
+        ["long-running tasks without a run before those that still run on draining workers", {
+            lasting: "again",
+            priority: 2,
+        }, { lasting: "leaving", priority: 0 }],
+        ["long-running tasks of draining workers before urgent work", { lasting: "leaving", priority: 2 }, {
+            priority: 0,
+        }],
         ["urgent work in time before new long-running tasks", { priority: 0 }, { lasting: "new", priority: 0 }],
         ["new long-running tasks before other work in time", { lasting: "new", priority: 2 }, { priority: 1 }],
         ["lower priority numbers first", { priority: 0, laxity: 900 }, { priority: 1, laxity: 100 }],
