Count a long-running task as one that has run if its end is reported to a later holder

Cause: a holder knows only of the runs that it ordered or adopted. A task whose run ended while its cell had no holder was reported as ended to the successor, but counted as one that had never run: it waited behind urgent work and for the reserve of urgent work, up to 6 s.

Change: a reported end of a task without another run marks the task as started. The runs of workers that are lost for good during a hand-over stay unknown to the successor.

--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -225,6 +225,11 @@
     };
     /** Records a reported end in the ledger; the caller stores it. */
     const recordEnd = (ledger: WorkflowLedger, row: ReportedEnd, position: Run["position"]): void => {
+        if (runRegistry.ofTask(row.task).length === 0) {
+            // An earlier holder started the run; the task goes before those that have never run.
+            ledger.recordStart(position);
+            ledger.markWaiting(position);
+        }
         if (row.checkpoint !== "" && ledger.stage(position)?.step.isCheckpointing === true) {
             ledger.recordCheckpoint(position, row.checkpoint);
         }
