Measure the parts of a long-running task's absence, and log one over 3 s with its gate

Change: the histogram jayfront_long_running_absence_seconds by part: detection (last report of the run until its worker is silent, has restarted, or the end is reported), proof that the run is over, room, and order. A task without a run for over 3 s is logged every 2 s with the gate that kept it from starting in the last pass: order pending, inherited, not stored, unanswered start, no open worker, no room, limit per worker, or reserved. No change of placement.

--- a/packages/workflow/src/cell/create-run.ts
+++ b/packages/workflow/src/cell/create-run.ts
@@ -19,6 +19,7 @@
         pace: 100,
         haltedSince: Infinity,
         hasFullRunTime: origin.checkpoint === "",
+        doubtedAt: undefined,
         stopReason: undefined,
     };
 };
--- a/packages/workflow/src/cell/incoming-transfers.ts
+++ b/packages/workflow/src/cell/incoming-transfers.ts
@@ -88,6 +88,7 @@
     };
     const drop = (id: JobId): void => {
         logger.info({ job: id, cell, epoch, home: applied.get(id)?.content.home }, "transferred tasks withdrawn");
+        ledgers.get(id)?.recordCancellation();
         runController.stopWorkflow(id, "the workflow has ended in its cell");
         ledgers.delete(id);
         applied.delete(id);
--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -61,6 +61,8 @@
     readonly sessionOf: (worker: WorkerId) => WorkerSession | undefined;
     /** Called after a run was registered. */
     readonly onRunAdded: (run: Run) => void;
+    /** Called after a worker has confirmed the start of a run. */
+    readonly onRunConfirmed: (run: Run) => void;
     /** Called after a run was removed. */
     readonly onRunRemoved: (end: RunEnd) => void;
     /** Called when waiting tasks may have become able to start. */
@@ -87,6 +89,7 @@
         ledgerOf,
         sessionOf,
         onRunAdded,
+        onRunConfirmed,
         onRunRemoved,
         onChange,
         ticketOf,
@@ -175,6 +178,7 @@
                 run.phase = "running";
                 run.startedAt = run.answeredAt;
                 run.percentChangedAt = run.answeredAt;
+                onRunConfirmed(run);
             }
             else {
                 // The stop may have reached an earlier incarnation of the worker.
@@ -190,6 +194,7 @@
         }
         if (kind === "unknown") {
             run.phase = run.phase === "starting" ? "running" : run.phase;
+            onRunConfirmed(run);
             return;
         }
         removeRun({ run, outcome: "not-started", error: kind });
@@ -215,6 +220,7 @@
         }
         run.stopReason = reason;
         run.phase = "stopping";
+        run.doubtedAt ??= performance.now();
         const { job } = run.position;
         logger.info({ job, task: run.task, run: run.number, worker: run.worker, reason }, "stop ordered");
         void sessionOf(run.worker)?.stop(run.task, run.number).then(wasAnswered => {
--- a/packages/workflow/src/cell/run.ts
+++ b/packages/workflow/src/cell/run.ts
@@ -41,6 +41,11 @@
     haltedSince: number;
     /** Whether the time since `startedAt` is the time that the task takes at full speed, from its beginning. */
     hasFullRunTime: boolean;
+    /**
+     * Monotonic time in ms since which the run is expected to be over: its stop was ordered, or its worker is silent or
+     * has restarted. Undefined while it is not.
+     */
+    doubtedAt: number | undefined;
     /** Why the run is being stopped; undefined while it is not. */
     stopReason: string | undefined;
 }
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -5,10 +5,12 @@
 import type { Stage, WorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { Queue } from "../model/queue.js";
 import type { Step } from "../model/step.js";
-import type { TaskName } from "../model/task-name.js";
+import type { TaskName, TaskNameParts } from "../model/task-name.js";
 import { taskName } from "../model/task-name.js";
 import { criticalPath } from "../policy/critical-path.js";
 import { remainingPath } from "../policy/remaining-path.js";
+import type { StartGate, StartGateFacts } from "../policy/start-gate.js";
+import { startGate } from "../policy/start-gate.js";
 import type { Urgency } from "../policy/urgency.js";
 import { compareUrgency } from "../policy/urgency.js";
 import type { WorkerCandidate } from "../policy/worker-candidate.js";
@@ -30,8 +32,13 @@
 export interface StageScheduler {
     /** Starts all waiting tasks that can start now, and keeps places for long-running tasks of draining workers. */
     readonly runPass: () => void;
+    /** Why a long-running task that has run before did not start in the last pass, with the figures that decide it. */
+    readonly explainWait: (ledger: WorkflowLedger, position: TaskNameParts) => WaitExplanation;
 }
 
+/** Why a task waits; `undefined` for a task of a step that the workflow does not have. */
+export type WaitExplanation = (StartGateFacts & { readonly gate: StartGate; }) | undefined;
+
 /** Options of {@link createStageScheduler}. */
 export interface StageSchedulerOptions {
     readonly ledgers: () => Iterable<WorkflowLedger>;
@@ -217,7 +224,10 @@
         }
         return found.sort((left, right) => compareUrgency(left.urgency, right.urgency));
     };
-    const countStageTasksOn = (worker: CellWorker, { ledger, stage }: StageCandidate): number => {
+    const countStageTasksOn = (
+        worker: CellWorker,
+        { ledger, stage }: Pick<StageCandidate, "ledger" | "stage">,
+    ): number => {
         const position = { job: ledger.workflow.id, occurrence: stage.occurrence, step: stage.stepIndex };
         let count = replacementPlaces.countOn(worker.session.id, position);
         for (const run of runRegistry.ofWorker(worker.session.id)) {
@@ -495,7 +505,33 @@
             logWait(candidate, () => countExcluded(candidate, index, eligible));
         }
     };
+    const explainWait: StageScheduler["explainWait"] = (ledger, position) => {
+        const stage = ledger.stage(position);
+        if (stage === undefined) {
+            return undefined;
+        }
+        const { step } = stage;
+        const queue = queueOf(ledger);
+        const task = taskName(position);
+        const open = [...workers.values()].filter(worker => isOpenTo(worker, queue.service));
+        const withRoom = open.filter(worker => canRunStep(worker, step));
+        const withinLimit = withRoom.filter(worker =>
+            step.perWorkerLimit === undefined || countStageTasksOn(worker, { ledger, stage }) < step.perWorkerLimit
+        );
+        const facts = {
+            isHeldBack: isHeldBack(ledger),
+            isStored: !ledger.isDirty(),
+            hasRun: runRegistry.ofTask(task).length > 0,
+            constraint: constraintOf(task),
+            openWorkers: open.length,
+            withRoom: withRoom.length,
+            withinLimit: withinLimit.length,
+            unreserved: withinLimit.filter(worker => !reservations.isReserved(worker)).length,
+        };
+        return { ...facts, gate: startGate(facts) };
+    };
     return {
+        explainWait,
         runPass: () => {
             summaries.clear();
             openWorkers.clear();
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -25,6 +25,7 @@
 import { createInterferenceController } from "./interference-controller.js";
 import { createLateOrderDetector } from "./late-order-detector.js";
 import { loadCell } from "./load-cell.js";
+import { createLongRunningAbsences } from "./long-running-absences.js";
 import type { OtherCells } from "./other-cells.js";
 import { createOutgoingTransfers } from "./outgoing-transfers.js";
 import { createProgressWriter } from "./progress-writer.js";
@@ -218,6 +219,7 @@
         logger,
         snapshot: unansweredStarts.snapshot,
     });
+    const absences = createLongRunningAbsences({ metrics });
     const runController = createRunController({
         epoch,
         unansweredStarts,
@@ -228,10 +230,13 @@
         sessionOf: id => workers.get(id)?.session,
         onRunAdded: run => {
             workers.get(run.worker)?.resources.add(run.step);
+            absences.recordStart(run);
         },
+        onRunConfirmed: absences.recordConfirmation,
         onRunRemoved: end => {
             workers.get(end.run.worker)?.resources.remove(end.run.step);
             recordEnd(end);
+            absences.recordEnd(end.run);
         },
         onChange: passWakeUp.notify,
         ticketOf: () => undefined,
@@ -323,7 +328,13 @@
         onFenced: () => {
             void lease.renew();
         },
-        onContactChange: () => {
+        onContactChange: session => {
+            const isKnown = session.contact() === "known";
+            for (const run of runRegistry.ofWorker(session.id)) {
+                run.doubtedAt = isKnown && run.stopReason === undefined
+                    ? undefined
+                    : run.doubtedAt ?? performance.now();
+            }
             passWakeUp.notify();
         },
     };
@@ -364,6 +375,20 @@
         const answering = [...workers.values()].filter(({ session }) => session.contact() === "known").length;
         return answering > 0 && answering >= workers.size * answeringShare;
     };
+    const logOverdueAbsences = (): void => {
+        for (const { lost, absentFor } of absences.takeOverdue()) {
+            const { task, number: run, worker, position, ledger } = lost;
+            logger.warn({
+                cell,
+                job: position.job,
+                task,
+                run,
+                worker,
+                absentFor: Math.round(absentFor),
+                ...scheduler.explainWait(ledger, position),
+            }, "long-running task without a run for too long");
+        }
+    };
     const runPasses = async (): Promise<void> => {
         let reviewedAt = performance.now();
         let hasReportedCapacity = false;
@@ -381,6 +406,7 @@
             if (performance.now() - reviewedAt >= reviewInterval) {
                 reviewedAt = performance.now();
                 runWatchdog.review();
+                logOverdueAbsences();
                 outgoingTransfers.review();
                 incomingTransfers.review();
             }
--- a/packages/workflow/src/workflow-metrics.ts
+++ b/packages/workflow/src/workflow-metrics.ts
@@ -24,6 +24,8 @@
     readonly submissionGroups: Histogram;
     /** Calls to workers, by order and outcome. */
     readonly workerCalls: Counter<"order" | "outcome">;
+    /** Seconds for which a long-running task was without a run that its holder ended or lost, by part of that time. */
+    readonly absenceSeconds: Histogram<"part">;
     /** Changes of the pace of spare-CPU tasks, by direction. */
     readonly paceChanges: Counter<"direction">;
     /** Cells that this host took, lost or handed over, by kind of change. */
@@ -36,6 +38,8 @@
 const requestBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4];
 /** Upper bounds in seconds. */
 const workflowBuckets = [0.25, 0.5, 1, 2, 4, 8, 16, 32, 64, 300];
+/** Upper bounds in seconds. */
+const absenceBuckets = [0.05, 0.1, 0.25, 0.5, 1, 2, 3, 6, 9, 15, 30];
 /** Upper bounds in workflows. */
 const groupBuckets = [1, 2, 4, 8, 16, 33];
 
@@ -106,6 +110,14 @@
             labelNames: ["order", "outcome"],
             registers,
         }),
+        absenceSeconds: new Histogram({
+            name: "jayfront_long_running_absence_seconds",
+            help: "Seconds that parts of the time without a run of a long-running task took: detection of the loss, "
+                + "proof that the old run is over, wait for room, and order",
+            labelNames: ["part"],
+            buckets: absenceBuckets,
+            registers,
+        }),
         paceChanges: new Counter({
             name: "jayfront_pace_changes_total",
             help: "Changes of the pace of tasks on spare processor time",
--- a/packages/workflow/tests/run-controller.test.ts
+++ b/packages/workflow/tests/run-controller.test.ts
@@ -17,34 +17,38 @@
 describe("the end of a run that an earlier holder of the cell started", () => {
     // Guards against long-running tasks that wait as if they had never run, behind urgent work and its reserve, because
     // their run ended while the cell had no holder.
-    it.each(["failed", "stopped"] as const)("lets a long-running task start again as one that has run (%s)", outcome => {
-        const ledger = createWorkflowLedger({
-            id: job,
-            queue: testQueue,
-            payload: "",
-            steps: [createStep({ count: 2, isLasting: true })],
-            acceptedAt: Date.now(),
-        });
-        const position = { job, occurrence: 0, step: 0, index: 1 };
-        const controller = createRunController({
-            epoch: 2,
-            unansweredStarts: {} as UnansweredStarts,
-            runRegistry: createRunRegistry(),
-            writer: { request: () => undefined } as Partial<ProgressWriter> as ProgressWriter,
-            logger: pino({ level: "silent" }),
-            ledgerOf: id => id === job ? ledger : undefined,
-            sessionOf: () => undefined,
-            onRunAdded: () => undefined,
-            onRunRemoved: () => undefined,
-            onChange: () => undefined,
-            ticketOf: () => undefined,
-        });
-        const session = { id: "w-0" as WorkerId, recordEnds: () => undefined } as Partial<WorkerSession>;
-        const end = { number: 1, task: taskName(position), run: 3, outcome, checkpoint: "" };
-        const report = { clock: 0, bornAt: 0, running: [], ended: [end] };
-        controller.applyReport(session as WorkerSession, report, 0, true);
-        const record = ledger.stage(position)?.record;
-        expect([...record?.started ?? []]).toEqual([1]);
-        expect([...record?.waiting ?? []].sort()).toEqual([0, 1]);
-    });
+    it.each(["failed", "stopped"] as const)(
+        "lets a long-running task start again as one that has run (%s)",
+        outcome => {
+            const ledger = createWorkflowLedger({
+                id: job,
+                queue: testQueue,
+                payload: "",
+                steps: [createStep({ count: 2, isLasting: true })],
+                acceptedAt: Date.now(),
+            });
+            const position = { job, occurrence: 0, step: 0, index: 1 };
+            const controller = createRunController({
+                epoch: 2,
+                unansweredStarts: {} as UnansweredStarts,
+                runRegistry: createRunRegistry(),
+                writer: { request: () => undefined } as Partial<ProgressWriter> as ProgressWriter,
+                logger: pino({ level: "silent" }),
+                ledgerOf: id => id === job ? ledger : undefined,
+                sessionOf: () => undefined,
+                onRunAdded: () => undefined,
+                onRunConfirmed: () => undefined,
+                onRunRemoved: () => undefined,
+                onChange: () => undefined,
+                ticketOf: () => undefined,
+            });
+            const session = { id: "w-0" as WorkerId, recordEnds: () => undefined } as Partial<WorkerSession>;
+            const end = { number: 1, task: taskName(position), run: 3, outcome, checkpoint: "" };
+            const report = { clock: 0, bornAt: 0, running: [], ended: [end] };
+            controller.applyReport(session as WorkerSession, report, 0, true);
+            const record = ledger.stage(position)?.record;
+            expect([...record?.started ?? []]).toEqual([1]);
+            expect([...record?.waiting ?? []].sort()).toEqual([0, 1]);
+        },
+    );
 });
