Remove all transfer rows of a workflow that has ended

What could be seen: a transfer row that stays for ever, and a message a second from the other cell about its returned tasks. The tasks of a workflow had been returned, the workflow was cancelled before the removal of the row was stored, and the write of the cancellation conflicted with an earlier write without answer.

Cause: rows of an ended workflow are removed without a check of their version, so that the conflict's answer does not contain them; they counted as absent from then on and were left out of the next attempt.

Change: the end of a workflow removes its rows in all cells that had tasks under this holder; removing an absent row has no effect.

--- a/packages/workflow/src/cell/transfer-row-changes.ts
+++ b/packages/workflow/src/cell/transfer-row-changes.ts
@@ -46,10 +46,12 @@
     return {
         of: ledger => {
             const { workflow, transfers, isSettled } = ledger;
-            const cells = cellsWithRow(ledger);
             if (isSettled()) {
-                return { checks: [], writes: [], removals: cells.map(other => rowKeys.transfer(other, workflow.id)) };
+                // Rows are removed without a check, also those of which it is not known whether they are still there.
+                const removals = [...transfers().keys()].map(other => rowKeys.transfer(other, workflow.id));
+                return { checks: [], writes: [], removals };
             }
+            const cells = cellsWithRow(ledger);
             const tasksOf = (other: CellId): TransferRow["tasks"] =>
                 (transfers().get(other) ?? []).map(task => ({ ...task, isReturned: false }));
             const isEmpty = (other: CellId): boolean => tasksOf(other).length === 0;
--- a/packages/workflow/tests/transfer-row-changes.test.ts
+++ b/packages/workflow/tests/transfer-row-changes.test.ts
@@ -78,4 +78,16 @@
         ended.recordCancellation();
         expect(changes.of(ended)).toEqual({ checks: [], writes: [], removals: [key] });
     });
+
+    // Guards against a row that stays for ever: the workflow ended after its last task was returned, and the write of
+    // that end found an earlier write without answer, whose conflict does not tell the versions of unchecked rows.
+    it("remove the row of a workflow that ended after a conflict", () => {
+        const changes = createTransferRowChanges(cell);
+        const ledger = createLedger();
+        changes.recordStored(id, changes.of(ledger), 12);
+        ledger.recordReturn(position, other);
+        ledger.recordCancellation();
+        changes.resolveConflict(ledger, () => undefined);
+        expect(changes.of(ledger)).toEqual({ checks: [], writes: [], removals: [key] });
+    });
 });
