Return transferred tasks although other progress of their workflow is stored

What could be seen: a task that neither cell runs. Each write of a workflow's progress rewrites its transfer rows, and a row that had changed since the last read cancelled the return that was about to be written. A workflow whose short-lived tasks end more often than the tasks are returned (every 250 ms) keeps them in a cell without room.

Evidence: the new test of incoming-transfers.test.ts writes no return before the change.

Change: a row that was rewritten with the same tasks keeps the return, which is written with a check of the new version; an earlier write of the return can't take effect any more.

Run: incoming-transfers and long-running-elsewhere pass (22 tests).

--- a/packages/workflow/src/cell/incoming-transfers.ts
+++ b/packages/workflow/src/cell/incoming-transfers.ts
@@ -1,3 +1,5 @@
+import { isDeepStrictEqual } from "node:util";
+
 import type { JobId } from "@jayfront/world";
 import { createWakeUp } from "@jayfront/world";
 import type { Logger } from "pino";
@@ -70,7 +72,12 @@
         }
         const { home, tasks } = content;
         const known = ledgers.get(id);
+        const hasSameTasks = isDeepStrictEqual(applied.get(id)?.content.tasks, tasks);
         applied.set(id, { version: row.version, content });
+        if (returns.has(id) && hasSameTasks) {
+            // Other progress of the workflow was stored; the tasks are returned with a write that checks this version.
+            return;
+        }
         returns.delete(id);
         tasks.forEach(task => {
             runController.reserveNumbers(taskName({ job: id, ...task }), task.lastRun);
--- a/packages/workflow/tests/incoming-transfers.test.ts
+++ b/packages/workflow/tests/incoming-transfers.test.ts
@@ -192,6 +192,19 @@
         expect(waiting()).toEqual([0, 1]);
     });
 
+    // Guards against a task that neither cell runs: other progress of its workflow, stored more often than the task can
+    // be returned, rewrites the row each time.
+    it("are returned although their row is rewritten with the same tasks", async () => {
+        rows = [rowOf(10, [{ index: 0 }])];
+        await read();
+        rows = [rowOf(11, [{ index: 0 }])];
+        strand(0);
+        await jest.advanceTimersByTimeAsync(0);
+        expect(transactions).toHaveLength(1);
+        expect(transactions[0]?.checks).toContainEqual({ ...key, version: 11 });
+        expect(waiting()).toEqual([]);
+    });
+
     it("are not in the ledger of a successor if they were returned", () => {
         transfers.inherit([rowOf(12, [{ index: 0, isReturned: true }, { index: 1 }])]);
         expect(waiting()).toEqual([1]);
