Give transferred tasks run numbers above those of the cell's earlier holders

What could be seen: two runs of one task with the same number, the first under one holder of the cell that the task moved to, the second under its successor or, after a return, in the workflow's own cell. A worker refuses a start whose number is not above all that ended there.

Cause: the numbers of a holder's runs start at a multiple of its epoch, so that a successor's are higher. If the workflow's cell has a higher epoch, the number of the last run there is higher than that, and both holders go on from it.

Change: the numbers reserved for a task from another cell are offset by those of the cell's earlier epochs.

Open: after a return, the number of the last run is kept in memory only, so that numbers can still fall after a takeover of the workflow's own cell.

--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -12,6 +12,7 @@
 import type { ProgressWriter } from "./progress-writer.js";
 import type { RunEndQueue } from "./run-end-queue.js";
 import { createRunEndQueue } from "./run-end-queue.js";
+import type { RunNumbers } from "./run-numbers.js";
 import { createRunNumbers } from "./run-numbers.js";
 import type { RunRegistry } from "./run-registry.js";
 import type { Run } from "./run.js";
@@ -38,8 +39,8 @@
     ) => void;
     /** Number for the next run of a task; the default of `start`. */
     readonly nextNumber: (task: TaskName) => number;
-    /** Makes all later runs of the task get numbers above `number`. */
-    readonly reserveNumbers: (task: TaskName, number: number) => void;
+    /** See `RunNumbers.reserve`. */
+    readonly reserveNumbers: RunNumbers["reserve"];
     /** Orders the stop of a run, unless it is being stopped already; `reason` is logged. */
     readonly stop: (run: Run, reason: string) => void;
     /** Orders the stop of all runs of a workflow. */
@@ -412,7 +413,7 @@
     return {
         start,
         nextNumber: runNumbers.next,
-        reserveNumbers: runNumbers.markUsed,
+        reserveNumbers: runNumbers.reserve,
         stop,
         stopWorkflow,
         applyReport,
--- a/packages/workflow/src/cell/run-numbers.ts
+++ b/packages/workflow/src/cell/run-numbers.ts
@@ -6,6 +6,11 @@
     readonly next: (task: TaskName) => number;
     /** Records that a run has the number, so that later runs of the task get a higher one. */
     readonly markUsed: (task: TaskName, number: number) => void;
+    /**
+     * Makes all later runs of the task get numbers above `number`, the last one in another cell, and above those that
+     * earlier holders of this cell assigned after they had reserved the same number.
+     */
+    readonly reserve: (task: TaskName, number: number) => void;
     /** Closes the number and all lower ones of the task: the run has ended, or its result is no longer accepted. */
     readonly close: (task: TaskName, number: number) => void;
     readonly isClosed: (task: TaskName, number: number) => boolean;
@@ -18,17 +23,18 @@
 export const createRunNumbers = (epoch: number): RunNumbers => {
     const closed = new Map<TaskName, number>();
     const used = new Map<TaskName, number>();
+    const earlierNumbers = (epoch - 1) * numbersPerEpoch;
     const raise = (numbers: Map<TaskName, number>, task: TaskName, number: number): void => {
         numbers.set(task, Math.max(number, numbers.get(task) ?? 0));
     };
     return {
-        next: task => {
-            const first = (epoch - 1) * numbersPerEpoch + 1;
-            return Math.max(first, (used.get(task) ?? 0) + 1, (closed.get(task) ?? 0) + 1);
-        },
+        next: task => Math.max(earlierNumbers + 1, (used.get(task) ?? 0) + 1, (closed.get(task) ?? 0) + 1),
         markUsed: (task, number) => {
             raise(used, task, number);
         },
+        reserve: (task, number) => {
+            raise(used, task, number + earlierNumbers);
+        },
         close: (task, number) => {
             raise(closed, task, number);
         },
