Load a cell without the rows that are not valid

Cause: the rows of a cell were parsed without a guard. One row that is not valid made `loadCell` throw, which ended the loop that loads the cell: the host held a cell that it never ran, gave it away for want of a proof, and the next host did the same, for ever. Only jayfront writes these tables, so that it takes a faulty release or a repair by hand.

Change: a workflow whose row or progress is not valid is logged and left out (its progress must not be taken for empty, or tasks that are done would run again), as are invalid rows of unanswered starts and of ended workflows. Reads of single workflows and of the holder row have an unknown outcome. A roster that is not valid still keeps the cell from being loaded, since only it names workers on which tasks may run; the load is repeated, and the log says what to do.

--- a/packages/workflow/src/cell/load-cell.ts
+++ b/packages/workflow/src/cell/load-cell.ts
@@ -1,12 +1,12 @@
 import type { CellId, JobId } from "@jayfront/world";
+import type { Logger } from "pino";
 import { Result } from "true-myth";
 
 import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
 import { createWorkflowLedger } from "../ledger/workflow-ledger.js";
-import { workflowProgress } from "../ledger/workflow-progress.js";
 import type { WorkerEntry } from "../model/worker-entry.js";
-import type { Workflow } from "../model/workflow.js";
-import type { StateStore, StoredRow, StoreError } from "../port/state-store.js";
+import type { RowKey, StateStore, StoredRow, StoreError } from "../port/state-store.js";
+import { decodeOpenWorkflow } from "./decode-open-workflow.js";
 import { rosterCodec } from "./roster-codec.js";
 import { rowKeys } from "./row-keys.js";
 import { startsCodec } from "./starts-codec.js";
@@ -28,8 +28,27 @@
     readonly unansweredStartsVersion: number;
 }
 
-/** Reads a cell's roster, its unanswered starts and all of its workflows that have not ended. Fails if any of the reads fails. */
-export const loadCell = async (store: StateStore, cell: CellId): Promise<Result<LoadedCell, StoreError>> => {
+/** Calls `decode`; if it throws, logs the error and returns `fallback`. */
+const decodeOr = <Value>(decode: () => Value, fallback: Value, logError: (error: string) => void): Value => {
+    try {
+        return decode();
+    }
+    catch (error) {
+        logError(String(error));
+        return fallback;
+    }
+};
+
+/**
+ * Reads a cell's roster, its unanswered starts and all of its workflows that have not ended. Fails if any of the reads
+ * fails, or if the roster is not valid, since tasks may run on workers that only it names. Other rows that are not valid
+ * are logged and left out.
+ */
+export const loadCell = async (
+    store: StateStore,
+    cell: CellId,
+    logger: Logger,
+): Promise<Result<LoadedCell, StoreError>> => {
     const rosterKey = rowKeys.roster(cell);
     const startsKey = rowKeys.unansweredStarts(cell);
     const transfersKey = rowKeys.transfer(cell, "" as JobId);
@@ -54,23 +73,35 @@
     const rosterRow = cellRows.value.rows.find(row => row.key === rosterKey.key);
     const startsRow = cellRows.value.rows.find(row => row.key === startsKey.key);
     const progressRows = new Map(progress.value.rows.map(row => [row.key, row]));
+    const ledgers = workflows.value.rows.flatMap(row => {
+        const decoded = decodeOpenWorkflow(row, progressRows.get(row.key));
+        if (decoded.isErr) {
+            logger.error({ cell, job: row.key, version: row.version, error: decoded.error }, "stored row left out");
+            return [];
+        }
+        const { workflow, progress: stored, progressVersion } = decoded.value;
+        return [{ ledger: createWorkflowLedger(workflow, stored), progressVersion }];
+    });
+    const logInvalid = (row: RowKey) => (error: string): void => {
+        logger.error({ cell, table: row.table, key: row.key, error }, "stored row left out");
+    };
+    const storedRoster = decodeOr(() => rosterCodec.decode(rosterRow?.value ?? "[]"), undefined, logInvalid(rosterKey));
+    if (storedRoster === undefined) {
+        return Result.err({
+            kind: "unknown",
+            message: `the row ${rosterKey.key} of cell ${cell} is not valid; restore it, or remove it once no task of `
+                + "the cell runs any more",
+        });
+    }
+    const noStarts: StoredStarts = { restartAge: undefined, starts: [] };
     return Result.ok({
-        ledgers: workflows.value.rows.map(row => {
-            const progressRow = progressRows.get(row.key);
-            return {
-                ledger: createWorkflowLedger(
-                    JSON.parse(row.value) as Workflow,
-                    progressRow === undefined ? undefined : workflowProgress.parse(JSON.parse(progressRow.value)),
-                ),
-                progressVersion: progressRow?.version ?? 0,
-            };
-        }),
+        ledgers,
         transferRows: transfers.value.rows,
-        roster: rosterCodec.decode(rosterRow?.value ?? "[]"),
+        roster: storedRoster,
         rosterVersion: rosterRow?.version ?? 0,
         unansweredStarts: startsRow === undefined
-            ? { restartAge: undefined, starts: [] }
-            : startsCodec.decode(startsRow.value),
+            ? noStarts
+            : decodeOr(() => startsCodec.decode(startsRow.value), noStarts, logInvalid(startsKey)),
         unansweredStartsVersion: startsRow?.version ?? 0,
     });
 };
--- a/packages/workflow/src/cell/settled-sweep.ts
+++ b/packages/workflow/src/cell/settled-sweep.ts
@@ -4,8 +4,8 @@
 
 import type { StateStore, StoredRow } from "../port/state-store.js";
 import type { CellLease } from "./cell-lease.js";
+import { decodeSettledWorkflow } from "./decode-settled-workflow.js";
 import { rowKeys } from "./row-keys.js";
-import { settledWorkflow } from "./settled-workflow.js";
 
 /** Removes the stored rows of ended workflows after the retention. */
 export interface SettledSweep {
@@ -56,8 +56,12 @@
         }
         hasReadEarlier = true;
         for (const row of read.value.rows) {
-            const { settledAt } = settledWorkflow.parse(JSON.parse(row.value));
-            endedRows.set(row.key as JobId, { at: settledAt, version: row.version });
+            const decoded = decodeSettledWorkflow(row);
+            if (decoded.isErr) {
+                logger.error({ cell, job: row.key, version: row.version, error: decoded.error }, "stored row left out");
+                continue;
+            }
+            endedRows.set(row.key as JobId, { at: decoded.value.settledAt, version: row.version });
         }
     };
     /** Updates the versions to those in the store, and drops workflows whose rows are gone already. */
--- a/packages/workflow/src/cell/stored-workflow.ts
+++ b/packages/workflow/src/cell/stored-workflow.ts
@@ -1,23 +1,12 @@
 import type { CellId, JobId } from "@jayfront/world";
 import { Result } from "true-myth";
 
-import type { WorkflowProgress } from "../ledger/workflow-progress.js";
-import { workflowProgress } from "../ledger/workflow-progress.js";
-import type { Workflow } from "../model/workflow.js";
 import type { RowKey, StateStore, StoredRow, StoreError } from "../port/state-store.js";
+import type { OpenWorkflow } from "./decode-open-workflow.js";
+import { decodeOpenWorkflow } from "./decode-open-workflow.js";
+import { decodeSettledWorkflow } from "./decode-settled-workflow.js";
 import { rowKeys } from "./row-keys.js";
 import type { SettledWorkflow } from "./settled-workflow.js";
-import { settledWorkflow } from "./settled-workflow.js";
-
-/** A workflow that has not ended, as read from its rows. */
-export interface OpenWorkflow {
-    readonly kind: "open";
-    readonly workflow: Workflow;
-    /** Undefined if no progress has been stored yet. */
-    readonly progress: WorkflowProgress | undefined;
-    /** Version of the progress row; 0 if there is none. */
-    readonly progressVersion: number;
-}
 
 /** A workflow as read from its rows in one cell; `absent` if the cell has none. */
 export type StoredWorkflow =
@@ -25,14 +14,10 @@
     | { readonly kind: "ended"; readonly state: SettledWorkflow["state"]; }
     | { readonly kind: "absent"; };
 
-const decodeOpen = (row: StoredRow, progress: StoredRow | undefined): OpenWorkflow => ({
-    kind: "open",
-    workflow: JSON.parse(row.value) as Workflow,
-    progress: progress === undefined ? undefined : workflowProgress.parse(JSON.parse(progress.value)),
-    progressVersion: progress?.version ?? 0,
-});
+/** The outcome of a read that found a row which is not valid. */
+const invalidRow = (message: string): StoreError => ({ kind: "unknown", message });
 
-/** Reads the rows of a workflow in `cell`. */
+/** Reads the rows of a workflow in `cell`; the outcome is `unknown` if they are not valid. */
 export const readStoredWorkflow = async (
     store: StateStore,
     cell: CellId,
@@ -41,10 +26,12 @@
     const readRow = async ({ table, partition, key }: RowKey): Promise<Result<StoredRow | undefined, StoreError>> =>
         (await store.read(table, partition, key)).map(({ rows: [row] }) => row);
     const readEnd = async (): Promise<Result<StoredWorkflow, StoreError>> =>
-        (await readRow(rowKeys.settled(cell, id))).map((row): StoredWorkflow =>
+        (await readRow(rowKeys.settled(cell, id))).andThen(row =>
             row === undefined
-                ? { kind: "absent" }
-                : { kind: "ended", state: settledWorkflow.parse(JSON.parse(row.value)).state }
+                ? Result.ok<StoredWorkflow, StoreError>({ kind: "absent" })
+                : decodeSettledWorkflow(row)
+                    .map(({ state }): StoredWorkflow => ({ kind: "ended", state }))
+                    .mapErr(invalidRow)
         );
     const ended = await readEnd();
     if (ended.isErr || ended.value.kind === "ended") {
@@ -59,5 +46,7 @@
         return Result.err(workflowRow.error);
     }
     // The end of a workflow replaces its rows in one transaction, which may have been committed between the reads.
-    return workflowRow.value === undefined ? readEnd() : Result.ok(decodeOpen(workflowRow.value, progress.value));
+    return workflowRow.value === undefined
+        ? readEnd()
+        : decodeOpenWorkflow(workflowRow.value, progress.value).mapErr(invalidRow);
 };
--- a/packages/workflow/src/cell/take-cell.ts
+++ b/packages/workflow/src/cell/take-cell.ts
@@ -1,7 +1,8 @@
 import type { CellId } from "@jayfront/world";
 import { Result } from "true-myth";
+import { z } from "zod";
 
-import type { StateStore, StoreError } from "../port/state-store.js";
+import type { StateStore, StoredRow, StoreError } from "../port/state-store.js";
 import type { CellHolder } from "./cell-lease.js";
 import { rowKeys } from "./row-keys.js";
 
@@ -16,14 +17,28 @@
 /** Version that stands for an absent row; a check of it requires that the row is absent. */
 export const absentVersion = 0;
 
-/** Reads the holder row of a cell. */
+const holderRow = z.object({ epoch: z.int(), host: z.string() });
+
+/** Decodes a holder row. Its epoch has to be known: workers refuse the orders of a holder with a lower one. */
+const decodeHolder = (cell: CellId, row: StoredRow): Result<CellHolder, StoreError> => {
+    try {
+        return Result.ok(holderRow.parse(JSON.parse(row.value)));
+    }
+    catch (error) {
+        const message = `the holder row of cell ${cell} is not valid; restore it: ${String(error)}`;
+        return Result.err({ kind: "unknown", message });
+    }
+};
+
+/** Reads the holder row of a cell; the outcome is `unknown` if it is not valid. */
 export const readHolderRow = async (store: StateStore, cell: CellId): Promise<Result<HolderRow, StoreError>> => {
     const key = rowKeys.holder(cell);
     const read = await store.read(key.table, key.partition, key.key);
-    return read.map(({ rows: [row] }) => ({
-        holder: row === undefined ? undefined : JSON.parse(row.value) as CellHolder,
-        version: row?.version ?? absentVersion,
-    }));
+    return read.andThen(({ rows: [row] }): Result<HolderRow, StoreError> =>
+        row === undefined
+            ? Result.ok({ holder: undefined, version: absentVersion })
+            : decodeHolder(cell, row).map(holder => ({ holder, version: row.version }))
+    );
 };
 
 /**
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -423,7 +423,7 @@
         }
     };
     const load = async (): Promise<boolean> => {
-        const loaded = await loadCell(store, cell);
+        const loaded = await loadCell(store, cell, logger);
         if (loaded.isErr) {
             logger.warn(
                 { cell, epoch, error: loaded.error.kind, message: loaded.error.message },
