Store in the roster which workers are about to leave

Cause: the roster row was written only when its members changed, so that it did not show that a worker drains or is no longer listed. A new holder started tasks on such a worker while it still answered: for 2.5 s if it is not listed, and until the list of workers could be read if it drains. These tasks were lost when it left.

Change: the row is also written when a worker begins to drain, and when one has not been listed for 2.5 s, which is stored as draining. A new holder starts nothing there until the platform lists the worker as ready.

Figures: left-worker.test.ts, one task each: started on the leaving worker before, not after.

--- a/packages/workflow/src/cell/cell-workers.ts
+++ b/packages/workflow/src/cell/cell-workers.ts
@@ -21,14 +21,17 @@
 /** Milliseconds for which a worker that answers is used after it was last listed; a store outage can expire entries. */
 const unlistedUseTime = 2_500;
 
+/** Whether the platform lists the worker, or has until recently. */
+export const isListed = ({ unlistedSince }: CellWorker): boolean =>
+    unlistedSince === undefined || performance.now() - unlistedSince < unlistedUseTime;
+
 /** Whether the worker may get new tasks of a service, regardless of their resource requirements. */
 export const isOpenTo = (worker: CellWorker, service: ServiceId): boolean => {
     const { session } = worker;
     const entry = session.entry();
-    const isListed = worker.unlistedSince === undefined || performance.now() - worker.unlistedSince < unlistedUseTime;
     return entry.service === service
         && worker.isOnRoster
-        && isListed
+        && isListed(worker)
         && !entry.isDraining
         && session.deadline() !== undefined;
 };
--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -8,7 +8,8 @@
 import type { WorkerGateway } from "../port/worker-gateway.js";
 import type { CellLease } from "./cell-lease.js";
 import type { CellTiming } from "./cell-timing.js";
-import type { CellWorkers } from "./cell-workers.js";
+import type { CellWorker, CellWorkers } from "./cell-workers.js";
+import { isListed } from "./cell-workers.js";
 import type { LateOrderDetector } from "./late-order-detector.js";
 import type { LoadedCell } from "./load-cell.js";
 import { createResourceAccount } from "./resource-account.js";
@@ -64,13 +65,14 @@
     const list = createWorkerList({ store, directory });
     const { isOwn, mayInterfere, lateOrderDetector, inheritedLeasesUntil, onChange } = options;
     const { cell, epoch } = lease;
-    const rosterIds = new Set<WorkerId>();
+    /** Whether each worker on the roster is stored as draining. */
+    const drainingById = new Map<WorkerId, boolean>();
     let rosterVersion = 0;
     /** Whether the last write of the roster is known to have succeeded. */
     let isRosterStored = true;
 
     const addWorker = (entry: WorkerEntry): void => {
-        const isNew = !rosterIds.has(entry.id);
+        const isNew = !drainingById.has(entry.id);
         const sessionStop = createStopSignal(signal);
         const session = createWorkerSession({
             entry,
@@ -127,25 +129,29 @@
         }
         onChange();
     };
+    /** A worker that is no longer listed is stored as draining, so that the next holder starts nothing on it either. */
+    const storedEntry = (worker: CellWorker): WorkerEntry =>
+        isListed(worker) ? worker.session.entry() : { ...worker.session.entry(), isDraining: true };
     const writeRoster = async (): Promise<void> => {
         const members = [...workers.values()].filter(worker =>
             worker.unlistedSince === undefined || runRegistry.ofWorker(worker.session.id).size > 0
             || worker.session.contact() !== "lapsed"
         );
-        const isUnchanged = members.every(worker => rosterIds.has(worker.session.id))
-            && members.length === rosterIds.size;
+        const entries = members.map(storedEntry);
+        const isUnchanged = entries.every(({ id, isDraining }) => drainingById.get(id) === isDraining)
+            && entries.length === drainingById.size;
         if (isRosterStored && isUnchanged) {
             return;
         }
         isRosterStored = false;
         // An unanswered write may have removed them; if they return, they have to be stored again before any start.
-        const memberIds = new Set(members.map(worker => worker.session.id));
-        [...rosterIds].filter(id => !memberIds.has(id)).forEach(id => rosterIds.delete(id));
+        const memberIds = new Set(entries.map(({ id }) => id));
+        [...drainingById.keys()].filter(id => !memberIds.has(id)).forEach(id => drainingById.delete(id));
         const key = rowKeys.roster(cell);
         const recordProof = lease.trackCall();
         const written = await store.commit({
             checks: [lease.check, { ...key, version: rosterVersion }],
-            writes: [{ ...key, value: rosterCodec.encode(members.map(worker => worker.session.entry())) }],
+            writes: [{ ...key, value: rosterCodec.encode(entries) }],
         });
         if (written.isErr) {
             const { kind, message } = written.error;
@@ -160,29 +166,26 @@
         recordProof();
         rosterVersion = written.value;
         isRosterStored = true;
-        rosterIds.clear();
-        for (const worker of members) {
-            rosterIds.add(worker.session.id);
-            worker.isOnRoster = true;
-        }
+        drainingById.clear();
+        entries.forEach(({ id, isDraining }) => drainingById.set(id, isDraining));
         for (const [id, worker] of workers) {
-            if (!rosterIds.has(id)) {
-                worker.isOnRoster = false;
-            }
+            worker.isOnRoster = drainingById.has(id);
         }
-        logger.info({ cell, epoch, workers: rosterIds.size }, "roster written");
+        logger.info({ cell, epoch, workers: drainingById.size }, "roster written");
         onChange();
     };
     return {
         inherit: ({ roster, rosterVersion: version }) => {
             rosterVersion = version;
             roster.forEach(entry => {
-                rosterIds.add(entry.id);
+                drainingById.set(entry.id, entry.isDraining);
             });
             roster.forEach(addWorker);
         },
         hasUnknownWorkers: () =>
-            [...workers.values()].some(({ session }) => rosterIds.has(session.id) && session.contact() === "unknown"),
+            [...workers.values()].some(({ session }) =>
+                drainingById.has(session.id) && session.contact() === "unknown"
+            ),
         run: async stopSignal => {
             while (!stopSignal.aborted) {
                 const read = await list.update();
