Bound the work of a pass for long-running tasks of draining workers by a test

A pass over 40 full workers, 8 of them draining with 32 tasks, looks up each worker's deadline at most once and summarizes each worker at most once.

--- a/packages/workflow/tests/stage-scheduler.test.ts
+++ b/packages/workflow/tests/stage-scheduler.test.ts
@@ -65,6 +65,24 @@
     });
 });
 
+// Guards against a holder that inspects all workers again for each long-running task of draining workers.
+describe("a pass with many long-running tasks on draining workers", () => {
+    it("inspects each worker once", () => {
+        const cell = createTestCell({ workers: 40, cpu: 16_000, runTime: 1_000 });
+        for (let workflow = 0; workflow < 16; workflow += 1) {
+            cell.submit({}, [{ count: 10, cpu: 4_000, isLasting: true }]);
+        }
+        cell.scheduler.runPass();
+        expect([...cell.runRegistry.all()]).toHaveLength(160);
+        [...new Set([...cell.runRegistry.all()].map(run => run.worker))].slice(0, 8).forEach(cell.drainWorker);
+        cell.counts.deadlines = 0;
+        cell.counts.summaries = 0;
+        cell.scheduler.runPass();
+        expect(cell.counts.deadlines).toBeLessThanOrEqual(40);
+        expect(cell.counts.summaries).toBeLessThanOrEqual(40);
+    });
+});
+
 describe("a long-running task that lost its run in a full cell", () => {
     beforeEach(() => {
         jest.useFakeTimers();
