--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -56,7 +56,7 @@
     readonly epoch: number;
     readonly unansweredStarts: UnansweredStarts;
     readonly runRegistry: RunRegistry;
-    readonly writer: ProgressWriter;
+    readonly writer: Pick<ProgressWriter, "request">;
     readonly logger: Logger;
     readonly ledgerOf: (job: JobId) => WorkflowLedger | undefined;
     readonly sessionOf: (worker: WorkerId) => WorkerSession | undefined;
--- a/packages/workflow/tests/run-controller.test.ts
+++ b/packages/workflow/tests/run-controller.test.ts
@@ -2,7 +2,6 @@
 import { describe, expect, it } from "@jest/globals";
 import pino from "pino";
 
-import type { ProgressWriter } from "../src/cell/progress-writer.js";
 import { createRunController } from "../src/cell/run-controller.js";
 import { createRunRegistry } from "../src/cell/run-registry.js";
 import type { UnansweredStarts } from "../src/cell/unanswered-starts.js";
@@ -32,7 +31,7 @@
                 epoch: 2,
                 unansweredStarts: {} as UnansweredStarts,
                 runRegistry: createRunRegistry(),
-                writer: { request: () => undefined } as Partial<ProgressWriter> as ProgressWriter,
+                writer: { request: () => undefined },
                 logger: pino({ level: "silent" }),
                 ledgerOf: id => id === job ? ledger : undefined,
                 sessionOf: () => undefined,
