Offer only as many places as the workers have accelerators

What could be seen: long-running tasks that need accelerators go back and forth between cells, and each time wait 0.4 s for a worker, instead of staying where they can start.

Cause: the places that a cell offers were counted by CPU, memory and the limit per worker only.

Evidence: transfer-offers.test.ts; before the change a cell with 6 accelerators offers 47 places for tasks that need one.

Change: accelerators count, too.

Run: transfer-offers passes. hasCapacityForLongRunning and LongRunningAdmission.countPlaces leave accelerators out as well; they are not changed here.

--- a/packages/workflow/src/cell/transfer-offers.ts
+++ b/packages/workflow/src/cell/transfer-offers.ts
@@ -41,6 +41,7 @@
             (step.perWorkerLimit ?? Infinity) - present,
             Math.floor(resources.freeCpu() / Math.max(1, step.cpu)),
             Math.floor(resources.freeMemory() / Math.max(1, step.memory)),
+            step.accelerators === 0 ? Infinity : Math.floor(resources.freeAccelerators() / step.accelerators),
         );
     };
     return {
