Store the last run numbers of tasks that were returned

What could be seen: after a task had come back and its own cell had been taken over, the successor's runs of the task had numbers that were not above those of its runs in the other cell, or of those of its predecessor. A worker refuses such a start as long as the number is not above all that ended there, and each attempt raises it by one only.

Cause: the number of the last run in the other cell was kept in memory by the holder that took the task back.

The new test of the ledger can't be written before the change, which adds what it asks for.

Change: the progress row has the number of the last run of each task that was returned; who loads the row reserves it.

--- a/packages/workflow/src/cell/create-transferred-ledger.ts
+++ b/packages/workflow/src/cell/create-transferred-ledger.ts
@@ -20,6 +20,7 @@
             done: [...Array(count).keys()].filter(index => !isTransferred(step, index)),
             failures: [],
             checkpoints: [],
+            lastRuns: [],
         })),
         transfers: [],
     });
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -6,6 +6,7 @@
 import { createWorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { Configuration } from "../model/configuration.js";
 import type { Queue } from "../model/queue.js";
+import { taskName } from "../model/task-name.js";
 import type { WorkerEntry } from "../model/worker-entry.js";
 import type { Workflow } from "../model/workflow.js";
 import { createInterferenceModel } from "../policy/interference-model.js";
@@ -422,6 +423,14 @@
             }
         }
     };
+    const addLedger = (ledger: WorkflowLedger, progressVersion: number): void => {
+        const { id } = ledger.workflow;
+        ledgers.set(id, ledger);
+        writer.setVersion(id, progressVersion);
+        ledger.returned().forEach(task => {
+            runController.reserveNumbers(taskName({ job: id, ...task }), task.lastRun);
+        });
+    };
     const load = async (): Promise<boolean> => {
         const loaded = await loadCell(store, cell, logger);
         if (loaded.isErr) {
@@ -432,9 +441,8 @@
             return false;
         }
         for (const { ledger, progressVersion } of loaded.value.ledgers) {
-            ledgers.set(ledger.workflow.id, ledger);
+            addLedger(ledger, progressVersion);
             inheritedJobs.add(ledger.workflow.id);
-            writer.setVersion(ledger.workflow.id, progressVersion);
         }
         incomingTransfers.inherit(loaded.value.transferRows);
         [...incomingTransfers.ledgers.keys()].forEach(id => inheritedJobs.add(id));
@@ -480,8 +488,7 @@
         lateWriteTime: timing.lateOrderTime,
         stateOf: id => ledgers.get(id)?.state(),
         onStored: ({ workflow, progress, progressVersion }) => {
-            ledgers.set(workflow.id, createWorkflowLedger(workflow, progress));
-            writer.setVersion(workflow.id, progressVersion);
+            addLedger(createWorkflowLedger(workflow, progress), progressVersion);
             accepted.push(workflow.id);
             passWakeUp.notify();
         },
--- a/packages/workflow/src/ledger/step-record.ts
+++ b/packages/workflow/src/ledger/step-record.ts
@@ -10,6 +10,8 @@
     readonly waiting: Set<number>;
     /** Indices of long-running tasks that another cell runs. */
     readonly transferred: Set<number>;
+    /** Numbers of the last runs of tasks that other cells have given back, by task index, as of their return. */
+    readonly lastRuns: Map<number, number>;
     /** Indices of tasks that have run under the present holder of the workflow. */
     readonly started: Set<number>;
     /** Times at which the last runs of waiting tasks ended under the present holder, by task index, in monotonic ms. */
@@ -29,6 +31,7 @@
     checkpoints: new Map(),
     waiting: new Set(Array(count).keys()),
     transferred: new Set(),
+    lastRuns: new Map(),
     started: new Set(),
     lastEnds: new Map(),
     readySince: undefined,
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -58,8 +58,13 @@
     readonly recordCancellation: () => void;
     /** Records that `cell` runs the waiting long-running task from now on; its runs there have higher numbers. */
     readonly recordTransfer: (task: TransferredTask, cell: CellId) => void;
-    /** Records that `cell` has given the task back, which waits here again; ignored unless `cell` runs the task. */
-    readonly recordReturn: (position: TaskPosition, cell: CellId) => void;
+    /**
+     * Records that `cell` has given the task back, with the number of its last run there; it waits here again. Ignored
+     * unless `cell` runs the task.
+     */
+    readonly recordReturn: (task: TransferredTask, cell: CellId) => void;
+    /** Tasks that other cells have given back; their runs here have numbers above their last one there. */
+    readonly returned: () => readonly TransferredTask[];
     /** Records that a task which counted as done here, since another cell ran it, waits to be run here instead. */
     readonly recordArrival: (position: TaskPosition) => void;
     /** Records that a task which arrived here is given back; it counts as done here again. */
@@ -159,6 +164,7 @@
             });
             row.failures.forEach(([index, runs]) => stage.record.failures.set(index, new Set(runs)));
             row.checkpoints.forEach(([index, checkpoint]) => stage.record.checkpoints.set(index, checkpoint));
+            row.lastRuns.forEach(([index, lastRun]) => stage.record.lastRuns.set(index, lastRun));
         }
     }
     for (const { cell, tasks } of stored?.transfers ?? []) {
@@ -247,20 +253,25 @@
             hasStarted = true;
             raiseRevision();
         },
-        recordReturn: (position, cell) => {
+        recordReturn: (task, cell) => {
             const tasks = transfers.get(cell) ?? [];
             const remaining = tasks.filter(({ occurrence, step, index }) =>
-                occurrence !== position.occurrence || step !== position.step || index !== position.index
+                occurrence !== task.occurrence || step !== task.step || index !== task.index
             );
-            const record = stageOf(position)?.record;
+            const record = stageOf(task)?.record;
             if (record !== undefined && remaining.length < tasks.length) {
                 transfers.set(cell, remaining);
-                record.transferred.delete(position.index);
-                record.waiting.add(position.index);
-                record.started.add(position.index);
+                record.transferred.delete(task.index);
+                record.lastRuns.set(task.index, task.lastRun);
+                record.waiting.add(task.index);
+                record.started.add(task.index);
                 raiseRevision();
             }
         },
+        returned: () =>
+            [...stages.values()].flatMap(({ occurrence, stepIndex, record }) =>
+                [...record.lastRuns].map(([index, lastRun]) => ({ occurrence, step: stepIndex, index, lastRun }))
+            ),
         recordDeparture: position => {
             const stage = stageOf(position);
             if (stage !== undefined) {
@@ -293,6 +304,7 @@
                 done: [...record.done],
                 failures: [...record.failures].map(([index, runs]) => [index, [...runs]]),
                 checkpoints: [...record.checkpoints],
+                lastRuns: [...record.lastRuns],
             })),
             transfers: [...transfers].filter(([, tasks]) => tasks.length > 0)
                 .map(([cell, tasks]) => ({ cell, tasks })),
--- a/packages/workflow/src/ledger/workflow-progress.ts
+++ b/packages/workflow/src/ledger/workflow-progress.ts
@@ -22,6 +22,8 @@
         failures: pairs(z.array(z.int())),
         /** Newest checkpoint by task index. */
         checkpoints: pairs(z.string()),
+        /** Numbers of the last runs of tasks that other cells have given back, by task index. */
+        lastRuns: pairs(z.int()).default([]),
     })),
     /** Long-running tasks that other cells run for the workflow, by cell. */
     transfers: z.array(z.object({
--- a/packages/workflow/tests/transfer-row-changes.test.ts
+++ b/packages/workflow/tests/transfer-row-changes.test.ts
@@ -60,7 +60,7 @@
         changes.recordStored(id, changes.of(ledger), 12);
         expect(changes.recordRead(id, other, 13)).toBe(true);
         expect(changes.recordRead(id, other, 13)).toBe(false);
-        ledger.recordReturn(position, other);
+        ledger.recordReturn({ ...position, lastRun: 3 }, other);
         changes.recordStored(id, changes.of(ledger), 14);
         expect(changes.recordRead(id, other, 13)).toBe(false);
     });
@@ -69,7 +69,7 @@
         const changes = createTransferRowChanges(cell);
         const ledger = createLedger();
         changes.recordStored(id, changes.of(ledger), 12);
-        ledger.recordReturn(position, other);
+        ledger.recordReturn({ ...position, lastRun: 3 }, other);
         const removal = changes.of(ledger);
         expect(removal).toEqual({ checks: [{ ...key, version: 12 }], writes: [], removals: [key] });
         changes.recordStored(id, removal, 13);
@@ -85,7 +85,7 @@
         const changes = createTransferRowChanges(cell);
         const ledger = createLedger();
         changes.recordStored(id, changes.of(ledger), 12);
-        ledger.recordReturn(position, other);
+        ledger.recordReturn({ ...position, lastRun: 3 }, other);
         ledger.recordCancellation();
         changes.resolveConflict(ledger, () => undefined);
         expect(changes.of(ledger)).toEqual({ checks: [], writes: [], removals: [key] });
--- a/packages/workflow/tests/workflow-ledger.test.ts
+++ b/packages/workflow/tests/workflow-ledger.test.ts
@@ -157,18 +157,26 @@
 
         it("starts them again once they are returned, which is stored first", () => {
             const ledger = markStored(createWithTransfer());
-            ledger.recordReturn(at(0, 1), other);
+            ledger.recordReturn(transferred(1), other);
             expect(openSteps(ledger)).toEqual([]);
             expect(waiting(markStored(ledger))).toEqual([0, 1, 2]);
             expect([...reload(ledger).transfers()]).toEqual([]);
         });
 
+        // Guards against a successor that gives a run the number of an earlier one, which workers refuse.
+        it("stores the numbers of their last runs when they are returned", () => {
+            const ledger = createWithTransfer();
+            expect(ledger.returned()).toEqual([]);
+            ledger.recordReturn({ ...transferred(1), lastRun: 9_000 }, other);
+            expect(reload(ledger).returned()).toEqual([{ ...transferred(1), lastRun: 9_000 }]);
+        });
+
         // Guards against two runs of one task: an earlier return by a cell that had it before is applied late.
         it("keeps them transferred if another cell is said to have returned them", () => {
             const ledger = markStored(createWithTransfer());
-            ledger.recordReturn(at(0, 1), other);
+            ledger.recordReturn(transferred(1), other);
             ledger.recordTransfer(transferred(1), "east-c/0" as CellId);
-            ledger.recordReturn(at(0, 1), other);
+            ledger.recordReturn(transferred(1), other);
             expect(waiting(ledger)).toEqual([0, 2]);
         });
     });
