Ask cells for room whose free CPU is just that of the task

What callers saw: in long-running-last-places.test.ts a task that lost its run waited for over 3 s while two other cells had one place each.

Cause: a cell was asked for room only if its free CPU was more than the task's; with one place left it can be the same.

Change: as much is enough.

--- a/packages/workflow/src/cell/other-cells.ts
+++ b/packages/workflow/src/cell/other-cells.ts
@@ -4,7 +4,7 @@
 
 /** The other cells, as the holder of a cell can reach their holders. */
 export interface OtherCells {
-    /** Cells that have more unused CPU than `cpu` millicores, the one with the most first. */
+    /** Cells that have at least `cpu` millicores unused, the one with the most first. */
     readonly withFreeCpu: (cpu: number) => readonly CellId[];
     /** Number of tasks for which the cell has room; 0 if its holder does not answer. */
     readonly roomIn: (cell: CellId, request: TransferRoomRequest) => Promise<number>;
--- a/packages/workflow/src/entry/create-other-cells.ts
+++ b/packages/workflow/src/entry/create-other-cells.ts
@@ -20,7 +20,7 @@
     withFreeCpu: cpu =>
         claims.allFresh()
             .map(({ summary }) => ({ ...summary, freeCpu: summary.capacityCpu - summary.usedCpu }))
-            .filter(summary => summary.cell !== cell && summary.isActive && summary.freeCpu > cpu)
+            .filter(summary => summary.cell !== cell && summary.isActive && summary.freeCpu >= cpu)
             .sort((left, right) => right.freeCpu - left.freeCpu)
             .map(summary => summary.cell),
     roomIn: async (target, request) => {
