Let cells decline short-lived work for which their workers have no room

Cause: entry hosts choose a cell by the sum of its free CPU, with a random part. Long-running tasks hold 3.3 to 5.6 of the 7.8 million millicores of a cell, spread over all workers, so that the rest can be large and yet no worker has room for a task of 20 cores. Only long-running work could be declined, and a workflow never leaves its cell.

Ruled out: admission of new long-running tasks (`isKeptForUrgent` only for long-running tasks themselves), reservations (none excluded a worker in these lines), quarantine (one line), waits for the holder's processor (starts are ordered within 2 ms of a step's readiness, also with processor time).

Change: a cell declines a workflow whose short-lived steps that reserve CPU don't fit on its workers now, each step for itself, beside the tasks that wait there already. If every cell declines, the one that had room for the largest share of the tasks is asked first.

--- a/packages/bench/tests/workflow/cell-balance.test.ts
+++ b/packages/bench/tests/workflow/cell-balance.test.ts
@@ -4,7 +4,7 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 
-import type { FreeCapacity } from "../../../workflow/src/policy/long-running-capacity.js";
+import type { FreeCapacity } from "../../../workflow/src/policy/free-capacity.js";
 import { hasCapacityForLongRunning } from "../../../workflow/src/policy/long-running-capacity.js";
 import { rankCells, widestStepCpu } from "../../../workflow/src/policy/rank-cells.js";
 import { createKnownRedTests } from "../known-red-tests.js";
--- a/packages/bench/tests/workflow/cell-spread.test.ts
+++ b/packages/bench/tests/workflow/cell-spread.test.ts
@@ -1,3 +1,4 @@
+import type { JobId } from "@jayfront/world";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 
 import type { FakeTime } from "../../src/util/fake-time.js";
@@ -201,6 +202,26 @@
         expect(Math.max(...perCell)).toBeLessThanOrEqual(fittingTasks);
     });
 
+    // Guards against urgent short-lived work that waits in a cell where no worker has room for one of its tasks, while
+    // another cell has such a worker: entry hosts know only the sums of the free CPU.
+    it("take short-lived work only if they can start it, as long as one of them can", async () => {
+        const created = await create();
+        const host = [...created.hosts.keys()][0] ?? "";
+        for (let number = 0; number < 6; number += 1) {
+            const id = number.toString(16).padStart(16, "f");
+            void created.submit(host, id, [{ cpu: 9_000, isLasting: true }], { isLasting: true });
+            await time.advance(500);
+        }
+        const ids = [...Array(16).keys()].map(number => number.toString(16).padStart(16, "0"));
+        for (const id of ids) {
+            void created.submit(host, id, [{ cpu: 10_000 }], { work: 200 });
+            await time.advance(500);
+        }
+        const states = ids.map(async id => await created.hosts.get(host)?.router.state(id as JobId));
+        await time.advance(100);
+        expect(await Promise.all(states)).toEqual(ids.map(() => ({ kind: "known", value: "completed" })));
+    });
+
     // Guards against hosts that exchange their cells when all of them restart.
     it("are taken back by their holders when all hosts restart", async () => {
         const created = await create();
--- a/packages/workflow/src/cell/long-running-admission.ts
+++ b/packages/workflow/src/cell/long-running-admission.ts
@@ -1,5 +1,5 @@
-import type { Step } from "../model/step.js";
 import { mayStartLongRunning } from "../policy/may-start-long-running.js";
+import { isShortLived } from "../policy/short-lived-room.js";
 import { createUrgentReserve } from "../policy/urgent-reserve.js";
 import type { CellWorkers } from "./cell-workers.js";
 import { mayStartOn } from "./cell-workers.js";
@@ -29,8 +29,6 @@
 /** Minimum milliseconds between two updates of the demand of urgent work. */
 const countInterval = 50;
 
-/** Whether tasks of the step end by themselves and reserve the processor time that they use. */
-const isShortLived = (step: Step): boolean => !step.isLasting && !step.usesSpareCpu;
 const stageKey = ({ ledger, stage }: StageCandidate): string =>
     `${ledger.workflow.id}.${String(stage.occurrence)}.${String(stage.stepIndex)}`;
 
--- a/packages/workflow/src/cell/submission-reply.ts
+++ b/packages/workflow/src/cell/submission-reply.ts
@@ -4,10 +4,14 @@
 export type SubmissionReply =
     /**
      * `accepted`: stored in this cell and loaded by its holder. `unknown`: an unanswered write may have stored it; the
-     * holder keeps trying until it knows. `refused`: this submission has not stored it and never will. `full`: as
-     * `refused`, since the cell lacks free resources; other cells may have them. `not-holder`: the host does not hold
-     * the cell or has not loaded it yet.
+     * holder keeps trying until it knows. `refused`: this submission has not stored it and never will. `not-holder`:
+     * the host does not hold the cell or has not loaded it yet.
      */
-    | { readonly kind: "accepted" | "unknown" | "refused" | "full" | "not-holder"; }
+    | { readonly kind: "accepted" | "unknown" | "refused" | "not-holder"; }
+    /**
+     * As `refused`, since the cell lacks free resources; other cells may have them. `roomShare`: share of the workflow's
+     * tasks for which the cell has room, from 0 to less than 1.
+     */
+    | { readonly kind: "full"; readonly roomShare: number; }
     /** The index names `cell`, which is another one, for this workflow; only that cell can accept it. */
     | { readonly kind: "elsewhere"; readonly cell: CellId; };
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -10,14 +10,13 @@
 import type { WorkerEntry } from "../model/worker-entry.js";
 import type { Workflow } from "../model/workflow.js";
 import { createInterferenceModel } from "../policy/interference-model.js";
-import type { LongRunningCapacity } from "../policy/long-running-capacity.js";
-import { hasCapacityForLongRunning, longRunningCpu } from "../policy/long-running-capacity.js";
 import type { StateStore } from "../port/state-store.js";
 import type { WorkerDirectory } from "../port/worker-directory.js";
 import type { WorkerGateway } from "../port/worker-gateway.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { CellLease } from "./cell-lease.js";
 import { createCellLease } from "./cell-lease.js";
+import { createCellRoom } from "./cell-room.js";
 import type { CellSummary } from "./cell-summary.js";
 import type { CellTiming } from "./cell-timing.js";
 import { leaseDuration } from "./cell-timing.js";
@@ -43,7 +42,7 @@
 import type { StrandedTasks } from "./stranded-tasks.js";
 import { findStrandedTasks } from "./stranded-tasks.js";
 import type { SubmissionReply } from "./submission-reply.js";
-import { summarizeCell, waitingLongRunningCpu } from "./summarize-cell.js";
+import { summarizeCell } from "./summarize-cell.js";
 import type { HolderRow } from "./take-cell.js";
 import { createTransferOffers } from "./transfer-offers.js";
 import type { TransferRoomRequest } from "./transfer-room.js";
@@ -62,7 +61,7 @@
     /** Whether the workflows and the roster of earlier holders have been loaded. */
     readonly isActive: () => boolean;
     readonly isLost: () => boolean;
-    /** `mayDecline`: whether the cell may reply `full` if it lacks room for the workflow's long-running steps. */
+    /** `mayDecline`: whether the cell may reply `full` if it lacks room for the workflow's tasks that reserve CPU. */
     readonly submit: (workflow: Workflow, mayDecline: boolean) => Promise<SubmissionReply>;
     /** State of a workflow; `not-known` only if the cell has no rows of it. */
     readonly state: (id: JobId) => Promise<StateReply>;
@@ -493,24 +492,13 @@
             passWakeUp.notify();
         },
     });
-    const longRunningCapacity = (): LongRunningCapacity => {
-        const usable = [...workers.values()].filter(({ session }) =>
-            session.contact() === "known" && !session.entry().isDraining
-        );
-        let waitingCpu = 0;
-        for (const ledger of [...ledgers.values(), ...incomingTransfers.ledgers.values()]) {
-            waitingCpu += ledger.isSettled() ? 0 : waitingLongRunningCpu(ledger);
-        }
-        for (const { id, steps } of intake.pendingWorkflows()) {
-            waitingCpu += ledgers.has(id) ? 0 : longRunningCpu(steps);
-        }
-        return {
-            freeByWorker: usable.map(({ resources }) => ({ cpu: resources.freeCpu(), memory: resources.freeMemory() })),
-            capacityCpu: usable.reduce((sum, { resources }) => sum + resources.capacity().cpu, 0),
-            waitingCpu,
-        };
-    };
-    const transferOffers = createTransferOffers({ workers, runRegistry, capacity: longRunningCapacity });
+    const room = createCellRoom({
+        workers,
+        ledgers,
+        transferredLedgers: incomingTransfers.ledgers,
+        pendingWorkflows: intake.pendingWorkflows,
+    });
+    const transferOffers = createTransferOffers({ workers, runRegistry, capacity: room.forTransfers });
     void writer.run(signal);
     void run();
     const operations = createWorkflowOperations({
@@ -533,9 +521,8 @@
                 return { kind: "not-holder" };
             }
             const isNew = !ledgers.has(workflow.id) && !intake.hasPendingSubmission(workflow.id);
-            return isNew && mayDecline && !hasCapacityForLongRunning(workflow.steps, longRunningCapacity())
-                ? { kind: "full" }
-                : await intake.submit(workflow);
+            const roomShare = isNew && mayDecline ? room.shareFor(workflow.steps) : 1;
+            return roomShare < 1 ? { kind: "full", roomShare } : await intake.submit(workflow);
         },
         state: async id => isActive ? await operations.state(id) : "not-holder",
         cancel: async id => isActive ? await operations.cancel(id) : "not-holder",
--- a/packages/workflow/src/entry/workflow-offer.ts
+++ b/packages/workflow/src/entry/workflow-offer.ts
@@ -11,6 +11,8 @@
     readonly offerTo: (cells: readonly CellId[]) => Promise<CellId | undefined>;
     /** Whether a cell declined in the last round for lack of capacity, and no write may have stored the workflow. */
     readonly isDeclined: () => boolean;
+    /** Share of the workflow's tasks for which the cell had room when it declined; 0 if it has not declined. */
+    readonly roomShareOf: (cell: CellId) => number;
     /** Whether a write may have stored the workflow; then it must not be reported as refused. */
     readonly mayBeStored: () => boolean;
     /** The cell that the index names for the workflow, if known; no other cell can accept it. */
@@ -33,6 +35,7 @@
 /** Creates an offer that has not been sent to any cell. */
 export const createWorkflowOffer = ({ submitTo, deadline }: WorkflowOfferOptions): WorkflowOffer => {
     const attempts: string[] = [];
+    const roomShares = new Map<CellId, number>();
     let mayBeStored = false;
     let isDeclined = false;
     let storedIn: CellId | undefined;
@@ -45,7 +48,10 @@
             if (outcome.kind === "accepted") {
                 return cell;
             }
-            isDeclined ||= outcome.kind === "full";
+            if (outcome.kind === "full") {
+                isDeclined = true;
+                roomShares.set(cell, outcome.roomShare);
+            }
             // The index row ensures that only one cell stores an id, so others can be tried after an unknown outcome.
             mayBeStored ||= uncertainKinds.has(outcome.kind);
             if (outcome.kind === "elsewhere") {
@@ -62,6 +68,7 @@
     return {
         offerTo,
         isDeclined: () => isDeclined && !mayBeStored,
+        roomShareOf: cell => roomShares.get(cell) ?? 0,
         mayBeStored: () => mayBeStored,
         storedIn: () => storedIn,
         describeAttempts: () => attempts.join(", "),
--- a/packages/workflow/src/entry/workflow-router.ts
+++ b/packages/workflow/src/entry/workflow-router.ts
@@ -126,7 +126,8 @@
             const ranked = storedIn === undefined ? rank(workflow) : [storedIn];
             const acceptedBy = await offer.offerTo(ranked);
             mayDecline = false;
-            const cell = acceptedBy ?? (offer.isDeclined() ? await offer.offerTo(ranked) : undefined);
+            const byRoom = [...ranked].sort((left, right) => offer.roomShareOf(right) - offer.roomShareOf(left));
+            const cell = acceptedBy ?? (offer.isDeclined() ? await offer.offerTo(byRoom) : undefined);
             if (cell !== undefined) {
                 recentlySent.push({ cell, cpu: widestStepCpu(workflow.steps), at: performance.now() });
                 return { kind: "accepted", reason: offer.describeAttempts() };
--- a/packages/workflow/src/policy/long-running-capacity.ts
+++ b/packages/workflow/src/policy/long-running-capacity.ts
@@ -1,13 +1,7 @@
 import type { Step } from "../model/step.js";
+import type { FreeCapacity } from "./free-capacity.js";
 import { shortLivedShare } from "./short-lived-share.js";
-
-/** Free capacity of a worker. */
-export interface FreeCapacity {
-    /** Millicores. */
-    readonly cpu: number;
-    /** MB. */
-    readonly memory: number;
-}
+import { taskCountOn } from "./task-count-on.js";
 
 /** Capacity of a cell for long-running tasks. */
 export interface LongRunningCapacity {
@@ -23,13 +17,6 @@
 export const longRunningCpu = (steps: readonly Step[]): number =>
     steps.reduce((sum, step) => sum + (step.isLasting ? step.count * step.cpu : 0), 0);
 
-const taskCountOn = ({ cpu, memory }: FreeCapacity, step: Step): number =>
-    Math.min(
-        step.perWorkerLimit ?? Infinity,
-        Math.floor(cpu / Math.max(1, step.cpu)),
-        Math.floor(memory / Math.max(1, step.memory)),
-    );
-
 /**
  * Whether the long-running steps of a workflow fit in a cell beside all that waits there already; true for a workflow
  * without such steps. Long-running tasks hold their room for long, so that a cell in which they wait stays full while
--- a/packages/workflow/tests/long-running-capacity.test.ts
+++ b/packages/workflow/tests/long-running-capacity.test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, it } from "@jest/globals";
 
 import { createStep } from "../src/model/create-step.js";
-import type { FreeCapacity, LongRunningCapacity } from "../src/policy/long-running-capacity.js";
+import type { FreeCapacity } from "../src/policy/free-capacity.js";
+import type { LongRunningCapacity } from "../src/policy/long-running-capacity.js";
 import { hasCapacityForLongRunning } from "../src/policy/long-running-capacity.js";
 
 const worker = { cpu: 64_000, memory: 256_000 };
