Offer room to tasks of other cells beside larger tasks that wait in vain

Cause: a cell deducted all that waits in it from what it offers, and reported it as used, so that it was not even asked. Tasks that have found no room take none of it from smaller ones, and move to another cell themselves.

Change: a cell deducts only waiting tasks that have not been without room. Its summary has the CPU that no task reserves; cells are asked by that. Reservations still keep workers for the larger tasks.

--- a/packages/workflow/src/cell/cell-room.ts
+++ b/packages/workflow/src/cell/cell-room.ts
@@ -14,7 +14,7 @@
 export interface CellRoom {
     /** Share of the workflow's tasks for which the cell has room; 0 if it lacks room for the long-running ones. */
     readonly shareFor: (steps: readonly Step[]) => number;
-    /** Room for long-running tasks of other cells. */
+    /** Room for long-running tasks of other cells; tasks that wait in vain take none of it. */
     readonly forTransfers: () => LongRunningCapacity;
 }
 
@@ -66,7 +66,10 @@
         },
         forTransfers: () => ({
             ...measureWorkers(),
-            waitingCpu: sumWaiting(waitingLongRunningCpu, longRunningCpu),
+            waitingCpu: sumWaiting(
+                ledger => waitingLongRunningCpu(ledger, ({ noRoomSince }) => noRoomSince === undefined),
+                longRunningCpu,
+            ),
         }),
     };
 };
--- a/packages/workflow/src/cell/cell-summary.ts
+++ b/packages/workflow/src/cell/cell-summary.ts
@@ -16,6 +16,8 @@
     readonly capacityCpu: number;
     /** Millicores that running tasks reserve or could use, and those that waiting long-running tasks request. */
     readonly usedCpu: number;
+    /** Millicores of all usable workers that no task reserves, whatever waits in the cell. */
+    readonly freeCpu: number;
     /** Remaining work of tasks that are not long-running, in millicores times ms, indexed by queue priority. */
     readonly backlog: readonly number[];
     /** Workflows accepted since the last heartbeat. */
--- a/packages/workflow/src/cell/summarize-cell.ts
+++ b/packages/workflow/src/cell/summarize-cell.ts
@@ -1,5 +1,6 @@
 import type { JobId } from "@jayfront/world";
 
+import type { StepRecord } from "../ledger/step-record.js";
 import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { Queue } from "../model/queue.js";
 import type { CellLease } from "./cell-lease.js";
@@ -21,13 +22,16 @@
     readonly runTime: RunStatistics["runTime"];
 }
 
-/** Millicores that the waiting tasks of a workflow's long-running steps request. */
-export const waitingLongRunningCpu = ({ workflow: { steps }, stage }: WorkflowLedger): number => {
+/** Millicores that the waiting tasks of a workflow's long-running steps request, of those steps that `isCounted` accepts. */
+export const waitingLongRunningCpu = (
+    { workflow: { steps }, stage }: WorkflowLedger,
+    isCounted: (record: StepRecord) => boolean = () => true,
+): number => {
     let waiting = 0;
     for (const [number, step] of steps.entries()) {
         if (step.isLasting) {
             const record = stage({ occurrence: 0, step: number, index: 0 })?.record;
-            waiting += (record?.waiting.size ?? step.count) * step.cpu;
+            waiting += record === undefined || isCounted(record) ? (record?.waiting.size ?? step.count) * step.cpu : 0;
         }
     }
     return waiting;
@@ -75,6 +79,7 @@
             (sum, { resources }) => sum + resources.capacity().cpu - resources.spareCpu(),
             waitingCpu,
         ),
+        freeCpu: usable.reduce((sum, { resources }) => sum + resources.freeCpu(), 0),
         backlog: Array.from(backlog, (value: number | undefined) => Math.round(value ?? 0)),
         accepted,
     };
--- a/packages/workflow/src/entry/create-other-cells.ts
+++ b/packages/workflow/src/entry/create-other-cells.ts
@@ -19,7 +19,7 @@
 export const createOtherCells = ({ cell, claims, network, held }: OtherCellsOptions): OtherCells => ({
     withFreeCpu: cpu =>
         claims.allFresh()
-            .map(({ summary }) => ({ ...summary, freeCpu: summary.capacityCpu - summary.usedCpu }))
+            .map(({ summary }) => summary)
             .filter(summary => summary.cell !== cell && summary.isActive && summary.freeCpu >= cpu)
             .sort((left, right) => right.freeCpu - left.freeCpu)
             .map(summary => summary.cell),
