Offer long-running work that no cell has room for to the one with the most

Cause: a cell that declined long-running work did not tell how much of it would fit. It also declined steps with a limit per worker too often: the tasks that wait there counted as if each took one of the workers that the limit leaves.

Change: the check returns the share of the tasks that fit, and after all cells have declined, the one with the largest share is asked first, as for short-lived work. What waits counts against the free CPU, not against the workers that a limit leaves. In the new test a workflow of three tasks waited in a full cell while another had room for one of them.

--- a/packages/bench/tests/workflow/cell-balance.test.ts
+++ b/packages/bench/tests/workflow/cell-balance.test.ts
@@ -5,7 +5,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 
 import type { FreeCapacity } from "../../../workflow/src/policy/free-capacity.js";
-import { hasCapacityForLongRunning } from "../../../workflow/src/policy/long-running-capacity.js";
+import { longRunningRoomShare } from "../../../workflow/src/policy/long-running-capacity.js";
 import { rankCells, widestStepCpu } from "../../../workflow/src/policy/rank-cells.js";
 import { createKnownRedTests } from "../known-red-tests.js";
 
@@ -125,7 +125,7 @@
             .flatMap(id => cells.find(cell => cell.id === id) ?? []);
         const chosen =
             ranked.find(({ free, waiting }) =>
-                hasCapacityForLongRunning([step], { freeByWorker: free, capacityCpu, waitingCpu: waiting * cpu })
+                longRunningRoomShare([step], { freeByWorker: free, capacityCpu, waitingCpu: waiting * cpu }) >= 1
             ) ?? ranked[0];
         if (chosen !== undefined) {
             accept(chosen);
--- a/packages/bench/tests/workflow/cell-spread.test.ts
+++ b/packages/bench/tests/workflow/cell-spread.test.ts
@@ -222,6 +222,31 @@
         expect(await Promise.all(states)).toEqual(ids.map(() => ({ kind: "known", value: "completed" })));
     });
 
+    // Guards against work that waits where nothing of it fits, since no cell has room for all its tasks, while some cell
+    // has room for a part.
+    it("take work that fits in none of them where the most of it fits", async () => {
+        const created = await create();
+        const host = [...created.hosts.keys()][0] ?? "";
+        for (let number = 0; number < 7; number += 1) {
+            const id = number.toString(16).padStart(16, "f");
+            void created.submit(host, id, [{ cpu: 9_000, isLasting: true }], { isLasting: true });
+            await time.advance(500);
+        }
+        const steps = [{ cpu: 10_000, count: 3 }];
+        const ids = [...Array(8).keys()].map(number => number.toString(16).padStart(16, "0"));
+        for (const id of ids) {
+            void created.submit(host, id, steps, { work: 100 });
+            await time.advance(1_000);
+        }
+        const lastingId = "a".padStart(16, "0");
+        void created.submit(host, lastingId, steps.map(step => ({ ...step, isLasting: true })), { isLasting: true });
+        await time.advance(500);
+        const states = [...ids, lastingId].map(async id => await created.hosts.get(host)?.router.state(id as JobId));
+        await time.advance(100);
+        expect((await Promise.all(states)).map(state => state?.kind === "known" ? state.value : undefined))
+            .toEqual([...ids.map(() => "completed"), "running"]);
+    });
+
     // Guards against hosts that exchange their cells when all of them restart.
     it("are taken back by their holders when all hosts restart", async () => {
         const created = await create();
--- a/packages/workflow/src/cell/cell-room.ts
+++ b/packages/workflow/src/cell/cell-room.ts
@@ -4,7 +4,7 @@
 import type { Step } from "../model/step.js";
 import type { Workflow } from "../model/workflow.js";
 import type { LongRunningCapacity } from "../policy/long-running-capacity.js";
-import { hasCapacityForLongRunning, longRunningCpu } from "../policy/long-running-capacity.js";
+import { longRunningCpu, longRunningRoomShare } from "../policy/long-running-capacity.js";
 import { firstShortLivedCpu, shortLivedRoomShare } from "../policy/short-lived-room.js";
 import type { CellWorkers } from "./cell-workers.js";
 import { waitingLongRunningCpu } from "./summarize-cell.js";
@@ -12,7 +12,7 @@
 
 /** Room of a cell for further tasks, beside all that waits there already. */
 export interface CellRoom {
-    /** Share of the workflow's tasks for which the cell has room; 0 if it lacks room for the long-running ones. */
+    /** Share of the workflow's tasks for which the cell has room; at least 1 where all fit. */
     readonly shareFor: (steps: readonly Step[]) => number;
     /** Room for long-running tasks of other cells; tasks that wait in vain take none of it. */
     readonly forTransfers: () => LongRunningCapacity;
@@ -60,9 +60,10 @@
             const { freeByWorker, capacityCpu } = measureWorkers();
             const waitingLongRunning = sumWaiting(waitingLongRunningCpu, longRunningCpu);
             const waitingShortLived = sumWaiting(waitingShortLivedCpu, firstShortLivedCpu);
-            return hasCapacityForLongRunning(steps, { freeByWorker, capacityCpu, waitingCpu: waitingLongRunning })
-                ? shortLivedRoomShare(steps, { freeByWorker, waitingCpu: waitingShortLived })
-                : 0;
+            return Math.min(
+                longRunningRoomShare(steps, { freeByWorker, capacityCpu, waitingCpu: waitingLongRunning }),
+                shortLivedRoomShare(steps, { freeByWorker, waitingCpu: waitingShortLived }),
+            );
         },
         forTransfers: () => ({
             ...measureWorkers(),
--- a/packages/workflow/src/cell/submission-reply.ts
+++ b/packages/workflow/src/cell/submission-reply.ts
@@ -10,7 +10,7 @@
     | { readonly kind: "accepted" | "unknown" | "refused" | "not-holder"; }
     /**
      * As `refused`, since the cell lacks free resources; other cells may have them. `roomShare`: share of the workflow's
-     * tasks for which the cell has room, from 0 to less than 1.
+     * tasks for which the cell has room; negative where not even what waits there fits.
      */
     | { readonly kind: "full"; readonly roomShare: number; }
     /** The index names `cell`, which is another one, for this workflow; only that cell can accept it. */
--- a/packages/workflow/src/policy/long-running-capacity.ts
+++ b/packages/workflow/src/policy/long-running-capacity.ts
@@ -18,23 +18,24 @@
     steps.reduce((sum, step) => sum + (step.isLasting ? step.count * step.cpu : 0), 0);
 
 /**
- * Whether the long-running steps of a workflow fit in a cell beside all that waits there already; true for a workflow
- * without such steps. Long-running tasks hold their room for long, so that a cell in which they wait stays full while
- * other cells may have room.
+ * Share of a workflow's long-running tasks for which a cell has room beside all that waits there already; at least 1
+ * where they all fit, and for a workflow without such tasks; negative where less than what waits fits. Long-running
+ * tasks hold their room for long, so that a cell in which they wait stays full while other cells may have room.
  */
-export const hasCapacityForLongRunning = (
+export const longRunningRoomShare = (
     steps: readonly Step[],
     { freeByWorker, capacityCpu, waitingCpu }: LongRunningCapacity,
-): boolean => {
+): number => {
     const lasting = steps.filter(step => step.isLasting);
-    if (lasting.length === 0) {
-        return true;
-    }
-    const demand = longRunningCpu(steps);
     const freeCpu = freeByWorker.reduce((sum, free) => sum + free.cpu, 0);
-    const fitsOnWorkers = lasting.every(step =>
-        freeByWorker.reduce((sum, free) => sum + taskCountOn(free, step), 0)
-            >= step.count + waitingCpu / Math.max(1, step.cpu)
-    );
-    return fitsOnWorkers && freeCpu - waitingCpu - demand >= capacityCpu * shortLivedShare;
+    const taskShares = lasting.flatMap(step => {
+        const { perWorkerLimit, ...unlimited } = step;
+        const placesOf = (counted: Step): number =>
+            freeByWorker.reduce((sum, free) => sum + taskCountOn(free, counted), 0);
+        const places = placesOf(unlimited) - waitingCpu / Math.max(1, step.cpu);
+        return [places / step.count, perWorkerLimit === undefined ? Infinity : placesOf(step) / step.count];
+    });
+    const spareCpu = freeCpu - waitingCpu - capacityCpu * shortLivedShare;
+    const cpuShare = lasting.length === 0 ? Infinity : spareCpu / Math.max(1, longRunningCpu(steps));
+    return Math.min(cpuShare, ...taskShares);
 };
--- a/packages/workflow/src/policy/short-lived-room.ts
+++ b/packages/workflow/src/policy/short-lived-room.ts
@@ -19,7 +19,7 @@
 
 /**
  * Share of the tasks of the workflow's short-lived steps, each step for itself, for which a cell has room now beside
- * those that wait there already; 1 for a workflow without such steps. Free CPU alone doesn't tell: it can be spread
+ * those that wait there already; 1 for a workflow without such steps, negative where not even those fit. Free CPU alone doesn't tell: it can be spread
  * over workers none of which has room for a task.
  */
 export const shortLivedRoomShare = (
@@ -30,5 +30,5 @@
         const places = freeByWorker.reduce((sum, free) => sum + taskCountOn(free, step), 0);
         return (places - waitingCpu / Math.max(1, step.cpu)) / Math.max(1, step.count);
     });
-    return Math.max(0, Math.min(1, ...shares));
+    return Math.min(1, ...shares);
 };
