Start no new long-running task in room that one of a silent worker may need

Cause: until the leases of a worker that doesn't answer have expired (about 6 s), its long-running tasks are neither waiting nor leaving. Room that becomes free in that time went to new long-running tasks, so that the lost ones found none and waited for good. The same holds for a task that lost its run and may not start yet, since an unanswered start of it may still be carried out.

Change: the admission of new long-running tasks subtracts such tasks from the places that it counts. Urgent and other short-lived work is not held back: its room becomes free again. If the worker answers again, nothing has changed for its tasks.

--- a/packages/bench/tests/workflow/leaving-workers.test.ts
+++ b/packages/bench/tests/workflow/leaving-workers.test.ts
@@ -14,6 +14,8 @@
 const roomDelay = 5_000;
 /** Milliseconds for which a long-running task may be without a run although its cell has room for it. */
 const longestAbsence = 3_000;
+/** The same after a worker has crashed: its leases, of 6 s, have to expire first. */
+const longestAbsenceAfterCrash = 9_000;
 /** Millicores of a task; a worker has room for four. */
 const taskCpu = 4_000;
 const tasksPerWorker = 4;
@@ -61,13 +63,16 @@
                 - tasksOn(left).filter(task => task.startsWith(idOf(number))).length
             )
             .slice(0, count);
+    const crash = (worker: string): void => {
+        cluster.platform.workers.get(worker)?.kill();
+        cluster.platform.setWorkerState(worker, undefined);
+    };
     const leave = async (worker: string): Promise<void> => {
         cluster.platform.setWorkerState(worker, "draining");
         await new Promise(resolve => {
             setTimeout(resolve, drainTime);
         });
-        cluster.platform.workers.get(worker)?.kill();
-        cluster.platform.setWorkerState(worker, undefined);
+        crash(worker);
     };
     /** Longest time in ms for which one of the workflow's tasks has no run, over the next `duration` ms. */
     const longestGap = async (number: number, count: number, duration: number): Promise<number> => {
@@ -114,6 +119,30 @@
         expect([1, 2].map(number => runningTasks(number).length)).toEqual([kept, 0]);
     });
 
+    // Guards against tasks of crashed workers that wait behind new ones or beyond the leases of their lost runs.
+    it.each([
+        ["", false],
+        [", with another holder in between", true],
+    ])("run again soon after their workers have crashed and there is room%s", async (...[, hasHandOver]) => {
+        const kept = 28;
+        await submit(1, kept);
+        await submit(2, workerCount * tasksPerWorker - kept);
+        await submit(3, 12);
+        const [first = "", second = ""] = busiestWorkers(1, 2);
+        crash(first);
+        setTimeout(() => {
+            crash(second);
+            if (hasHandOver) {
+                cluster.kill(cluster.holder() ?? "");
+            }
+        }, 1_000);
+        setTimeout(() => {
+            void cancel(2);
+        }, roomDelay);
+        expect(await longestGap(1, kept, 2 * drainTime)).toBeLessThanOrEqual(longestAbsenceAfterCrash);
+        expect([1, 2].map(number => runningTasks(number).length)).toEqual([kept, 0]);
+    });
+
     // Guards against tasks that are stopped although their cell has room for only some of them.
     it("go on until their worker is about to leave while there is no room for them", async () => {
         const kept = workerCount * tasksPerWorker - 1;
--- a/packages/workflow/src/cell/long-running-admission.ts
+++ b/packages/workflow/src/cell/long-running-admission.ts
@@ -1,3 +1,4 @@
+import { taskName } from "../model/task-name.js";
 import { mayStartLongRunning } from "../policy/may-start-long-running.js";
 import { isShortLived } from "../policy/short-lived-room.js";
 import { createUrgentReserve } from "../policy/urgent-reserve.js";
@@ -5,8 +6,12 @@
 import { mayStartOn } from "./cell-workers.js";
 import type { RunRegistry } from "./run-registry.js";
 import type { StageCandidate } from "./stage-candidate.js";
+import type { UnansweredStarts } from "./unanswered-starts.js";
 
-/** Admission control for new long-running tasks, so that they don't take capacity which urgent work needs. */
+/**
+ * Admission control for new long-running tasks, so that they don't take capacity which urgent work needs, or which
+ * other long-running tasks will need to run again.
+ */
 export interface LongRunningAdmission {
     /** Updates the demand of urgent work; has to be called at the start of each pass with all candidates. */
     readonly beginPass: (candidates: readonly StageCandidate[]) => void;
@@ -22,6 +27,8 @@
 export interface LongRunningAdmissionOptions {
     readonly workers: CellWorkers;
     readonly runRegistry: RunRegistry;
+    /** See `UnansweredStarts.constraintOf`. */
+    readonly constraintOf: UnansweredStarts["constraintOf"];
 }
 
 /** Priority of urgent work. */
@@ -34,7 +41,7 @@
 
 /** Creates an admission control without any recorded demand. */
 export const createLongRunningAdmission = (
-    { workers, runRegistry }: LongRunningAdmissionOptions,
+    { workers, runRegistry, constraintOf }: LongRunningAdmissionOptions,
 ): LongRunningAdmission => {
     const urgentReserve = createUrgentReserve();
     /** Monotonic time in ms since which there has been room for two tasks, by step. */
@@ -83,6 +90,37 @@
         }
         return places;
     };
+    /** Millicores of long-running tasks that may need room soon: see `sumAtRisk`. */
+    let atRiskCpu = 0;
+    /**
+     * Sums up the long-running tasks whose workers don't answer, and those that ran before and may not start yet: an
+     * unanswered start of them may still be carried out.
+     */
+    const sumAtRisk = (candidates: readonly StageCandidate[]): number => {
+        let sum = 0;
+        for (const { session } of workers.values()) {
+            if (session.contact() === "silent" || session.contact() === "unknown") {
+                for (const { step } of runRegistry.ofWorker(session.id)) {
+                    sum += step.isLasting ? step.cpu : 0;
+                }
+            }
+        }
+        for (const { ledger, stage: { step, stepIndex, occurrence, record }, urgency, indices } of candidates) {
+            if (urgency.lasting === "again" || urgency.lasting === "first") {
+                const position = { job: ledger.workflow.id, occurrence, step: stepIndex };
+                const constrained = indices.filter(index =>
+                    record.started.has(index) && constraintOf(taskName({ ...position, index })) !== undefined
+                );
+                sum += constrained.length * step.cpu;
+            }
+        }
+        return sum;
+    };
+    /** As `countPlaces`, without those that tasks at risk may need. */
+    const countFreePlaces = (candidate: StageCandidate, limit: number): number => {
+        const placesAtRisk = Math.ceil(atRiskCpu / Math.max(1, candidate.stage.step.cpu));
+        return countPlaces(candidate, limit + placesAtRisk) - placesAtRisk;
+    };
     /** Free millicores, in multiples of `urgentTaskCpu` per worker; undefined if it has to be recomputed. */
     let freeForUrgent: number | undefined;
     const sumFreeForUrgent = (): number => {
@@ -96,6 +134,7 @@
         beginPass: candidates => {
             const now = performance.now();
             freeForUrgent = undefined;
+            atRiskCpu = sumAtRisk(candidates);
             if (now - countedAt >= countInterval) {
                 updateUrgentDemand(candidates, now);
             }
@@ -123,7 +162,7 @@
             }
             const now = performance.now();
             const since = roomForTwoSince.get(stageKey(candidate));
-            const places = countPlaces(candidate, 2);
+            const places = countFreePlaces(candidate, 2);
             freeForUrgent ??= sumFreeForUrgent();
             return mayStartLongRunning({
                 places,
@@ -133,7 +172,7 @@
                 reserve: urgentReserve.requiredCpu(now),
             });
         },
-        hasRoomForTwo: candidate => countPlaces(candidate, 2) >= 2,
+        hasRoomForTwo: candidate => countFreePlaces(candidate, 2) >= 2,
         recordStart: () => {
             freeForUrgent = undefined;
         },
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -133,7 +133,7 @@
         interference,
     } = options;
 
-    const admission = createLongRunningAdmission({ workers, runRegistry });
+    const admission = createLongRunningAdmission({ workers, runRegistry, constraintOf });
     const reservations = createWorkerReservations({
         workers,
         runRegistry,
--- a/packages/workflow/src/policy/may-start-long-running.ts
+++ b/packages/workflow/src/policy/may-start-long-running.ts
@@ -1,6 +1,6 @@
 /** What decides whether a waiting long-running task may take room now. */
 export interface LongRunningStartConditions {
-    /** Tasks of its size for which there is room. */
+    /** Tasks of its size for which there is room, beside the long-running tasks that may have to run again. */
     readonly places: number;
     /** Milliseconds for which there has been room for two of them without a break; undefined where there is none. */
     readonly roomFreeFor: number | undefined;
--- a/packages/workflow/tests/stage-scheduler.test.ts
+++ b/packages/workflow/tests/stage-scheduler.test.ts
@@ -103,6 +103,28 @@
         }
     };
 
+    // Guards against new tasks that take the room of a lost one which may not start yet, after an unanswered start.
+    it("finds its room free once it may start, although new long-running tasks wait", () => {
+        const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: urgentWork });
+        const lost = cell.submit({}, [{ count: 1, cpu: 16_000, isLasting: true }]);
+        cell.submit({}, [{ count: 2, cpu: 16_000, isLasting: true }]);
+        cell.scheduler.runPass();
+        const [lostRun] = runsOf(cell, run => run.ledger === lost);
+        expect(runsOf(cell, run => run !== lostRun)).toHaveLength(1);
+        if (lostRun !== undefined) {
+            cell.constrainedTasks.add(lostRun.task);
+            cell.endRun(lostRun, "lost");
+        }
+        for (let time = 0; time < 2 * urgentWork; time += passInterval) {
+            cell.scheduler.runPass();
+            advance(passInterval);
+        }
+        expect([...cell.runRegistry.all()]).toHaveLength(1);
+        cell.constrainedTasks.clear();
+        cell.scheduler.runPass();
+        expect(runsOf(cell, run => run.ledger === lost)).toHaveLength(1);
+    });
+
     // Guards against starvation of a long-running task: smaller urgent tasks take all room as soon as it becomes free.
     it("runs again within the bound although smaller urgent tasks take all room that becomes free", () => {
         const cell = createTestCell({ workers: 5, cpu: 16_000, runTime: urgentWork });
--- a/packages/workflow/tests/test-cell.ts
+++ b/packages/workflow/tests/test-cell.ts
@@ -22,6 +22,7 @@
 import { createStep } from "../src/model/create-step.js";
 import type { Queue } from "../src/model/queue.js";
 import type { Step } from "../src/model/step.js";
+import type { TaskName } from "../src/model/task-name.js";
 import { taskName } from "../src/model/task-name.js";
 import type { WorkerEntry } from "../src/model/worker-entry.js";
 import { createInterferenceModel } from "../src/policy/interference-model.js";
@@ -43,6 +44,8 @@
     /** Ends a run; its task is done, or waits again if the run was lost. */
     readonly endRun: (run: Run, outcome: "done" | "lost") => void;
     readonly replacementPlaces: ReplacementPlaces;
+    /** Tasks that may start nowhere for now, as after an unanswered start. */
+    readonly constrainedTasks: Set<TaskName>;
     /** Lets the worker drain: it takes no new tasks. */
     readonly drainWorker: (worker: WorkerId) => void;
     /** Removes the worker from the cell, but not its runs. */
@@ -141,6 +144,7 @@
     };
     const runController: Partial<RunController> = { start, nextNumber: () => 1 };
     const replacementPlaces = createReplacementPlaces();
+    const constrainedTasks = new Set<TaskName>();
     const scheduler = createStageScheduler({
         ledgers: () => ledgers,
         workers,
@@ -155,7 +159,7 @@
         queueOf: ledger => ledger.workflow.queue,
         isHeldBack: () => false,
         hasFailedOn: () => false,
-        constraintOf,
+        constraintOf: task => constrainedTasks.has(task) ? "nowhere" : constraintOf(task),
         replacementPlaces,
         interference,
     });
@@ -187,6 +191,7 @@
             }
         },
         replacementPlaces,
+        constrainedTasks,
         drainWorker: id => {
             const worker = workers.get(id);
             if (worker !== undefined) {
