--- a/packages/bench/src/workflow/random-faults.ts
+++ b/packages/bench/src/workflow/random-faults.ts
@@ -9,7 +9,11 @@
 /** Faults of every random day by name; the lasting ones are healed after some seconds. */
 export const randomFaults: Record<string, (context: FaultContext) => void> = {
     "kill a host": ({ cluster, pick, runAfter, draw }) => {
-        const host = pick([...cluster.hosts.keys()]) ?? "";
+        const host = pick([...cluster.hosts.keys()]);
+        if (host === undefined) {
+            // All hosts are down already.
+            return;
+        }
         cluster.kill(host);
         runAfter(300 + draw() * 3_000, () => {
             cluster.start(host);
--- a/packages/bench/src/workflow/simulate-random-day.ts
+++ b/packages/bench/src/workflow/simulate-random-day.ts
@@ -45,6 +45,8 @@
 const warmUp = 3_000;
 /** Milliseconds between two submissions. */
 const submissionInterval = 400;
+/** Milliseconds that a host has to answer the query of a workflow's state at the end. */
+const stateTimeout = 50;
 /** Milliseconds without new faults in which every accepted workflow has to complete. */
 const recoveryTime = 25_000;
 
@@ -98,10 +100,11 @@
     const unfinished: string[] = [];
     for (const id of accepted) {
         const query = [...cluster.hosts.values()][0]?.router.state(id as JobId);
-        await time.advance(50);
-        const state = await query;
+        await time.advance(stateTimeout);
+        // Without an answer, an `await` would never end, since nothing else advances the time.
+        const state = await Promise.race([query, Promise.resolve(undefined)]);
         if (state?.kind !== "known" || state.value !== "completed") {
-            unfinished.push(`${id}: ${state?.kind === "known" ? state.value : String(state?.kind)}`);
+            unfinished.push(`${id}: ${state?.kind === "known" ? state.value : state?.kind ?? "no answer"}`);
         }
     }
     const refused = [...outcomesById].filter(([, outcomes]) => outcomes.every(outcome => outcome === "unavailable"))
--- a/packages/bench/tests/workflow/random-day.test.ts
+++ b/packages/bench/tests/workflow/random-day.test.ts
@@ -2,8 +2,10 @@
 
 import type { FakeTime } from "../../src/util/fake-time.js";
 import { installFakeTime } from "../../src/util/fake-time.js";
+import { randomFaults } from "../../src/workflow/random-faults.js";
 import { replacementFaults } from "../../src/workflow/replacement-faults.js";
 import { simulateRandomDay } from "../../src/workflow/simulate-random-day.js";
+import { createWorkflowCluster } from "../../src/workflow/workflow-cluster.js";
 
 /**
  * Seeds that have failed: a run was ended because its lease had been waited out (92, 98, 145), late orders reached a new
@@ -51,4 +53,21 @@
             faults,
         });
     });
+
+    // Guards against a simulation in which two hosts without an id run at once (random day 792).
+    it("starts no host after a kill that found none", async () => {
+        const cluster = createWorkflowCluster({ hosts: { "east-a": 2 }, workers: { "east-a": 1 } });
+        [...cluster.hosts.keys()].forEach(cluster.kill);
+        randomFaults["kill a host"]?.({
+            cluster,
+            draw: () => 0.5,
+            pick: ([first]) => first,
+            runAfter: (milliseconds, action) => {
+                setTimeout(action, milliseconds);
+            },
+        });
+        await time.advance(5_000);
+        expect([...cluster.hosts.keys()]).toEqual([]);
+        cluster.stop();
+    });
 });
