Offer long-running work by loads that the holders tell, and only if they still hold

What callers saw: long-running workflows that arrive within seconds fill the cells unevenly, so that tasks wait, or have to move, in the fullest cell (cell-balance.test.ts, known red: the loads of six cells of 104 workers differed by up to 0.305 of their capacity, those of two of 123 by up to 0.137, in 15 fills each).

Cause: hosts chose by heartbeats up to 1.2 s old and by a draw, and don't know of each other's choices.

Change: a host asks the holders of all cells for their loads before it offers a workflow with long-running steps, one round trip, 150 ms at most, and goes by these alone. A cell that has got more long-running work since it was asked declines, and the next one is offered the workflow. If all have declined, those with room take it in the order of their room, then any. Heartbeats and the draw still decide where a holder does not answer, and for all other work.

--- a/packages/workflow/src/cell/cell-room.ts
+++ b/packages/workflow/src/cell/cell-room.ts
@@ -6,7 +6,8 @@
 import type { LongRunningCapacity } from "../policy/long-running-capacity.js";
 import { longRunningCpu, longRunningRoomShare } from "../policy/long-running-capacity.js";
 import { firstShortLivedCpu, shortLivedRoomShare } from "../policy/short-lived-room.js";
-import type { CellWorkers } from "./cell-workers.js";
+import type { CellLoad } from "./cell-load.js";
+import type { CellWorker, CellWorkers } from "./cell-workers.js";
 import { waitingLongRunningCpu } from "./summarize-cell.js";
 import { waitingShortLivedCpu } from "./waiting-short-lived-cpu.js";
 
@@ -14,6 +15,7 @@
 export interface CellRoom {
     /** Share of the workflow's tasks for which the cell has room; at least 1 where all fit. */
     readonly shareFor: (steps: readonly Step[]) => number;
+    readonly load: () => CellLoad;
     /** Room for long-running tasks of other cells; tasks that wait in vain take none of it. */
     readonly forTransfers: () => LongRunningCapacity;
 }
@@ -28,46 +30,67 @@
     readonly pendingWorkflows: () => readonly Workflow[];
 }
 
+/** Millicores that the long-running tasks of a workflow request which its cell has to run, or runs for another cell. */
+const acceptedLongRunningCpu = ({ workflow: { steps }, stage }: WorkflowLedger): number => {
+    let sum = 0;
+    for (const [number, step] of steps.entries()) {
+        const record = step.isLasting ? stage({ occurrence: 0, step: number, index: 0 })?.record : undefined;
+        sum += record === undefined ? 0 : (step.count - record.transferred.size - record.done.size) * step.cpu;
+    }
+    return sum;
+};
+
 /** Creates the room of a cell. */
 export const createCellRoom = (options: CellRoomOptions): CellRoom => {
     const { workers, ledgers, transferredLedgers, pendingWorkflows } = options;
 
+    const usableWorkers = (): readonly CellWorker[] =>
+        [...workers.values()].filter(({ session }) => session.contact() === "known" && !session.entry().isDraining);
     const measureWorkers = (): Omit<LongRunningCapacity, "waitingCpu"> => {
-        const usable = [...workers.values()].filter(({ session }) =>
-            session.contact() === "known" && !session.entry().isDraining
-        );
+        const usable = usableWorkers();
         return {
             freeByWorker: usable.map(({ resources }) => ({ cpu: resources.freeCpu(), memory: resources.freeMemory() })),
             capacityCpu: usable.reduce((sum, { resources }) => sum + resources.capacity().cpu, 0),
         };
     };
-    /** Adds up what the workflows of the cell wait for, and those that are about to be accepted. */
-    const sumWaiting = (
+    /** Adds up what the workflows of the cell request, and those that are about to be accepted. */
+    const sumRequested = (
         ofLedger: (ledger: WorkflowLedger) => number,
         ofPending: (steps: readonly Step[]) => number,
     ): number => {
-        let waiting = 0;
+        let sum = 0;
         for (const ledger of [...ledgers.values(), ...transferredLedgers.values()]) {
-            waiting += ledger.isSettled() ? 0 : ofLedger(ledger);
+            sum += ledger.isSettled() ? 0 : ofLedger(ledger);
         }
         for (const { id, steps } of pendingWorkflows()) {
-            waiting += ledgers.has(id) ? 0 : ofPending(steps);
+            sum += ledgers.has(id) ? 0 : ofPending(steps);
         }
-        return waiting;
+        return sum;
     };
     return {
         shareFor: steps => {
             const { freeByWorker, capacityCpu } = measureWorkers();
-            const waitingLongRunning = sumWaiting(waitingLongRunningCpu, longRunningCpu);
-            const waitingShortLived = sumWaiting(waitingShortLivedCpu, firstShortLivedCpu);
+            const waitingLongRunning = sumRequested(waitingLongRunningCpu, longRunningCpu);
+            const waitingShortLived = sumRequested(waitingShortLivedCpu, firstShortLivedCpu);
             return Math.min(
                 longRunningRoomShare(steps, { freeByWorker, capacityCpu, waitingCpu: waitingLongRunning }),
                 shortLivedRoomShare(steps, { freeByWorker, waitingCpu: waitingShortLived }),
             );
         },
+        load: () => {
+            const usable = usableWorkers();
+            return {
+                capacityCpu: usable.reduce((sum, { resources }) => sum + resources.capacity().cpu, 0),
+                usedCpu: usable.reduce(
+                    (sum, { resources }) => sum + resources.capacity().cpu - resources.spareCpu(),
+                    sumRequested(waitingLongRunningCpu, longRunningCpu),
+                ),
+                longRunningCpu: sumRequested(acceptedLongRunningCpu, longRunningCpu),
+            };
+        },
         forTransfers: () => ({
             ...measureWorkers(),
-            waitingCpu: sumWaiting(
+            waitingCpu: sumRequested(
                 ledger => waitingLongRunningCpu(ledger, ({ noRoomSince }) => noRoomSince === undefined),
                 longRunningCpu,
             ),
--- a/packages/workflow/src/cell/submission-reply.ts
+++ b/packages/workflow/src/cell/submission-reply.ts
@@ -9,7 +9,7 @@
      */
     | { readonly kind: "accepted" | "unknown" | "refused" | "not-holder"; }
     /**
-     * As `refused`, since the cell lacks free resources; other cells may have them. `roomShare`: share of the workflow's
+     * As `refused`, since the cell lacks free resources, or has got more work than known; other cells may have them. `roomShare`: share of the workflow's
      * tasks for which the cell has room; negative where not even what waits there fits.
      */
     | { readonly kind: "full"; readonly roomShare: number; }
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -16,6 +16,7 @@
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { CellLease } from "./cell-lease.js";
 import { createCellLease } from "./cell-lease.js";
+import type { CellLoad } from "./cell-load.js";
 import { createCellRoom } from "./cell-room.js";
 import type { CellSummary } from "./cell-summary.js";
 import type { CellTiming } from "./cell-timing.js";
@@ -61,12 +62,21 @@
     /** Whether the workflows and the roster of earlier holders have been loaded. */
     readonly isActive: () => boolean;
     readonly isLost: () => boolean;
-    /** `mayDecline`: whether the cell may reply `full` if it lacks room for the workflow's tasks that reserve CPU. */
-    readonly submit: (workflow: Workflow, mayDecline: boolean) => Promise<SubmissionReply>;
+    /**
+     * `mayDecline`: whether the cell may reply `full`, if it lacks room for the workflow's tasks that reserve CPU, or has
+     * got more long-running work than `knownLongRunningCpu` (millicores), by which it was chosen.
+     */
+    readonly submit: (
+        workflow: Workflow,
+        mayDecline: boolean,
+        knownLongRunningCpu?: number,
+    ) => Promise<SubmissionReply>;
     /** State of a workflow; `not-known` only if the cell has no rows of it. */
     readonly state: (id: JobId) => Promise<StateReply>;
     /** Cancels a workflow; resolves once the cancellation is stored or the cell is lost. */
     readonly cancel: (id: JobId) => Promise<CancelReply>;
+    /** The cell's load now; undefined before it has been loaded. */
+    readonly load: () => CellLoad | undefined;
     /** Number of long-running tasks of another cell that this cell offers to run; 0 before it has been loaded. */
     readonly offerRoom: (request: TransferRoomRequest) => number;
     /** Reads the rows of the tasks that other cells have transferred to this one; to be called when they change. */
@@ -516,17 +526,25 @@
         epoch,
         isActive: () => isActive,
         isLost: lease.isLost,
-        submit: async (workflow, mayDecline) => {
+        submit: async (workflow, mayDecline, knownLongRunningCpu = Infinity) => {
             if (!isActive) {
                 return { kind: "not-holder" };
             }
             const isNew = !ledgers.has(workflow.id) && !intake.hasPendingSubmission(workflow.id);
-            const roomShare = isNew && mayDecline ? room.shareFor(workflow.steps) : 1;
-            return roomShare < 1 ? { kind: "full", roomShare } : await intake.submit(workflow);
+            if (isNew && mayDecline) {
+                const roomShare = room.shareFor(workflow.steps);
+                const hasMoreWork = Number.isFinite(knownLongRunningCpu)
+                    && room.load().longRunningCpu > knownLongRunningCpu;
+                if (roomShare < 1 || hasMoreWork) {
+                    return { kind: "full", roomShare };
+                }
+            }
+            return await intake.submit(workflow);
         },
         state: async id => isActive ? await operations.state(id) : "not-holder",
         cancel: async id => isActive ? await operations.cancel(id) : "not-holder",
         provenAgo: () => performance.now() - lease.provenAt(),
+        load: () => isActive ? room.load() : undefined,
         offerRoom: request => isActive ? transferOffers.offer(request) : 0,
         readTransfers: incomingTransfers.notify,
         readReturns: (id, from) => void outgoingTransfers.readReturns(id, from),
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -201,10 +201,11 @@
             configurationWatch.recordPeerVersion(host, configurationVersion);
             return true;
         },
-        submit: ({ cell, workflow, mayDecline }) =>
-            cellManager.held(cell)?.submit(workflow, mayDecline) ?? { kind: "not-holder" },
+        submit: ({ cell, workflow, mayDecline, knownLongRunningCpu }) =>
+            cellManager.held(cell)?.submit(workflow, mayDecline, knownLongRunningCpu) ?? { kind: "not-holder" },
         state: ({ cell, id }) => cellManager.held(cell)?.state(id) ?? "not-holder",
         cancel: ({ cell, id }) => cellManager.held(cell)?.cancel(id) ?? "not-holder",
+        "cell-load": ({ cell }) => cellManager.held(cell)?.load(),
         "transfer-room": ({ cell, request }) => cellManager.held(cell)?.offerRoom(request) ?? 0,
         "transfers-changed": ({ cell }) => {
             cellManager.held(cell)?.readTransfers();
--- a/packages/workflow/src/entry/workflow-router.ts
+++ b/packages/workflow/src/entry/workflow-router.ts
@@ -2,10 +2,12 @@
 import { sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 
+import type { CellLoad } from "../cell/cell-load.js";
 import type { WorkflowCell } from "../cell/workflow-cell.js";
 import type { Workflow, WorkflowState } from "../model/workflow.js";
 import type { WorkflowReplies } from "../peer/workflow-message.js";
 import type { WorkflowNetwork } from "../peer/workflow-network.js";
+import type { CellCandidate } from "../policy/rank-cells.js";
 import { rankCells, widestStepCpu } from "../policy/rank-cells.js";
 import type { StateStore } from "../port/state-store.js";
 import type { CellClaim, CellClaims } from "./cell-claims.js";
@@ -56,6 +58,8 @@
 const submissionWait = 300;
 /** Milliseconds between attempts to resolve a submission with an unknown outcome. */
 const resolveInterval = 150;
+/** Milliseconds for which a holder may take to tell its cell's load; a few round trips between regions. */
+const loadTimeout = 150;
 /** Milliseconds between checks for a holder. */
 const holderPollInterval = 50;
 /** Seconds after which submitters should retry if no cell could take their workflow: a takeover's time and a margin. */
@@ -66,6 +70,13 @@
  */
 const sentRetention = 1_600;
 
+/** Cells in the order in which a workflow should be offered to them. */
+interface RankedCells {
+    readonly cells: readonly CellId[];
+    /** Loads that the holders told for this workflow; empty if they were not asked. */
+    readonly loads: ReadonlyMap<CellId, CellLoad>;
+}
+
 /** Creates the router of an entry host. */
 export const createWorkflowRouter = (options: WorkflowRouterOptions): WorkflowRouter => {
     const { cells, store, network, claims, held, isNear, logger } = options;
@@ -92,42 +103,101 @@
         }
         return found;
     };
-    const submitTo = async (cell: CellId, workflow: Workflow, mayDecline: boolean): Promise<OfferOutcome> => {
+    const submitTo = async (
+        cell: CellId,
+        workflow: Workflow,
+        mayDecline: boolean,
+        knownLongRunningCpu: number | undefined,
+    ): Promise<OfferOutcome> => {
         const ownCell = held(cell);
         if (ownCell !== undefined) {
-            return ownCell.submit(workflow, mayDecline);
+            return ownCell.submit(workflow, mayDecline, knownLongRunningCpu);
         }
         const claim = claims.fresh(cell);
         if (claim === undefined) {
             return { kind: "not-holder" };
         }
-        const answer = await network.call(claim.host, "submit", { cell, workflow, mayDecline });
+        const known = knownLongRunningCpu === undefined ? {} : { knownLongRunningCpu };
+        const answer = await network.call(claim.host, "submit", { cell, workflow, mayDecline, ...known });
         return answer.isOk ? answer.value : { kind: answer.error.kind === "unknown" ? "no-answer" : "not-sent" };
     };
-    const rank = (workflow: Workflow): readonly CellId[] =>
-        rankCells(
-            workflow.steps,
-            workflow.queue.priority,
-            activeClaims().map(({ summary }) => ({
-                ...summary,
-                sentCpu: recentlySentTo(summary.cell),
-                isNear: isNear(summary.cell),
-            })),
-            workflow.id,
-        );
+    const candidates = (): readonly CellCandidate[] =>
+        activeClaims().map(({ summary }) => ({
+            ...summary,
+            sentCpu: recentlySentTo(summary.cell),
+            isNear: isNear(summary.cell),
+        }));
+    const askLoad = async (cell: CellId): Promise<CellLoad | undefined> => {
+        const ownCell = held(cell);
+        const claim = claims.fresh(cell);
+        if (ownCell !== undefined || claim === undefined) {
+            return ownCell?.load();
+        }
+        const answer = await Promise.race([
+            network.call(claim.host, "cell-load", { cell }),
+            sleep(loadTimeout).then(() => undefined),
+        ]);
+        return answer?.isOk === true ? answer.value : undefined;
+    };
+    /** The cells' loads now, as their holders tell them; undefined unless all do. */
+    const askLoads = async (cells: readonly CellId[]): Promise<ReadonlyMap<CellId, CellLoad> | undefined> => {
+        const loads = new Map<CellId, CellLoad>();
+        await Promise.all(cells.map(async cell => {
+            const load = await askLoad(cell);
+            if (load !== undefined) {
+                loads.set(cell, load);
+            }
+        }));
+        return loads.size === cells.length ? loads : undefined;
+    };
+    /**
+     * Cells in the order in which to offer the workflow. Long-running work stays for long, so that it goes by the loads
+     * that the holders tell now; other work goes by their heartbeats and a draw.
+     */
+    const rank = async ({ id, steps, queue }: Workflow): Promise<RankedCells> => {
+        const known = candidates();
+        const isAsked = known.length > 1 && steps.some(step => step.isLasting);
+        const loads = isAsked ? await askLoads(known.map(({ cell }) => cell)) : undefined;
+        return loads === undefined
+            ? { cells: rankCells(steps, queue.priority, known, id), loads: new Map() }
+            : {
+                cells: rankCells(
+                    steps,
+                    queue.priority,
+                    known.map(candidate => ({ ...candidate, ...loads.get(candidate.cell), sentCpu: 0 })),
+                ),
+                loads,
+            };
+    };
     const submit = async (workflow: Workflow, timeout: number): Promise<SubmissionAnswer> => {
         const deadline = performance.now() + timeout;
-        // Each cell may decline once for lack of capacity; after that, cells have to accept the workflow.
+        // Each cell may decline for lack of capacity; after that, cells have to accept the workflow.
         let mayDecline = true;
-        const offer = createWorkflowOffer({ submitTo: cell => submitTo(cell, workflow, mayDecline), deadline });
+        let loads: RankedCells["loads"] = new Map();
+        const offer = createWorkflowOffer({
+            submitTo: cell => submitTo(cell, workflow, mayDecline, loads.get(cell)?.longRunningCpu),
+            deadline,
+        });
+        /** Offers the workflow again, to the cells that had room for the largest share of it first. */
+        const offerByRoom = async (cells: readonly CellId[]): Promise<CellId | undefined> =>
+            offer.isDeclined()
+                ? await offer.offerTo(
+                    [...cells].sort((left, right) => offer.roomShareOf(right) - offer.roomShareOf(left)),
+                )
+                : undefined;
         await waitFor(() => activeClaims().length > 0 ? true : undefined, Math.min(timeout, submissionWait));
         do {
             const storedIn = offer.storedIn();
-            const ranked = storedIn === undefined ? rank(workflow) : [storedIn];
-            const acceptedBy = await offer.offerTo(ranked);
+            const ranked = storedIn === undefined ? await rank(workflow) : { cells: [storedIn], loads };
+            loads = ranked.loads;
+            let cell = await offer.offerTo(ranked.cells);
+            if (cell === undefined && mayDecline && loads.size > 0) {
+                // Cells whose loads have changed since they were asked have declined, too.
+                loads = new Map();
+                cell = await offerByRoom(ranked.cells);
+            }
             mayDecline = false;
-            const byRoom = [...ranked].sort((left, right) => offer.roomShareOf(right) - offer.roomShareOf(left));
-            const cell = acceptedBy ?? (offer.isDeclined() ? await offer.offerTo(byRoom) : undefined);
+            cell ??= await offerByRoom(ranked.cells);
             if (cell !== undefined) {
                 recentlySent.push({ cell, cpu: widestStepCpu(workflow.steps), at: performance.now() });
                 return { kind: "accepted", reason: offer.describeAttempts() };
--- a/packages/workflow/src/peer/workflow-message.ts
+++ b/packages/workflow/src/peer/workflow-message.ts
@@ -1,5 +1,6 @@
 import type { CellId, JobId } from "@jayfront/world";
 
+import type { CellLoad } from "../cell/cell-load.js";
 import type { CellSummary } from "../cell/cell-summary.js";
 import type { SubmissionReply } from "../cell/submission-reply.js";
 import type { TransferRoomRequest } from "../cell/transfer-room.js";
@@ -29,10 +30,20 @@
         readonly configurationVersion: number;
         readonly cells: readonly CellSummary[];
     };
-    /** Submits a workflow. `mayDecline`: the cell may decline for lack of capacity; other cells are tried then. */
-    readonly submit: { readonly cell: CellId; readonly workflow: Workflow; readonly mayDecline: boolean; };
+    /**
+     * Submits a workflow. `mayDecline`: the cell may decline for lack of capacity; other cells are tried then.
+     * `knownLongRunningCpu`: the millicores of the cell's long-running work by which it was chosen, if they were asked for.
+     */
+    readonly submit: {
+        readonly cell: CellId;
+        readonly workflow: Workflow;
+        readonly mayDecline: boolean;
+        readonly knownLongRunningCpu?: number;
+    };
     readonly state: { readonly cell: CellId; readonly id: JobId; };
     readonly cancel: { readonly cell: CellId; readonly id: JobId; };
+    /** Asks for the load of the cell now. */
+    readonly "cell-load": { readonly cell: CellId; };
     /** Asks how many long-running tasks the cell could run for another cell. */
     readonly "transfer-room": { readonly cell: CellId; readonly request: TransferRoomRequest; };
     /** Tells the holder of a cell that another cell has changed the rows of the tasks that it transferred there. */
@@ -60,6 +71,8 @@
     readonly submit: SubmissionReply;
     readonly state: StateReply;
     readonly cancel: CancelReply;
+    /** Undefined if the receiver does not hold the cell. */
+    readonly "cell-load": CellLoad | undefined;
     /** Number of tasks; 0 if the receiver does not hold the cell. */
     readonly "transfer-room": number;
     readonly "transfers-changed": true;
@@ -91,6 +104,7 @@
     submit: true,
     state: true,
     cancel: true,
+    "cell-load": true,
     "transfer-room": true,
     "transfers-changed": true,
     "tasks-returned": true,
