Ask for room in turn for all steps and of all cells

What could be seen: a long-running task without a run while another cell has room for it, for as long as other work in its cell fits nowhere, or as long as two other cells have more free CPU but lack a label, memory, an accelerator or workers of the service.

A cell that offered room, but whose scheduler did not start the task, got it back each time, too.

Evidence: four new tests in outgoing-transfers.test.ts fail before the change: no transfer within the 12 reviews of 3 s.

Change: the steps that were asked for least recently come first; of equal ones, those that have waited longest, as before. The cells for a step are asked in turn, starting with the one that has the most free CPU.

--- a/packages/workflow/src/cell/outgoing-transfers.ts
+++ b/packages/workflow/src/cell/outgoing-transfers.ts
@@ -1,6 +1,7 @@
 import type { CellId, JobId } from "@jayfront/world";
 import type { Logger } from "pino";
 
+import type { StepRecord } from "../ledger/step-record.js";
 import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { Queue } from "../model/queue.js";
 import { taskName } from "../model/task-name.js";
@@ -39,6 +40,14 @@
     readonly signal: AbortSignal;
 }
 
+/** Attempts to find room for the tasks of one step. */
+interface Attempts {
+    /** Monotonic time in ms of the last one. */
+    readonly lastAt: number;
+    /** Number of requests to cells so far. */
+    readonly requests: number;
+}
+
 /** Milliseconds after which a task that never ran is preferred; one may not be left without a run for 3 s. */
 const longWait = 1_800;
 /** Cells that are asked for room for the tasks of one step in one review. */
@@ -51,7 +60,22 @@
     const { cell, store, otherCells, findStranded, ledgerOf, runController, writer, logger, metrics } = options;
     const { queueOf, signal } = options;
     let isUnderWay = false;
+    const attempts = new WeakMap<StepRecord, Attempts>();
 
+    const attemptsOf = ({ stage: { record } }: StrandedTasks): Attempts =>
+        attempts.get(record) ?? { lastAt: 0, requests: 0 };
+    const recordAttempt = (stranded: StrandedTasks, requests: number): void => {
+        attempts.set(stranded.stage.record, {
+            lastAt: performance.now(),
+            requests: attemptsOf(stranded).requests + requests,
+        });
+    };
+    /** The cells to ask in this review: first those with the most free CPU, then the others in turn. */
+    const selectCells = (stranded: StrandedTasks): readonly CellId[] => {
+        const cells = otherCells.withFreeCpu(stranded.stage.step.cpu);
+        const start = cells.length === 0 ? 0 : attemptsOf(stranded).requests % cells.length;
+        return [...cells.slice(start), ...cells.slice(0, start)].slice(0, maxAskedCells);
+    };
     const transfer = ({ ledger, stage, since, movable, nameOf }: StrandedTasks, room: number, target: CellId): void => {
         const { occurrence, stepIndex } = stage;
         // Tasks may have started, or the workflow may have ended, while the other cell was asked.
@@ -79,11 +103,13 @@
         const isPreferred = record.waiting.size === step.count
             || movable().some(index => record.started.has(index))
             || performance.now() - since >= longWait;
-        for (const target of otherCells.withFreeCpu(step.cpu).slice(0, maxAskedCells)) {
+        recordAttempt(stranded, 0);
+        for (const target of selectCells(stranded)) {
             const count = movable().length;
             if (count === 0 || signal.aborted) {
                 return;
             }
+            recordAttempt(stranded, 1);
             const request = { job: ledger.workflow.id, service, stepIndex, step, count, isPreferred };
             const room = await otherCells.roomIn(target, request);
             if (room > 0) {
@@ -92,7 +118,9 @@
         }
     };
     const transferStranded = async (): Promise<void> => {
-        for (const stranded of findStranded().slice(0, maxStepsPerReview)) {
+        // Steps for which no cell has room must not keep others from being asked for.
+        const ordered = [...findStranded()].sort((left, right) => attemptsOf(left).lastAt - attemptsOf(right).lastAt);
+        for (const stranded of ordered.slice(0, maxStepsPerReview)) {
             await findRoom(stranded);
         }
     };
--- a/packages/workflow/tests/outgoing-transfers.test.ts
+++ b/packages/workflow/tests/outgoing-transfers.test.ts
@@ -25,6 +25,8 @@
 const id = "00000000000000aa" as JobId;
 /** Milliseconds within which queued changes are stored. */
 const writeTime = 50;
+/** Reviews in the 3 s within which a long-running task has to run wherever there is room; one takes 250 ms. */
+const reviewsPerRestart = 12;
 
 const addressOf = ({ table, partition, key }: RowKey): string => [table, partition, key].join(" ");
 
@@ -34,6 +36,10 @@
     let ledgers: Map<JobId, WorkflowLedger>;
     /** Number of tasks for which each cell has room; cells with more free CPU come first. */
     let room: Map<CellId, number>;
+    /** The only workflow for whose tasks there is room; undefined if there is for those of all. */
+    let onlyFitting: JobId | undefined;
+    /** Millicores that are free in each cell. */
+    const freeCpu = 16_000;
     let stranded: StrandedTasks[];
     /** Whether the answers of the store wait until they are released. */
     let areReadsHeld: boolean;
@@ -81,6 +87,7 @@
         version = 5;
         ledgers = new Map();
         room = new Map();
+        onlyFitting = undefined;
         stranded = [];
         areReadsHeld = false;
         areCommitsHeld = false;
@@ -111,8 +118,11 @@
             cell,
             store: store as StateStore,
             otherCells: {
-                withFreeCpu: () => [...room.keys()],
-                roomIn: (target, { count }) => Promise.resolve(Math.min(count, room.get(target) ?? 0)),
+                withFreeCpu: cpu => cpu < freeCpu ? [...room.keys()] : [],
+                roomIn: (target, { job, count }) => {
+                    const isFitting = onlyFitting === undefined || onlyFitting === job;
+                    return Promise.resolve(isFitting ? Math.min(count, room.get(target) ?? 0) : 0);
+                },
                 notifyTransfer: () => undefined,
                 notifyReturn: () => undefined,
             },
@@ -131,8 +141,8 @@
         stop.abort();
         jest.useRealTimers();
     });
-    const accept = (job: JobId, count: number): WorkflowLedger => {
-        const steps = [createStep({ count, isLasting: true })];
+    const accept = (job: JobId, count: number, cpu: number = 1_000): WorkflowLedger => {
+        const steps = [createStep({ count, cpu, isLasting: true })];
         const ledger = createWorkflowLedger({ id: job, queue: testQueue, payload: "", steps, acceptedAt: 0 });
         ledgers.set(job, ledger);
         return ledger;
@@ -207,4 +217,50 @@
         expect(waitingOf(ledger)).toEqual([]);
         expect(find(rowKeys.transfer(target, id))).toBeDefined();
     });
+
+    /** Reviews the tasks for which no room was found as often as a cell does in the time that it has for a restart. */
+    const reviewRepeatedly = async (): Promise<void> => {
+        for (let review = 0; review < reviewsPerRestart; review += 1) {
+            transfers.review();
+            await settle();
+        }
+    };
+
+    // Guards against tasks that wait for ever behind others for which no cell has room, such as those of a rare label.
+    it.each([1_000, freeCpu])(
+        "move although many tasks of %d millicores that have waited longer fit nowhere",
+        async cpu => {
+            const last = "00000000000000ff" as JobId;
+            const unplaceable = [...Array(30).keys()].map(number =>
+                accept(number.toString(16).padStart(16, "0") as JobId, 1, cpu)
+            );
+            stranded = [...unplaceable, accept(last, 1)].flatMap(strand);
+            room = new Map([[other, 100]]);
+            onlyFitting = last;
+            await reviewRepeatedly();
+            expect(find(rowKeys.transfer(other, last))).toBeDefined();
+        },
+    );
+
+    // Guards against tasks that wait for ever, since the cells with the most free CPU lack something else that they need.
+    it("move to the cell that has room although other cells have more free CPU", async () => {
+        stranded = strand(accept(id, 1));
+        room = new Map([[other, 0], [third, 0], ["east-d/0" as CellId, 0], ["east-e/0" as CellId, 2]]);
+        await reviewRepeatedly();
+        expect(find(rowKeys.transfer("east-e/0" as CellId, id))).toBeDefined();
+    });
+
+    // Guards against a task that goes back and forth, since the cell with the most free CPU offers room and can't start it.
+    it("move to another cell with room after they were returned", async () => {
+        const ledger = accept(id, 1);
+        await transferTo(ledger, other);
+        returnFrom(other);
+        await transfers.readReturns(id, other);
+        await settle();
+        stranded = strand(ledger);
+        room = new Map([[other, 100], [third, 100]]);
+        transfers.review();
+        await settle();
+        expect(find(rowKeys.transfer(third, id))).toBeDefined();
+    });
 });
