--- a/packages/bench/tests/workflow/long-running-elsewhere.test.ts
+++ b/packages/bench/tests/workflow/long-running-elsewhere.test.ts
@@ -341,6 +341,28 @@
         }
     });
 
+    // Guards against two runs of one task: the successor of the other cell's holder starts it while its worker, which the
+    // successor can't reach, still runs it.
+    test("has one run at most if the other cell's holder was killed and its worker was cut off", async () => {
+        await fillOneCell(4);
+        await emptyOtherCell();
+        await failOnDrainingWorker();
+        await time.advanceUntil(() => runsElsewhere([failingTask]), restartBound);
+        const address = cluster.platform.addressOf(workerOf(failingTask));
+        const heal = cluster.platform.network.addFault({
+            matches: (...[, call]) => call.address === address,
+            action: "cut",
+        });
+        kill(emptyDomain);
+        await time.advance(takeoverBound);
+        expect(startsOf(failingTask)).toBe(2);
+        await time.advance(lostContactTime + restartBound);
+        expect(startsOf(failingTask)).toBe(3);
+        heal();
+        await time.advance(settlingTime);
+        expect(running().filter(task => task === failingTask)).toEqual([failingTask]);
+    });
+
     // Guards against two runs of one task: a start order without an answer may still be carried out in its own cell.
     test("has one run at most while orders to its own cell are carried out late", async () => {
         for (const delay of [500, 1_500, 2_500, 5_000]) {
