Guard that a write which finds returned tasks takes them back

A writer that ignores the transfer rows of a conflict passed all tests; since a row's version counts as known after a conflict, no later notice of the return would apply it.

The new test fails with that change and passes without. No code is changed.

--- a/packages/workflow/tests/outgoing-transfers.test.ts
+++ b/packages/workflow/tests/outgoing-transfers.test.ts
@@ -25,6 +25,8 @@
 const id = "00000000000000aa" as JobId;
 /** Milliseconds within which queued changes are stored. */
 const writeTime = 50;
+/** Milliseconds within which a write that found a conflict is repeated. */
+const retryTime = 500;
 /** Reviews in the 3 s within which a long-running task has to run wherever there is room; one takes 250 ms. */
 const reviewsPerRestart = 12;
 
@@ -194,6 +196,23 @@
         expect(find(rowKeys.transfer(other, id))).toBeUndefined();
     });
 
+    // Guards against a task that neither cell runs: the notice of its return is lost, and a later one finds the row's
+    // version known from a conflict.
+    it("wait again once a write of their workflow finds them returned", async () => {
+        const ledger = accept(id, 2);
+        room = new Map([[other, 1]]);
+        stranded = strand(ledger);
+        transfers.review();
+        await settle();
+        expect(waitingOf(ledger)).toEqual([1]);
+        returnFrom(other);
+        await transferTo(ledger, third);
+        await jest.advanceTimersByTimeAsync(retryTime);
+        expect(waitingOf(ledger)).toEqual([0]);
+        expect(find(rowKeys.transfer(other, id))).toBeUndefined();
+        expect(find(rowKeys.transfer(third, id))).toBeDefined();
+    });
+
     // Guards against two runs of one task: a read of the row that returned it is answered after it was transferred anew.
     it.each([
         { target: other, isStored: false },
