Guard that only a cell's holder returns tasks

A return that is written without a check of the holder row passed all tests.

The new test fails with that change and passes without. No code is changed.

--- a/packages/workflow/tests/incoming-transfers.test.ts
+++ b/packages/workflow/tests/incoming-transfers.test.ts
@@ -168,6 +168,17 @@
         expect(returnedTo).toEqual([home]);
     });
 
+    // Guards against two runs of one task: a holder that was deposed returns it while its successor runs it.
+    it("are returned only by the holder of the cell", async () => {
+        rows = [rowOf(10, [{}])];
+        await read();
+        strand(0);
+        await jest.advanceTimersByTimeAsync(0);
+        expect(transactions.map(({ checks }) => checks)).toContainEqual(
+            expect.arrayContaining([{ ...rowKeys.holder(cell), version: 5 }]),
+        );
+    });
+
     // Guards against two runs of one task: the write that returns it takes effect late, after it was started here again.
     it("stay away after a return without answer, which is repeated", async () => {
         rows = [rowOf(10, [{}])];
