Keep late writes from transferring tasks of a workflow that has ended

What could be seen: 2 s after a cancellation was stored, another cell gets the transferred task again and would run it for ever; a transfer row without a workflow stays.

Cause: the first write of a workflow's progress checks that its progress row and the new transfer row are absent. If it gets no answer and is carried out late, after it was repeated and the workflow has ended, both are absent again.

The new test of outgoing-transfers.test.ts plays the late write and finds the row before the change.

Change: a write for a workflow without a progress row also requires that the row of its end is absent. That row is kept for longer than any write may be late. The end itself is written without that check, since it may be repeated.

--- a/packages/workflow/src/cell/progress-writer.ts
+++ b/packages/workflow/src/cell/progress-writer.ts
@@ -98,17 +98,21 @@
         { workflow: { id }, latestState, isSettled, progress }: WorkflowLedger,
     ): Required<Transaction> => {
         const key = rowKeys.progress(cell, id);
-        const checks = [{ ...key, version: versions.get(id) ?? 0 }];
-        return isSettled()
-            ? {
-                checks,
+        const version = versions.get(id) ?? 0;
+        const check = { ...key, version };
+        if (isSettled()) {
+            return {
+                checks: [check],
                 writes: [{
                     ...rowKeys.settled(cell, id),
                     value: JSON.stringify({ state: latestState(), settledAt: Date.now() }),
                 }],
                 removals: [rowKeys.workflow(cell, id), key],
-            }
-            : { checks, writes: [{ ...key, value: JSON.stringify(progress()) }], removals: [] };
+            };
+        }
+        // The progress row is absent both before its first write and after the end, when a late first write must fail.
+        const endChecks = version === 0 ? [{ ...rowKeys.settled(cell, id), version: 0 }] : [];
+        return { checks: [check, ...endChecks], writes: [{ ...key, value: JSON.stringify(progress()) }], removals: [] };
     };
     /** Removes as many writes from the queue as one transaction can take. */
     const takeBatch = (): readonly BatchEntry[] => {
--- a/packages/workflow/tests/outgoing-transfers.test.ts
+++ b/packages/workflow/tests/outgoing-transfers.test.ts
@@ -7,6 +7,7 @@
 import type { CellLease } from "../src/cell/cell-lease.js";
 import { createOutgoingTransfers } from "../src/cell/outgoing-transfers.js";
 import type { OutgoingTransfers } from "../src/cell/outgoing-transfers.js";
+import type { ProgressWriter } from "../src/cell/progress-writer.js";
 import { createProgressWriter } from "../src/cell/progress-writer.js";
 import { rowKeys } from "../src/cell/row-keys.js";
 import { createRunNumbers } from "../src/cell/run-numbers.js";
@@ -16,7 +17,7 @@
 import { createWorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { createStep } from "../src/model/create-step.js";
 import { taskName } from "../src/model/task-name.js";
-import type { RowKey, StateStore, StoredRow } from "../src/port/state-store.js";
+import type { RowKey, StateStore, StoredRow, Transaction } from "../src/port/state-store.js";
 import { testQueue } from "./test-queue.js";
 
 const cell = "east-a/0" as CellId;
@@ -48,6 +49,10 @@
     let areCommitsHeld: boolean;
     let heldReads: (() => void)[];
     let heldCommits: (() => void)[];
+    /** Whether transactions get no answer and take effect only when they are carried out late. */
+    let areCommitsLate: boolean;
+    let lateCommits: Transaction[];
+    let request: ProgressWriter["request"];
     let transfers: OutgoingTransfers;
     let stop: ReturnType<typeof createStopSignal>;
 
@@ -68,7 +73,12 @@
             await waitIf(areReadsHeld, heldReads);
             return Result.ok({ rows: row === undefined ? [] : [row], version });
         },
-        commit: async ({ checks, writes, removals = [] }) => {
+        commit: async transaction => {
+            const { checks, writes, removals = [] } = transaction;
+            if (areCommitsLate) {
+                lateCommits.push(transaction);
+                return Result.err({ kind: "unknown", message: "no answer" });
+            }
             if (checks.some(check => (find(check)?.version ?? 0) !== check.version)) {
                 const found = checks.map(find).filter(row => row !== undefined);
                 return Result.err({ kind: "conflict", rows: found, message: "another version" });
@@ -95,6 +105,8 @@
         areCommitsHeld = false;
         heldReads = [];
         heldCommits = [];
+        areCommitsLate = false;
+        lateCommits = [];
         stop = createStopSignal();
         put(rowKeys.holder(cell), "");
         const lease: Partial<CellLease> = {
@@ -137,6 +149,7 @@
             queueOf: () => testQueue,
             signal: stop.signal,
         });
+        ({ request } = writer);
         void writer.run(stop.signal);
     });
     afterEach(() => {
@@ -237,6 +250,44 @@
         expect(find(rowKeys.transfer(target, id))).toBeDefined();
     });
 
+    // Guards against a task that another cell starts after the cancellation: the first write of its transfer, without
+    // answer and repeated, is carried out once the end of the workflow has removed the rows that it checks to be absent.
+    it("don't come back by a late write once their workflow has ended", async () => {
+        const ledger = accept(id, 1);
+        areCommitsLate = true;
+        await transferTo(ledger, other);
+        areCommitsLate = false;
+        await jest.advanceTimersByTimeAsync(retryTime);
+        expect(find(rowKeys.transfer(other, id))).toBeDefined();
+        ledger.recordCancellation();
+        request(ledger);
+        await settle();
+        expect(find(rowKeys.transfer(other, id))).toBeUndefined();
+        expect(lateCommits).toHaveLength(1);
+        for (const late of lateCommits) {
+            await store.commit?.(late);
+        }
+        expect(find(rowKeys.transfer(other, id))).toBeUndefined();
+    });
+
+    // Guards against a cancellation that is never confirmed, since its repeated write expects that nothing has ended yet.
+    it("don't keep the end of their workflow from being stored again after a write without answer", async () => {
+        const ledger = accept(id, 1);
+        await transferTo(ledger, other);
+        ledger.recordCancellation();
+        areCommitsLate = true;
+        request(ledger);
+        await settle();
+        areCommitsLate = false;
+        for (const late of lateCommits) {
+            await store.commit?.(late);
+        }
+        await jest.advanceTimersByTimeAsync(2 * retryTime);
+        expect(ledger.isDirty()).toBe(false);
+        expect(find(rowKeys.settled(cell, id))).toBeDefined();
+        expect(find(rowKeys.transfer(other, id))).toBeUndefined();
+    });
+
     /** Reviews the tasks for which no room was found as often as a cell does in the time that it has for a restart. */
     const reviewRepeatedly = async (): Promise<void> => {
         for (let review = 0; review < reviewsPerRestart; review += 1) {
