Ask for room for many lost tasks at a time, and count offered room once

Change: up to 48 steps are asked for side by side; an offer ends when tasks of its workflow arrive. A step of a transfer row with a negative number of tasks is invalid, instead of failing each load of the cell.

Test: transfer-offers.test.ts; before the change the second offer after the arrival was 0.

--- a/packages/workflow/src/cell/incoming-transfers.ts
+++ b/packages/workflow/src/cell/incoming-transfers.ts
@@ -38,8 +38,8 @@
     readonly findStranded: () => readonly StrandedTasks[];
     readonly runController: Pick<RunController, "stopWorkflow" | "reserveNumbers" | "nextNumber">;
     readonly logger: Logger;
-    /** Called when tasks have been added. */
-    readonly onChange: () => void;
+    /** Called when tasks of the workflow have been added. */
+    readonly onArrival: (job: JobId) => void;
 }
 
 /** Milliseconds between reads of the rows; bounds the time for which a cancelled task goes on if no notice arrives. */
@@ -53,7 +53,7 @@
 
 /** Creates a set without transferred tasks. */
 export const createIncomingTransfers = (options: IncomingTransfersOptions): IncomingTransfers => {
-    const { lease, store, otherCells, findStranded, runController, logger, onChange } = options;
+    const { lease, store, otherCells, findStranded, runController, logger, onArrival } = options;
     const { cell, epoch } = lease;
     const ledgers = new Map<JobId, WorkflowLedger>();
     const applied = new Map<JobId, AppliedRow>();
@@ -134,8 +134,10 @@
         // A holder must have read each row that its predecessor acted on. The rows don't depend on who holds this cell, so
         // this host acts only on rows that it read before a proof that it still was the holder.
         if (changed.length > 0 && await lease.renew()) {
-            changed.forEach(apply);
-            onChange();
+            changed.forEach(row => {
+                apply(row);
+                onArrival(row.key as JobId);
+            });
         }
         for (const [id, content] of returns) {
             await writeReturn(id, content);
--- a/packages/workflow/src/cell/outgoing-transfers.ts
+++ b/packages/workflow/src/cell/outgoing-transfers.ts
@@ -53,7 +53,7 @@
 /** Cells that are asked for room for the tasks of one step in one review. */
 const maxAskedCells = 2;
 /** Steps for which other cells are asked for room in one review. */
-const maxStepsPerReview = 12;
+const maxStepsPerReview = 48;
 
 /** Creates the outgoing transfers of a cell. */
 export const createOutgoingTransfers = (options: OutgoingTransfersOptions): OutgoingTransfers => {
@@ -120,9 +120,8 @@
     const transferStranded = async (): Promise<void> => {
         // Steps for which no cell has room must not keep others from being asked for.
         const ordered = [...findStranded()].sort((left, right) => attemptsOf(left).lastAt - attemptsOf(right).lastAt);
-        for (const stranded of ordered.slice(0, maxStepsPerReview)) {
-            await findRoom(stranded);
-        }
+        // Side by side, so that a holder that does not answer delays only the steps for which it was asked.
+        await Promise.all(ordered.slice(0, maxStepsPerReview).map(findRoom));
     };
     const applyReturns: OutgoingTransfers["applyReturns"] = (ledger, other, row) => {
         const returned =
--- a/packages/workflow/src/cell/transfer-offers.ts
+++ b/packages/workflow/src/cell/transfer-offers.ts
@@ -1,3 +1,5 @@
+import type { JobId } from "@jayfront/world";
+
 import type { LongRunningCapacity } from "../policy/long-running-capacity.js";
 import { transferCapacity } from "../policy/transfer-capacity.js";
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
@@ -9,6 +11,8 @@
 export interface TransferOffers {
     /** Number of tasks that this cell offers to run; the room is kept for them for a short time. */
     readonly offer: (request: TransferRoomRequest) => number;
+    /** Records that tasks of the workflow have arrived, which take the offered room themselves from now on. */
+    readonly recordArrival: (job: JobId) => void;
 }
 
 /** Options of {@link createTransferOffers}. */
@@ -25,7 +29,7 @@
 export const createTransferOffers = (
     { workers, runRegistry, capacity }: TransferOffersOptions,
 ): TransferOffers => {
-    let offers: { readonly cpu: number; readonly at: number; }[] = [];
+    let offers: { readonly job: JobId; readonly cpu: number; readonly at: number; }[] = [];
 
     const placesOn = (worker: CellWorker, { job, service, stepIndex, step }: TransferRoomRequest): number => {
         if (!mayStartOn(worker, service, step)) {
@@ -58,9 +62,12 @@
             }, request.isPreferred);
             const count = Math.min(request.count, room);
             if (count > 0) {
-                offers.push({ cpu: count * request.step.cpu, at: now });
+                offers.push({ job: request.job, cpu: count * request.step.cpu, at: now });
             }
             return count;
         },
+        recordArrival: job => {
+            offers = offers.filter(offer => offer.job !== job);
+        },
     };
 };
--- a/packages/workflow/src/cell/transfer-row.ts
+++ b/packages/workflow/src/cell/transfer-row.ts
@@ -13,7 +13,7 @@
     /** The workflow's cell. */
     home: z.string().transform(value => value as CellId),
     /** The workflow as it was accepted. */
-    workflow: z.looseObject({ id: z.string(), steps: z.array(z.looseObject({ count: z.int() })) })
+    workflow: z.looseObject({ id: z.string(), steps: z.array(z.looseObject({ count: z.int().nonnegative() })) })
         .transform(value => value as unknown as Workflow),
     tasks: z.array(transferredTask.extend({
         /** Whether the other cell has given the task back; `lastRun` is then that of the other cell. */
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -266,7 +266,10 @@
         findStranded: () => findStranded(incomingTransfers.ledgers),
         runController,
         logger,
-        onChange: passWakeUp.notify,
+        onArrival: job => {
+            transferOffers.recordArrival(job);
+            passWakeUp.notify();
+        },
     });
     const outgoingTransfers = createOutgoingTransfers({
         cell,
--- a/packages/workflow/tests/incoming-transfers.test.ts
+++ b/packages/workflow/tests/incoming-transfers.test.ts
@@ -93,7 +93,7 @@
                 nextNumber: () => 21,
             },
             logger: pino({ level: "silent" }),
-            onChange: () => undefined,
+            onArrival: () => undefined,
         });
         void transfers.run(stop.signal);
     });
--- a/packages/workflow/tests/transfer-offers.test.ts
+++ b/packages/workflow/tests/transfer-offers.test.ts
@@ -4,6 +4,7 @@
 import type { CellWorker } from "../src/cell/cell-workers.js";
 import { createResourceAccount } from "../src/cell/resource-account.js";
 import { createRunRegistry } from "../src/cell/run-registry.js";
+import type { TransferOffers } from "../src/cell/transfer-offers.js";
 import { createTransferOffers } from "../src/cell/transfer-offers.js";
 import type { WorkerSession } from "../src/cell/worker-session.js";
 import { createStep } from "../src/model/create-step.js";
@@ -13,6 +14,7 @@
 
 const capacity: Capacity = { cpu: 16_000, memory: 64_000, accelerators: 2 };
 const workerCount = 3;
+const job = "00000000000000aa" as JobId;
 
 const createWorker = (id: WorkerId): CellWorker => {
     const entry = {
@@ -36,10 +38,9 @@
         stop: () => undefined,
     };
 };
-/** Number of tasks of the step that an idle cell offers to run. */
-const offerFor = (step: Partial<Step>): number => {
+const createIdleCell = (): TransferOffers => {
     const ids = [...Array(workerCount).keys()].map(number => `w-${String(number)}` as WorkerId);
-    const offers = createTransferOffers({
+    return createTransferOffers({
         workers: new Map(ids.map(id => [id, createWorker(id)])),
         runRegistry: createRunRegistry(),
         capacity: () => ({
@@ -48,15 +49,17 @@
             waitingCpu: 0,
         }),
     });
-    return offers.offer({
-        job: "00000000000000aa" as JobId,
+};
+/** Number of tasks of the step that the cell offers to run. */
+const offerFor = (step: Partial<Step>, offers = createIdleCell()): number =>
+    offers.offer({
+        job,
         service: testQueue.service,
         stepIndex: 0,
         step: createStep({ isLasting: true, ...step }),
         count: 100,
         isPreferred: false,
     });
-};
 
 describe("a cell's offers for tasks of other cells", () => {
     // One place stays free in the cell.
@@ -70,4 +73,13 @@
     it("count the accelerators of its workers", () => {
         expect(offerFor({ accelerators: 1 })).toBe(5);
     });
+
+    // Guards against room that is deducted twice after a transfer, so that the next tasks wait: as offered, and as used.
+    it("deduct what was offered until the tasks have arrived", () => {
+        const offers = createIdleCell();
+        offerFor({ cpu: 4_000 }, offers);
+        expect(offerFor({ cpu: 4_000 }, offers)).toBe(0);
+        offers.recordArrival(job);
+        expect(offerFor({ cpu: 4_000 }, offers)).toBe(11);
+    });
 });
