Keep a start unanswered while its late run is being stopped

Cause: a late start was carried out after its run had been given up. The task started elsewhere 15 ms later, while the stop took 200 ms.

Change: only the report of a registered run removes its start; an adopted run is registered from its first report on.

--- a/packages/bench/tests/workflow/random-day.test.ts
+++ b/packages/bench/tests/workflow/random-day.test.ts
@@ -9,12 +9,12 @@
 
 /**
  * Seeds that have failed: a run was ended because its lease had been waited out (92, 98, 145), late orders reached a new
- * incarnation of a worker (55, 71, 304, 312, 457, 459, 553, 712, 1015, 1296, 2495, 3865), an acknowledgement reached a
- * new incarnation (838, 2001, 3018, 3693).
+ * incarnation of a worker (55, 71, 304, 312, 457, 459, 553, 712, 1015, 1296, 2200, 2495, 3865), an acknowledgement
+ * reached a new incarnation (838, 2001, 3018, 3693).
  */
 const formerFailures = [
     ...[55, 71, 92, 98, 145, 304, 312, 457, 459, 553, 712],
-    ...[838, 1015, 1296, 2001, 2495, 3018, 3693, 3865],
+    ...[838, 1015, 1296, 2001, 2200, 2495, 3018, 3693, 3865],
 ];
 /** Accepted workflows below which a day would prove nothing. */
 const minAccepted = 10;
--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -365,9 +365,9 @@
         const listed = new Set<Run>();
         for (const row of report.running) {
             const run = runRegistry.find(session.id, row.task, row.run);
-            unansweredStarts.remove(session.id, row.task, row.run);
             if (run !== undefined) {
                 listed.add(run);
+                unansweredStarts.remove(session.id, row.task, row.run);
                 updateRun(run, row, now);
             }
             else if (isFirst) {
--- a/packages/workflow/tests/start-without-answer.test.ts
+++ b/packages/workflow/tests/start-without-answer.test.ts
@@ -94,6 +94,17 @@
         expect(unansweredStarts.constraintOf(task)).toBeUndefined();
     });
 
+    // Guards against a task that runs in two places (random day 2200): its late run was still being stopped.
+    it("counts as unanswered also while a run that it started late is being stopped", async () => {
+        noAnswer();
+        await jest.advanceTimersByTimeAsync(10);
+        const report = { clock: 0, bornAt: 1, running: [], ended: [] };
+        controller.applyReport(session, report, performance.now(), false);
+        const lateRun = { task, run: 1, checkpoint: "", percent: 0, measure: 0 };
+        controller.applyReport(session, { ...report, running: [lateRun] }, performance.now(), false);
+        expect(unansweredStarts.constraintOf(task)).toBe(worker);
+    });
+
     // Guards against a successor that does not know of a start whose sender ended before it gave up the answer.
     it("is known to the next holder once its answer is 200 ms overdue, and until it comes", async () => {
         await jest.advanceTimersByTimeAsync(199);
