Share the name of a stage and the count of tasks that fit on a worker

The admission of long-running work and the log of waits had a function each for the same name, and the admission, the check of a cell's room and its offers three forms of the same count. No decision changes.

--- a/packages/workflow/src/cell/long-running-admission.ts
+++ b/packages/workflow/src/cell/long-running-admission.ts
@@ -1,11 +1,13 @@
 import { taskName } from "../model/task-name.js";
 import { mayStartLongRunning } from "../policy/may-start-long-running.js";
 import { isShortLived } from "../policy/short-lived-room.js";
+import { taskCountOn } from "../policy/task-count-on.js";
 import { createUrgentReserve } from "../policy/urgent-reserve.js";
 import type { CellWorkers } from "./cell-workers.js";
 import { mayStartOn } from "./cell-workers.js";
 import type { RunRegistry } from "./run-registry.js";
 import type { StageCandidate } from "./stage-candidate.js";
+import { stageName } from "./stage-name.js";
 import type { UnansweredStarts } from "./unanswered-starts.js";
 
 /**
@@ -36,9 +38,6 @@
 /** Minimum milliseconds between two updates of the demand of urgent work. */
 const countInterval = 50;
 
-const stageKey = ({ ledger, stage }: StageCandidate): string =>
-    `${ledger.workflow.id}.${String(stage.occurrence)}.${String(stage.stepIndex)}`;
-
 /** Creates an admission control without any recorded demand. */
 export const createLongRunningAdmission = (
     { workers, runRegistry, constraintOf }: LongRunningAdmissionOptions,
@@ -78,11 +77,8 @@
         let places = 0;
         for (const worker of workers.values()) {
             if (mayStartOn(worker, queue.service, step)) {
-                places += Math.min(
-                    step.perWorkerLimit ?? Infinity,
-                    Math.floor(worker.resources.freeCpu() / Math.max(1, step.cpu)),
-                    Math.floor(worker.resources.freeMemory() / Math.max(1, step.memory)),
-                );
+                const { resources } = worker;
+                places += taskCountOn({ cpu: resources.freeCpu(), memory: resources.freeMemory() }, step);
                 if (places >= limit) {
                     return places;
                 }
@@ -139,14 +135,14 @@
                 updateUrgentDemand(candidates, now);
             }
             const newLongRunning = candidates.filter(({ urgency }) => urgency.lasting === "new");
-            const keys = new Set(newLongRunning.map(stageKey));
+            const keys = new Set(newLongRunning.map(stageName));
             for (const key of roomForTwoSince.keys()) {
                 if (!keys.has(key)) {
                     roomForTwoSince.delete(key);
                 }
             }
             for (const candidate of newLongRunning) {
-                const key = stageKey(candidate);
+                const key = stageName(candidate);
                 if (countPlaces(candidate, 2) < 2) {
                     roomForTwoSince.delete(key);
                 }
@@ -161,7 +157,7 @@
                 return true;
             }
             const now = performance.now();
-            const since = roomForTwoSince.get(stageKey(candidate));
+            const since = roomForTwoSince.get(stageName(candidate));
             const places = countFreePlaces(candidate, 2);
             freeForUrgent ??= sumFreeForUrgent();
             return mayStartLongRunning({
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -25,6 +25,7 @@
 import type { RunRegistry } from "./run-registry.js";
 import type { RunTimePredictor } from "./run-statistics.js";
 import type { StageCandidate } from "./stage-candidate.js";
+import { stageName } from "./stage-name.js";
 import type { UnansweredStarts } from "./unanswered-starts.js";
 import { createWorkerReservations } from "./worker-reservations.js";
 
@@ -83,9 +84,6 @@
 };
 const resourceNames = Object.keys(resourceChecks) as readonly (keyof typeof resourceChecks)[];
 
-const stageName = ({ ledger, stage }: StageCandidate): string =>
-    `${ledger.workflow.id}.${String(stage.occurrence)}.${String(stage.stepIndex)}`;
-
 const isAtLeastAsLarge = (step: Step, other: Step): boolean => step.cpu >= other.cpu && step.memory >= other.memory;
 
 const taskOf = ({ ledger, stage }: StageCandidate, index: number): TaskName =>
--- a/packages/workflow/src/cell/transfer-offers.ts
+++ b/packages/workflow/src/cell/transfer-offers.ts
@@ -1,6 +1,7 @@
 import type { JobId } from "@jayfront/world";
 
 import type { LongRunningCapacity } from "../policy/long-running-capacity.js";
+import { taskCountOn } from "../policy/task-count-on.js";
 import { transferCapacity } from "../policy/transfer-capacity.js";
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
 import { mayStartOn } from "./cell-workers.js";
@@ -43,8 +44,7 @@
             ).length;
         return Math.min(
             (step.perWorkerLimit ?? Infinity) - present,
-            Math.floor(resources.freeCpu() / Math.max(1, step.cpu)),
-            Math.floor(resources.freeMemory() / Math.max(1, step.memory)),
+            taskCountOn({ cpu: resources.freeCpu(), memory: resources.freeMemory() }, step),
             step.accelerators === 0 ? Infinity : Math.floor(resources.freeAccelerators() / step.accelerators),
         );
     };
