Count the wait of a new long-running task from its readiness when room is asked for

Cause: a new task may take the last room of another cell once it has waited for 1.8 s without room in its own. Where its own cell first had room for two, which is kept for urgent work for as long, both waits added up.

Change: the wait counts from the readiness of the step.

--- a/packages/workflow/src/cell/outgoing-transfers.ts
+++ b/packages/workflow/src/cell/outgoing-transfers.ts
@@ -98,11 +98,12 @@
         });
     };
     const findRoom = async (stranded: StrandedTasks): Promise<void> => {
-        const { ledger, stage: { step, stepIndex, record }, since, movable } = stranded;
+        const { ledger, stage: { step, stepIndex, record }, movable } = stranded;
         const { service } = queueOf(ledger);
+        const now = performance.now();
         const isPreferred = record.waiting.size === step.count
             || movable().some(index => record.started.has(index))
-            || performance.now() - since >= longWait;
+            || now - (record.readySince ?? now) >= longWait;
         recordAttempt(stranded, 0);
         for (const target of selectCells(stranded)) {
             const count = movable().length;
