--- a/packages/workflow/src/cell/stranded-tasks.ts
+++ b/packages/workflow/src/cell/stranded-tasks.ts
@@ -38,7 +38,7 @@
     const now = performance.now();
     const found: StrandedTasks[] = [];
     for (const ledger of ledgers) {
-        // The tasks of a schedule move too seldom to be worth a place in the rows of transferred tasks.
+        // The ledger of transferred tasks knows a single occurrence.
         if (ledger.isSettled() || isHeldBack(ledger) || ledger.workflow.schedule !== undefined) {
             continue;
         }
