Count a step as without room for as long as tasks of it wait

Cause: the time since a step has found no room began anew with each start of one of its tasks. Other tasks of it failed and were started again every 0.5 s, so that no other cell was asked for the one that waited.

Change: the time ends once no task of the step waits, also after a transfer, where it stayed before and skipped the wait of 0.4 s for the next task.

Test: stage-scheduler.test.ts, fails on the commit before.

--- a/packages/workflow/src/cell/outgoing-transfers.ts
+++ b/packages/workflow/src/cell/outgoing-transfers.ts
@@ -87,12 +87,13 @@
             const lastRun = runController.nextNumber(nameOf(index)) - 1;
             ledger.recordTransfer({ occurrence, step: stepIndex, index, lastRun }, target);
         }
+        const waited = Math.round(performance.now() - since);
+        if (stage.record.waiting.size === 0) {
+            stage.record.noRoomSince = undefined;
+        }
         const { id, queue } = ledger.workflow;
         metrics.transferredTasks.inc({ queue: queue.name }, indices.length);
-        logger.info(
-            { job: id, cell, step: stepIndex, indices, target, waited: Math.round(performance.now() - since) },
-            "tasks transferred to another cell",
-        );
+        logger.info({ job: id, cell, step: stepIndex, indices, target, waited }, "tasks transferred to another cell");
         writer.request(ledger, () => {
             otherCells.notifyTransfer(target);
         });
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -345,7 +345,6 @@
         reservations.recordStart(worker);
         admission.recordStart();
         const { ledger, stage, urgency } = candidate;
-        stage.record.noRoomSince = undefined;
         logger.info({
             job: ledger.workflow.id,
             step: stage.stepIndex,
@@ -359,6 +358,9 @@
             spareCpu: worker.resources.spareCpu(),
         }, "start ordered");
         runController.start(ledger, stage, index, worker.session, number);
+        if (stage.record.waiting.size === 0) {
+            stage.record.noRoomSince = undefined;
+        }
     };
     /** Finds workers for all members of a gang; undefined if they can't all start now. */
     const planGang = (candidate: StageCandidate, rack?: string): CellWorker[] | undefined => {
--- a/packages/workflow/tests/stage-scheduler.test.ts
+++ b/packages/workflow/tests/stage-scheduler.test.ts
@@ -125,6 +125,24 @@
         expect(runsOf(cell, run => run.ledger === lost)).toHaveLength(1);
     });
 
+    // Guards against a task that waits for long before another cell is asked for room, as other tasks of its step are
+    // started again and again (random day 123 with full cells).
+    it("counts as without room for as long as it waits, although others of its step start", () => {
+        const cell = createTestCell({ workers: 1, cpu: 8_000, runTime: urgentWork });
+        const workflow = cell.submit({}, [{ count: 3, cpu: 4_000, isLasting: true }]);
+        const record = workflow.openStages(0, 0)[0]?.record;
+        cell.scheduler.runPass();
+        const since = performance.now();
+        expect(record?.noRoomSince).toBe(since);
+        advance(300);
+        const [run] = runsOf(cell, () => true);
+        if (run !== undefined) {
+            cell.endRun(run, "lost");
+        }
+        cell.scheduler.runPass();
+        expect([runsOf(cell, () => true).length, record?.noRoomSince]).toEqual([2, since]);
+    });
+
     // Guards against starvation of a long-running task: smaller urgent tasks take all room as soon as it becomes free.
     it("runs again within the bound although smaller urgent tasks take all room that becomes free", () => {
         const cell = createTestCell({ workers: 5, cpu: 16_000, runTime: urgentWork });
