--- a/packages/workflow/src/cell/cell-room.ts
+++ b/packages/workflow/src/cell/cell-room.ts
@@ -16,7 +16,7 @@
     /** Share of the workflow's tasks for which the cell has room; at least 1 where all fit. */
     readonly shareFor: (steps: readonly Step[]) => number;
     readonly load: () => CellLoad;
-    /** Room for long-running tasks of other cells; tasks that wait in vain take none of it. */
+    /** Room for long-running tasks of other cells; tasks that have found no room take none of it. */
     readonly forTransfers: () => LongRunningCapacity;
 }
 
--- a/packages/workflow/src/cell/create-transferred-ledger.ts
+++ b/packages/workflow/src/cell/create-transferred-ledger.ts
@@ -24,7 +24,7 @@
         })),
         transfers: [],
     });
-    // They ran before, or waited for room in vain, and therefore go first.
+    // They ran before, or have waited without finding room, and therefore go first.
     present.forEach(task => ledger.stage(task)?.record.started.add(task.index));
     return ledger;
 };
--- a/packages/workflow/src/cell/outgoing-transfers.ts
+++ b/packages/workflow/src/cell/outgoing-transfers.ts
@@ -122,7 +122,7 @@
     const transferStranded = async (): Promise<void> => {
         // Steps for which no cell has room must not keep others from being asked for.
         const ordered = [...findStranded()].sort((left, right) => attemptsOf(left).lastAt - attemptsOf(right).lastAt);
-        // Side by side, so that a holder that does not answer delays only the steps for which it was asked.
+        // In parallel, so that a holder that does not answer delays only the steps for which it was asked.
         await Promise.all(ordered.slice(0, maxStepsPerReview).map(findRoom));
     };
     const applyReturns: OutgoingTransfers["applyReturns"] = (ledger, other, row) => {
