Decide in one place which workers count for a cell's capacity

If one of them changed, a cell would offer, and accept by, another capacity than it reports.

Change: both call usableWorkers. Behaviour is the same. npm run check passes; 372 tests of packages/workflow and of the cells in packages/bench pass.

--- a/packages/workflow/src/cell/cell-room.ts
+++ b/packages/workflow/src/cell/cell-room.ts
@@ -7,7 +7,8 @@
 import { longRunningCpu, longRunningRoomShare } from "../policy/long-running-capacity.js";
 import { firstShortLivedCpu, shortLivedRoomShare } from "../policy/short-lived-room.js";
 import type { CellLoad } from "./cell-load.js";
-import type { CellWorker, CellWorkers } from "./cell-workers.js";
+import type { CellWorkers } from "./cell-workers.js";
+import { usableWorkers } from "./cell-workers.js";
 import { waitingLongRunningCpu } from "./summarize-cell.js";
 import { waitingShortLivedCpu } from "./waiting-short-lived-cpu.js";
 
@@ -44,10 +45,8 @@
 export const createCellRoom = (options: CellRoomOptions): CellRoom => {
     const { workers, ledgers, transferredLedgers, pendingWorkflows } = options;
 
-    const usableWorkers = (): readonly CellWorker[] =>
-        [...workers.values()].filter(({ session }) => session.contact() === "known" && !session.entry().isDraining);
     const measureWorkers = (): Omit<LongRunningCapacity, "waitingCpu"> => {
-        const usable = usableWorkers();
+        const usable = usableWorkers(workers.values());
         return {
             freeByWorker: usable.map(({ resources }) => ({ cpu: resources.freeCpu(), memory: resources.freeMemory() })),
             capacityCpu: usable.reduce((sum, { resources }) => sum + resources.capacity().cpu, 0),
@@ -78,7 +77,7 @@
             );
         },
         load: () => {
-            const usable = usableWorkers();
+            const usable = usableWorkers(workers.values());
             return {
                 capacityCpu: usable.reduce((sum, { resources }) => sum + resources.capacity().cpu, 0),
                 usedCpu: usable.reduce(
--- a/packages/workflow/src/cell/cell-workers.ts
+++ b/packages/workflow/src/cell/cell-workers.ts
@@ -25,6 +25,10 @@
 export const isListed = ({ unlistedSince }: CellWorker): boolean =>
     unlistedSince === undefined || performance.now() - unlistedSince < unlistedUseTime;
 
+/** The workers that count for the cell's capacity: those that are in contact and not draining. */
+export const usableWorkers = (workers: Iterable<CellWorker>): readonly CellWorker[] =>
+    [...workers].filter(({ session }) => session.contact() === "known" && !session.entry().isDraining);
+
 /** Whether the worker may get new tasks of a service, regardless of their resource requirements. */
 export const isOpenTo = (worker: CellWorker, service: ServiceId): boolean => {
     const { session } = worker;
--- a/packages/workflow/src/cell/summarize-cell.ts
+++ b/packages/workflow/src/cell/summarize-cell.ts
@@ -6,6 +6,7 @@
 import type { CellLease } from "./cell-lease.js";
 import type { CellSummary } from "./cell-summary.js";
 import type { CellWorker } from "./cell-workers.js";
+import { usableWorkers } from "./cell-workers.js";
 import type { RunStatistics } from "./run-statistics.js";
 
 /** Options of {@link summarizeCell}. */
@@ -65,7 +66,7 @@
     for (const ledger of transferredLedgers) {
         waitingCpu += waitingLongRunningCpu(ledger);
     }
-    const usable = [...workers].filter(({ session }) => session.contact() === "known" && !session.entry().isDraining);
+    const usable = usableWorkers(workers);
     return {
         cell: lease.cell,
         epoch: lease.epoch,
