--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -315,6 +315,9 @@
         const fitting = [...workers.values()].filter(worker => mayStartOn(worker, queue.service, step));
         logger.info({
             job: ledger.workflow.id,
+            queue: queue.name,
+            priority: queue.priority,
+            usesSpareCpu: step.usesSpareCpu,
             step: stepIndex,
             tasks: indices.length,
             waited: Math.round(now - (record.readySince ?? now)),
@@ -344,9 +347,10 @@
         summaries.delete(worker.session.id);
         reservations.recordStart(worker);
         admission.recordStart();
-        const { ledger, stage, urgency } = candidate;
+        const { ledger, queue, stage, urgency } = candidate;
         logger.info({
             job: ledger.workflow.id,
+            queue: queue.name,
             step: stage.stepIndex,
             index,
             worker: worker.session.id,
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -29,6 +29,7 @@
 import { createLongRunningAbsences } from "./long-running-absences.js";
 import type { OtherCells } from "./other-cells.js";
 import { createOutgoingTransfers } from "./outgoing-transfers.js";
+import { createPassMonitor } from "./pass-monitor.js";
 import { createProgressWriter } from "./progress-writer.js";
 import { createQueueLookup } from "./queue-lookup.js";
 import { recordPace } from "./record-pace.js";
@@ -405,12 +406,16 @@
     const runPasses = async (): Promise<void> => {
         let reviewedAt = performance.now();
         let hasReportedCapacity = false;
+        const passMonitor = createPassMonitor({ cell, epoch, metrics, logger });
         while (!signal.aborted) {
             await passWakeUp.wait(passInterval, signal);
+            const dueAt = performance.now() + passBatchDelay;
             await sleep(passBatchDelay, signal);
             if (!signal.aborted) {
+                const startedAt = performance.now();
                 releaseInherited();
                 scheduler.runPass();
+                passMonitor.recordPass(startedAt - dueAt, performance.now() - startedAt);
                 if (!hasReportedCapacity && isCapacityKnown()) {
                     hasReportedCapacity = true;
                     options.onCapacityKnown();
--- a/packages/workflow/src/workflow-metrics.ts
+++ b/packages/workflow/src/workflow-metrics.ts
@@ -26,6 +26,8 @@
     readonly workerCalls: Counter<"order" | "outcome">;
     /** Seconds for which a long-running task was without a run that its holder ended or lost, by part of that time. */
     readonly absenceSeconds: Histogram<"part">;
+    /** Seconds that parts of a placement pass took: its delay by other work of the process, and the pass itself. */
+    readonly passSeconds: Histogram<"part">;
     /** Changes of the pace of spare-CPU tasks, by direction. */
     readonly paceChanges: Counter<"direction">;
     /** Cells that this host took, lost or handed over, by kind of change. */
@@ -40,6 +42,8 @@
 const workflowBuckets = [0.25, 0.5, 1, 2, 4, 8, 16, 32, 64, 300];
 /** Upper bounds in seconds. */
 const absenceBuckets = [0.05, 0.1, 0.25, 0.5, 1, 2, 3, 6, 9, 15, 30];
+/** Upper bounds in seconds. */
+const passBuckets = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1];
 /** Upper bounds in workflows. */
 const groupBuckets = [1, 2, 4, 8, 16, 33];
 
@@ -118,6 +122,13 @@
             buckets: absenceBuckets,
             registers,
         }),
+        passSeconds: new Histogram({
+            name: "jayfront_placement_pass_seconds",
+            help: "Seconds that parts of a placement pass took: its delay by other work of the process, and the pass",
+            labelNames: ["part"],
+            buckets: passBuckets,
+            registers,
+        }),
         paceChanges: new Counter({
             name: "jayfront_pace_changes_total",
             help: "Changes of the pace of tasks on spare processor time",
