--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -27,6 +27,7 @@
 import { Registry } from "prom-client";
 import { Result } from "true-myth";
 
+import { limitProcessor } from "./limit-processor.js";
 import type { PlantedFault } from "./planted-faults.js";
 import type { RegionLink } from "./region-link.js";
 
@@ -85,6 +86,8 @@
     readonly onPeerCall?: (from: string, kind: WorkflowMessageKind, to: string) => void;
     /** Number of cores by host. Default 1. */
     readonly processors?: Readonly<Record<string, number>>;
+    /** Milliseconds of one core that a run takes of its holder. Default: none, so that no host is ever busy. */
+    readonly timePerRun?: number;
     /** Protocol fault of all hosts. Default: none. */
     readonly plantedFault?: PlantedFault;
 }
@@ -215,7 +218,10 @@
         };
         const hostLogger = logger.child({ host: id });
         const store = createPlatformStore({ address: platform.storeAddress, client, metrics, logger: hostLogger });
-        const gateway = createPlatformWorkers(client, metrics);
+        const unlimitedGateway = createPlatformWorkers(client, metrics);
+        const gateway = options.timePerRun === undefined
+            ? unlimitedGateway
+            : limitProcessor(unlimitedGateway, { cores: self.processors, timePerRun: options.timePerRun });
         const host = createWorkflowHost({
             self,
             regions,
