End the work of a former holder on unanswered starts when its cell has another holder

Cause: a run whose start has no answer is stopped again every 300 ms until its worker answers. A worker that has seen the successor's token refuses that order, which counted as no answer, so that the former holder repeated it for ever, for each such run, and read the holder row for each refusal. A host too slow to take answers in time has hundreds of them. The class of fault: a loop whose end depends on the state of a cell that is no longer kept up.

Ruled out: the successor, which settles these starts from the stored row and did so.

Change: these loops, and the repetition of stops, end with the session and the cell; refused orders share one read of the holder row. Looked for elsewhere: polls, renewals, writers and transfers of a cell all end with its signal.

--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -70,6 +70,8 @@
     readonly onChange: () => void;
     /** Approval that is sent with the start order; undefined if the queue needs none. */
     readonly ticketOf: (run: Run) => string | undefined;
+    /** Ends the attempts to stop runs whose start was not answered, once the cell has another holder. */
+    readonly signal: AbortSignal;
 }
 
 /** Stop reason of a run whose start was not answered. */
@@ -94,6 +96,7 @@
         onRunRemoved,
         onChange,
         ticketOf,
+        signal,
     } = options;
     const runNumbers = createRunNumbers(epoch);
     const endQueues = new Map<WorkerId, { readonly bornAt: number; readonly queue: RunEndQueue; }>();
@@ -132,7 +135,9 @@
     /** Repeats the stop of a run whose start was not answered until the start can no longer be carried out. */
     const settleUnanswered = async (run: Run): Promise<void> => {
         run.phase = "unsettled";
-        while (runRegistry.find(run.worker, run.task, run.number) === run && run.phase === "unsettled") {
+        const isUnsettled = (): boolean =>
+            runRegistry.find(run.worker, run.task, run.number) === run && run.phase === "unsettled";
+        while (!signal.aborted && isUnsettled()) {
             const session = sessionOf(run.worker);
             if (session === undefined || await session.stop(run.task, run.number)) {
                 // The next report shows whether the run had started; if it is not listed, it never will.
@@ -141,7 +146,7 @@
                 run.stopReason ??= unansweredStartReason;
                 return;
             }
-            await sleep(settleRetryInterval);
+            await sleep(settleRetryInterval, signal);
         }
     };
     const sendStart = async (run: Run, session: WorkerSession): Promise<void> => {
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -33,7 +33,10 @@
     readonly deadline: () => number | undefined;
     /** Sends a start order; returns the worker's clock. */
     readonly start: (order: Omit<StartOrder, "token" | "deadline">) => Promise<Result<number, OrderError>>;
-    /** Repeats a stop order until the worker has answered or can't run the task any more; true if it answered. */
+    /**
+     * Repeats a stop order until the worker has answered, can't run the task any more, or the session has ended; true if
+     * it answered.
+     */
     readonly stop: (task: TaskName, run: number) => Promise<boolean>;
     /** Lets a run work at `percent` of its speed; true if the worker answered. */
     readonly throttle: (task: TaskName, run: number, percent: number) => Promise<boolean>;
@@ -45,7 +48,7 @@
     readonly beginProof: () => () => void;
     /** Sends a new deadline if the worker's current one expires soon. */
     readonly extendLease: () => Promise<void>;
-    /** Polls the worker until `signal` aborts. */
+    /** Polls the worker until `signal` aborts, which ends the session. */
     readonly run: (signal: AbortSignal) => Promise<void>;
 }
 
@@ -163,6 +166,8 @@
     let unansweredStartAt = -Infinity;
     /** Monotonic times in ms of the unanswered starts of earlier holders, until the worker's first report. */
     let expectedStarts: readonly number[] = [];
+    /** Aborts when the session ends; undefined before it runs. */
+    let endSignal: AbortSignal | undefined;
 
     const setContact = (next: ContactState, details: object): void => {
         if (next !== contact) {
@@ -380,7 +385,7 @@
             return result;
         },
         stop: async (task, run) => {
-            while (contact !== "lapsed") {
+            while (contact !== "lapsed" && endSignal?.aborted !== true) {
                 const result = await tokens.send(token => gateway.stop(entry, { task, run, token }));
                 if (result.isOk) {
                     wakeUp.notify();
@@ -390,7 +395,7 @@
                     events.onFenced(session);
                     return false;
                 }
-                await sleep(stopRetryInterval);
+                await sleep(stopRetryInterval, endSignal);
             }
             return false;
         },
@@ -414,6 +419,7 @@
             }
         },
         run: async signal => {
+            endSignal = signal;
             while (!signal.aborted) {
                 // An acknowledgement has to be answered at once, see `incarnationProofTime`.
                 const canWait = contact === "known" && consecutiveFailures === 0 && isBusy() && listedEnd <= recordedEnd
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -251,6 +251,7 @@
         },
         onChange: passWakeUp.notify,
         ticketOf: () => undefined,
+        signal,
     });
     const isHeldBack = (ledger: WorkflowLedger): boolean => inheritedJobs.has(ledger.workflow.id);
     const findStranded = (from: ReadonlyMap<JobId, WorkflowLedger>): readonly StrandedTasks[] =>
@@ -340,7 +341,7 @@
             health.removeWorker(session.id);
         },
         onFenced: () => {
-            void lease.renew();
+            void lease.confirm();
         },
         onContactChange: session => {
             const isKnown = session.contact() === "known";
--- a/packages/workflow/tests/adopted-run.test.ts
+++ b/packages/workflow/tests/adopted-run.test.ts
@@ -1,4 +1,5 @@
 import type { CellId, JobId, WorkerId } from "@jayfront/world";
+import { createStopSignal } from "@jayfront/world";
 import { beforeEach, describe, expect, it } from "@jest/globals";
 import pino from "pino";
 
@@ -51,6 +52,7 @@
             onRunRemoved: () => undefined,
             onChange: () => undefined,
             ticketOf: () => undefined,
+            signal: createStopSignal().signal,
         });
     });
 
--- a/packages/workflow/tests/run-controller.test.ts
+++ b/packages/workflow/tests/run-controller.test.ts
@@ -1,4 +1,5 @@
 import type { JobId, WorkerId } from "@jayfront/world";
+import { createStopSignal } from "@jayfront/world";
 import { describe, expect, it } from "@jest/globals";
 import pino from "pino";
 
@@ -40,6 +41,7 @@
                 onRunRemoved: () => undefined,
                 onChange: () => undefined,
                 ticketOf: () => undefined,
+                signal: createStopSignal().signal,
             });
             const session = { id: "w-0" as WorkerId, recordEnds: () => undefined } as Partial<WorkerSession>;
             const end = { number: 1, task: taskName(position), run: 3, outcome, checkpoint: "" };
--- a/packages/workflow/tests/start-without-answer.test.ts
+++ b/packages/workflow/tests/start-without-answer.test.ts
@@ -1,4 +1,5 @@
 import type { JobId, WorkerId } from "@jayfront/world";
+import { createStopSignal } from "@jayfront/world";
 import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
 import pino from "pino";
 import { Result } from "true-myth";
@@ -66,6 +67,7 @@
             onRunRemoved: () => undefined,
             onChange: () => undefined,
             ticketOf: () => undefined,
+            signal: createStopSignal().signal,
         });
         controller.start(ledger, ledger.stage(position) as Stage, 0, session);
     });
