Let a strong host of the region hold a cell rather than a weak one beside its workers

Cause: hosts were ranked by failure domain before anything else. The holder was cut off from the store and handed the cell to a host of 0.324 cores in the same domain, while hosts of 1.35 cores in the other domains of the region held nothing. It was busy all the time, and a cell left a host only for a failure domain of its own, so that it would have stayed there.

Change: hosts of the cell's regions come first, then store delay, then cells per core, half as much again outside the cell's failure domains. A holder offers a cell to a host of its region if that host is nearer, or costs less than half as much, every 10 s at most. Cells still never move out of their region while it has hosts.

--- a/packages/workflow/src/entry/cell-manager.ts
+++ b/packages/workflow/src/entry/cell-manager.ts
@@ -13,7 +13,8 @@
 import type { CellClaims } from "./cell-claims.js";
 import type { CellPlan } from "./cell-plan.js";
 import { createHolderProbe } from "./holder-probe.js";
-import { rankHosts } from "./rank-hosts.js";
+import type { CellLocation } from "./rank-hosts.js";
+import { holdingCost, isInRegionOf, rankHosts } from "./rank-hosts.js";
 
 /**
  * Decides which cells this host holds: takes cells that have no live holder, and hands over cells that other hosts can
@@ -43,6 +44,8 @@
     readonly self: EntryHostRecord;
     /** The assignment of failure domains to cells; undefined until it has been read. */
     readonly plan: () => CellPlan | undefined;
+    /** Regions by failure domain. */
+    readonly regions: Readonly<Record<string, string>>;
     readonly store: StateStore;
     readonly network: WorkflowNetwork;
     readonly registry: HostRegistry;
@@ -82,8 +85,10 @@
 const retryInterval = 150;
 /** Milliseconds between two offers of the same cell. */
 const offerInterval = 700;
-/** Milliseconds from a host's last move of a cell until it returns a cell to the cell's failure domains. */
-const returnInterval = 10_000;
+/** Milliseconds from a host's last move of a cell until it moves a cell to a better host. */
+const moveInterval = 10_000;
+/** Share of this host's cost of holding a cell below which another host's cost has to be for it to get the cell. */
+const maxCostShare = 0.5;
 /** Peers that are asked at a time whether they reach the store, before a cell is offered to one of them. */
 const storeContactBatchSize = 6;
 
@@ -98,6 +103,7 @@
     const {
         self,
         plan,
+        regions,
         store,
         network,
         registry,
@@ -148,18 +154,26 @@
     };
     /** Milliseconds since the last heartbeat of the cell's holder, or since the start of this host. */
     const silence = (cell: CellId): number => Math.round(performance.now() - (claims.last(cell)?.heardAt ?? startedAt));
+    const locationOf = (cell: CellId, failureDomains: readonly FailureDomainId[]): CellLocation => ({
+        cell,
+        failureDomains,
+        regions,
+    });
+    /** Number of cells that each host holds, by the heartbeats that this host has received. */
+    const countHeld = (): ReadonlyMap<HostId, number> => {
+        const counts = new Map<HostId, number>();
+        claims.allFresh().forEach(({ host }) => counts.set(host.id, (counts.get(host.id) ?? 0) + 1));
+        return counts.set(self.id, cells.size);
+    };
     /** Ids of `hosts` in the order in which they should take the cell. */
     const rankCandidates = (
         cell: CellId,
         failureDomains: readonly FailureDomainId[],
         hosts: readonly EntryHostRecord[],
     ): readonly HostId[] => {
-        const heldCounts = new Map<HostId, number>();
-        claims.allFresh().forEach(({ host }) => heldCounts.set(host.id, (heldCounts.get(host.id) ?? 0) + 1));
-        heldCounts.set(self.id, cells.size);
+        const heldCounts = countHeld();
         return rankHosts(
-            cell,
-            failureDomains,
+            locationOf(cell, failureDomains),
             hosts.map(host => ({ ...host, heldCells: heldCounts.get(host.id) ?? 0 })),
         );
     };
@@ -280,15 +294,26 @@
             onChange();
         }
     };
-    /** Hosts to which the cell may be returned now: those in its failure domains, if this host is in none of them. */
-    const returnTargets = (held: WorkflowCell): readonly EntryHostRecord[] => {
-        const failureDomains = domainsOf(held.cell);
-        const mayReturn = performance.now() - lastMoveAt > returnInterval
+    /** Peers that should hold the cell instead of this host: they are nearer to its workers, or have far more CPU for it. */
+    const findBetterHosts = (held: WorkflowCell): readonly EntryHostRecord[] => {
+        const mayMove = performance.now() - lastMoveAt > moveInterval
             && held.isActive()
             && held.provenAgo() < maxStoreContactAge;
-        return mayReturn && !failureDomains.includes(self.failureDomain)
-            ? registry.peers().filter(peer => failureDomains.includes(peer.failureDomain))
-            : [];
+        if (!mayMove) {
+            return [];
+        }
+        const failureDomains = domainsOf(held.cell);
+        const location = locationOf(held.cell, failureDomains);
+        const heldCounts = countHeld();
+        const ownCost = holdingCost(location, self, cells.size);
+        const isLocal = ({ failureDomain }: EntryHostRecord): boolean => failureDomains.includes(failureDomain);
+        return registry.peers().filter(peer => {
+            if (isInRegionOf(location, peer) !== isInRegionOf(location, self)) {
+                return isInRegionOf(location, peer);
+            }
+            const cost = holdingCost(location, peer, (heldCounts.get(peer.id) ?? 0) + 1);
+            return cost < ownCost * maxCostShare || isLocal(peer) && !isLocal(self) && cost <= ownCost;
+        });
     };
     const reviewHeld = async (held: WorkflowCell): Promise<void> => {
         const claim = claims.fresh(held.cell);
@@ -302,11 +327,10 @@
             await offer(held, "the store does not answer this host");
             return;
         }
-        // Cells are only moved into their failure domains for this reason, never out of them, so they can't oscillate.
-        const targets = returnTargets(held);
+        const targets = findBetterHosts(held);
         if (targets.length > 0) {
             lastMoveAt = performance.now();
-            await offer(held, "its failure domain has hosts again", targets);
+            await offer(held, "another host is nearer or has more CPU", targets);
         }
     };
     const review = async (
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -134,6 +134,7 @@
     const cellManager = createCellManager({
         self,
         plan: () => plan,
+        regions,
         store,
         network,
         registry,
--- a/packages/workflow/tests/rank-cells.test.ts
+++ b/packages/workflow/tests/rank-cells.test.ts
@@ -82,7 +82,8 @@
 });
 
 describe("rankHosts", () => {
-    const host = (id: string, domain: string, changes = {}): Parameters<typeof rankHosts>[2][number] => ({
+    const regions = { "east-a": "east", "east-b": "east", west: "west" };
+    const host = (id: string, domain: string, changes = {}): Parameters<typeof rankHosts>[1][number] => ({
         id: id as HostId,
         failureDomain: failureDomainId(domain),
         storeDelay: 4,
@@ -90,34 +91,63 @@
         heldCells: 0,
         ...changes,
     });
-    it("ranks by failure domain, then by distance to the store, then by the number of cells held", () => {
-        const order = rankHosts("c" as CellId, [failureDomainId("east")], [
-            host("h-west", "west"),
-            host("h-far", "east", { storeDelay: 40 }),
-            host("h-busy", "east", { heldCells: 1 }),
-            host("h-idle", "east"),
-        ]);
-        expect(order).toEqual(["h-idle", "h-busy", "h-far", "h-west"]);
+    const locationOf = (...domains: readonly string[]): Parameters<typeof rankHosts>[0] => ({
+        cell: "c" as CellId,
+        failureDomains: domains.map(failureDomainId),
+        regions,
     });
-
-    // Guards against a cell of all failure domains on a host that has too little CPU for it.
-    it("prefers hosts near the store, and among these hosts with more CPU", () => {
-        const order = rankHosts("all" as CellId, [failureDomainId("east"), failureDomainId("west")], [
-            host("h-small", "east", { processors: 0.324 }),
-            host("h-far", "west", { processors: 4, storeDelay: 40 }),
-            host("h-large", "west", { processors: 1.35 }),
-            host("h-middle", "east", { processors: 0.675 }),
-        ]);
-        expect(order).toEqual(["h-large", "h-middle", "h-small", "h-far"]);
-    });
-
-    // Guards against all cells going to the largest host while other hosts hold none.
-    it("weighs the cells that a host holds against its CPU", () => {
-        const order = rankHosts("c" as CellId, [failureDomainId("east")], [
-            host("h-small", "east", { processors: 0.324 }),
-            host("h-large", "east", { processors: 1.35, heldCells: 1 }),
-            host("h-full", "east", { processors: 1.35, heldCells: 4 }),
-        ]);
-        expect(order).toEqual(["h-large", "h-small", "h-full"]);
+    it.each([
+        {
+            name: "by region, then by distance to the store, then by the number of cells held",
+            domains: ["east-a"],
+            hosts: [
+                host("h-west", "west"),
+                host("h-far", "east-a", { storeDelay: 40 }),
+                host("h-busy", "east-a", { heldCells: 1 }),
+                host("h-idle", "east-a"),
+            ],
+            expected: ["h-idle", "h-busy", "h-far", "h-west"],
+        },
+        {
+            name: "a cell of all failure domains by distance to the store, then by CPU",
+            domains: ["east-a", "west"],
+            hosts: [
+                host("h-small", "east-a", { processors: 0.324 }),
+                host("h-far", "west", { processors: 4, storeDelay: 40 }),
+                host("h-large", "west", { processors: 1.35 }),
+                host("h-middle", "east-a", { processors: 0.675 }),
+            ],
+            expected: ["h-large", "h-middle", "h-small", "h-far"],
+        },
+        // Guards against all cells going to the largest host while other hosts hold none.
+        {
+            name: "by the cells that a host holds against its CPU",
+            domains: ["east-a"],
+            hosts: [
+                host("h-small", "east-a", { processors: 0.324 }),
+                host("h-large", "east-a", { processors: 1.35, heldCells: 1 }),
+                host("h-full", "east-a", { processors: 1.35, heldCells: 4 }),
+            ],
+            expected: ["h-large", "h-small", "h-full"],
+        },
+        // Guards against a cell that a weak host beside its workers takes while strong hosts of the region are idle.
+        {
+            name: "a strong host of the region before a weak one beside the workers",
+            domains: ["east-a"],
+            hosts: [
+                host("h-weak", "east-a", { processors: 0.324 }),
+                host("h-strong", "east-b", { processors: 1.35 }),
+                host("h-west", "west", { processors: 4 }),
+            ],
+            expected: ["h-strong", "h-weak", "h-west"],
+        },
+        {
+            name: "a host beside the workers before an equal one elsewhere in the region",
+            domains: ["east-a"],
+            hosts: [host("h-other", "east-b", { processors: 1.1 }), host("h-beside", "east-a")],
+            expected: ["h-beside", "h-other"],
+        },
+    ])("ranks $name", ({ domains, hosts, expected }) => {
+        expect(rankHosts(locationOf(...domains), hosts)).toEqual(expected);
     });
 });
