Search for workers for waiting spare-CPU steps once in 150 ms, not in each pass

Cause: all workers have room for spare-CPU tasks by definition, so that each image that finds no worker makes a pass describe all of them, up to 50 times a second. The more work waits, the dearer is a pass, and the later the work: a holder that has fallen behind falls further behind.

Change: a spare-CPU step with the same requirements, no smaller than one that found no worker less than 150 ms ago, is passed over. A pass starts at the earliest after a pause of twice the last pass's duration, so that reports and requests always get two thirds of the time. Urgent and reserving work is searched for in each pass as before.

--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -110,6 +110,12 @@
 /** Multiple of its objective after which a workflow's result is useless, as the users define it. */
 const uselessFactor = 3;
 
+/**
+ * Milliseconds after which spare-CPU tasks that found no worker look for one again. All workers have room for them, so
+ * that each search inspects all workers.
+ */
+const spareCpuRetryInterval = 150;
+
 /** Minimum milliseconds between two log lines on why a step waits; the cause seldom changes sooner. */
 const waitLogInterval = 2_000;
 
@@ -137,6 +143,8 @@
         runRegistry,
         runTimeOf: ({ ledger, step, position }) => runTime(ledger.workflow.id, queueOf(ledger), step, position.step),
     });
+    /** Spare-CPU steps that found no worker, by `requirementsOf`, with the monotonic time in ms of the search. */
+    const failedSearches = new Map<string, { readonly step: Step; readonly at: number; }>();
     // The following caches are valid for one pass.
     /** Summaries of the serving tasks by worker. */
     const summaries = new Map<WorkerId, ServingSummary>();
@@ -460,6 +468,11 @@
     /** Key of a step's requirements on workers, except its size. */
     const requirementsOf = ({ queue, stage: { step } }: StageCandidate): string =>
         [queue.service, step.requiredLabel, step.usesSpareCpu, step.isLasting, step.image, step.accelerators].join(" ");
+    /** Whether a spare-CPU step with these requirements that needs no more found no worker a short time ago. */
+    const hasSearchedInVain = (requirements: string, step: Step): boolean => {
+        const search = failedSearches.get(requirements);
+        return search !== undefined && isAtLeastAsLarge(step, search.step);
+    };
     const startTasks = (candidate: StageCandidate): void => {
         const { stage: { step, record }, urgency } = candidate;
         const isLeaving = urgency.lasting === "leaving";
@@ -475,6 +488,10 @@
             reserveWorkers(candidate, indices);
             return;
         }
+        if (hasSearchedInVain(requirements, step)) {
+            record.noRoomSince ??= performance.now();
+            return;
+        }
         let eligibleWorkers: EligibleWorkers | undefined;
         let constrainedIndex: number | undefined;
         for (const [position, index] of indices.entries()) {
@@ -496,6 +513,9 @@
                 if (step.perWorkerLimit === undefined) {
                     blockedStages.set(requirements, candidate);
                 }
+                if (step.perWorkerLimit === undefined && step.usesSpareCpu) {
+                    failedSearches.set(requirements, { step, at: performance.now() });
+                }
                 logWait(candidate, () => countExcluded(candidate, index, eligible));
                 reserveWorkers(candidate, indices.slice(position));
                 return;
@@ -540,6 +560,11 @@
             summaries.clear();
             openWorkers.clear();
             blockedStages.clear();
+            for (const [requirements, { at }] of failedSearches) {
+                if (performance.now() - at >= spareCpuRetryInterval) {
+                    failedSearches.delete(requirements);
+                }
+            }
             replacementPlaces.releaseUnneeded(isPlaceNeeded);
             const candidates = findCandidates();
             admission.beginPass(candidates);
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -124,6 +124,8 @@
 const failingStoreInterval = 200;
 /** Milliseconds for which changes are collected before a placement pass. */
 const passBatchDelay = 15;
+/** Multiple of a pass's duration for which other work comes first, so that passes take at most a third of the time. */
+const passPauseFactor = 2;
 /** Milliseconds after which a placement pass runs even without a change, for work that becomes due with time. */
 const passInterval = 200;
 /** Milliseconds between reviews of all runs. */
@@ -407,16 +409,19 @@
     const runPasses = async (): Promise<void> => {
         let reviewedAt = performance.now();
         let hasReportedCapacity = false;
+        let passDuration = 0;
         const passMonitor = createPassMonitor({ cell, epoch, metrics, logger });
         while (!signal.aborted) {
             await passWakeUp.wait(passInterval, signal);
-            const dueAt = performance.now() + passBatchDelay;
-            await sleep(passBatchDelay, signal);
+            const delay = Math.max(passBatchDelay, passDuration * passPauseFactor);
+            const dueAt = performance.now() + delay;
+            await sleep(delay, signal);
             if (!signal.aborted) {
                 const startedAt = performance.now();
                 releaseInherited();
                 scheduler.runPass();
-                passMonitor.recordPass(startedAt - dueAt, performance.now() - startedAt);
+                passDuration = performance.now() - startedAt;
+                passMonitor.recordPass(startedAt - dueAt, passDuration);
                 if (!hasReportedCapacity && isCapacityKnown()) {
                     hasReportedCapacity = true;
                     options.onCapacityKnown();
--- a/packages/workflow/tests/stage-scheduler.test.ts
+++ b/packages/workflow/tests/stage-scheduler.test.ts
@@ -47,6 +47,56 @@
     });
 });
 
+describe("passes while spare-CPU steps of many images find no worker", () => {
+    const workers = 50;
+    const images = 20;
+    /** Milliseconds within which a step starts once a worker is idle; the retry interval and one pass. */
+    const retryBound = 200;
+    let cell: TestCell;
+    beforeEach(() => {
+        jest.useFakeTimers();
+        cell = createTestCell({ workers, cpu: 10_000, runTime: 1_000 });
+        cell.submit({ priority: 2 }, [{ count: workers, cpu: 10_000, usesSpareCpu: true, image: "present" }]);
+        cell.scheduler.runPass();
+        for (let image = 0; image < images; image += 1) {
+            cell.submit({ priority: 2 }, [{ cpu: 10_000, usesSpareCpu: true, image: `image-${String(image)}` }]);
+        }
+        cell.scheduler.runPass();
+        jest.advanceTimersByTime(retryBound);
+    });
+    afterEach(() => {
+        jest.useRealTimers();
+    });
+
+    // Guards against a holder that falls further behind the more work waits: each pass, up to 50 a second, inspected all
+    // workers for each image that no worker could take.
+    it("inspect the workers for each image once, not in each pass", () => {
+        const countInspections = (passes: number): number => {
+            cell.counts.runTimes = 0;
+            for (let pass = 0; pass < passes; pass += 1) {
+                cell.scheduler.runPass();
+            }
+            return cell.counts.runTimes;
+        };
+        const perPass = countInspections(1);
+        const inNinePasses = countInspections(9);
+        expect(perPass).toBeGreaterThanOrEqual(workers * images);
+        expect(inNinePasses).toBeLessThan(perPass);
+    });
+
+    // Guards against spare-CPU work that waits beside idle workers because it found none before.
+    it("start a step soon after a worker has become idle", () => {
+        cell.scheduler.runPass();
+        const [run] = [...cell.runRegistry.all()];
+        if (run !== undefined) {
+            cell.endRun(run, "done");
+        }
+        jest.advanceTimersByTime(retryBound);
+        cell.scheduler.runPass();
+        expect([...cell.runRegistry.all()]).toHaveLength(workers);
+    });
+});
+
 // Guards against a holder that inspects all runs of all workers again for each long-running task without room.
 describe("a pass with many long-running tasks that find no room", () => {
     it("looks up the expected time of each run once", () => {
