--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -69,6 +69,8 @@
     readonly cpu?: number;
     /** Minimum milliseconds for which a draining worker stays. Default: that of the stand-in. */
     readonly drainTime?: number;
+    /** Whether a worker that crashed is back under its id, and not under a new one. Default false. */
+    readonly keepsIdAfterCrash?: boolean;
     /** Logger of the hosts. Default: silent. */
     readonly logger?: Logger;
     /** Longest time that workers run tasks without a renewed deadline, in ms. Default 6,000. */
@@ -138,6 +140,7 @@
         ...(cpuOf === undefined ? {} : { cpuOf }),
         ...(options.cpu === undefined ? {} : { cpu: options.cpu }),
         ...(options.drainTime === undefined ? {} : { drainTime: options.drainTime }),
+        ...(options.keepsIdAfterCrash === undefined ? {} : { keepsIdAfterCrash: options.keepsIdAfterCrash }),
     });
     platform.configure(deskConfiguration);
     const hosts = new Map<string, WorkflowHost>();
--- a/packages/platform-stand-in/src/protocol/protocol-platform.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-platform.ts
@@ -21,6 +21,10 @@
     readonly setWorkerState: (worker: string, state: "ready" | "draining" | undefined) => void;
     /** Kills a worker and starts a new one at its address. Returns the new one's id; the old entry expires later. */
     readonly replaceWorker: (worker: string) => string;
+    /** Ends a worker's process; a worker is back at its address after some seconds, see `keepsIdAfterCrash`. */
+    readonly crashWorker: (worker: string) => void;
+    /** Sets the millicores of a worker, which its next entry shows; what runs there goes on. */
+    readonly resizeWorker: (worker: string, cpu: number) => void;
     /** Writes the operator's configuration. */
     readonly configure: (document: object) => void;
     /** Stops the heartbeats. */
@@ -39,6 +43,8 @@
     readonly drainTime?: number;
     /** Returns the millicores that a task takes. Default 0. */
     readonly cpuOf?: (task: string) => number;
+    /** Whether a worker that crashed is back under its id, and not under a new one. Default false. */
+    readonly keepsIdAfterCrash?: boolean;
     /** Returns the `IP:port` at which callers reach a worker. Default: a name that only `network` resolves. */
     readonly addressOf?: (worker: string) => string;
 }
@@ -49,6 +55,8 @@
 const heartbeatInterval = 1_100;
 /** Milliseconds without a heartbeat after which the entry of a replaced worker is removed. */
 const entryTimeout = 3 * heartbeatInterval;
+/** Milliseconds from a worker's crash until a worker is back at its address. */
+const crashDownTime = 3_000;
 /** Milliseconds that a worker takes to stop a task. */
 const stopTime = 200;
 /** Number of workers in a rack. */
@@ -73,6 +81,10 @@
     const states = new Map<string, WorkerState>();
     /** Addresses of workers that replaced another one, by worker. */
     const inheritedAddresses = new Map<string, string>();
+    /** Workers that have crashed and are not back. */
+    const crashed = new Set<string>();
+    /** Millicores of the workers that were resized. */
+    const resized = new Map<string, number>();
     let sequence = 0;
 
     const addressOf = (worker: string): string =>
@@ -93,7 +105,7 @@
             slots: 8,
             state: listed.state,
             coldRemainingMs: 0,
-            capacity: { cpu, memoryRequestMb: 64_000, gpu: 0 },
+            capacity: { cpu: resized.get(id) ?? cpu, memoryRequestMb: 64_000, gpu: 0 },
             labels: ["a", listed.rack],
             born: worker.bornAt(),
             sequence,
@@ -111,6 +123,9 @@
             startCounts,
             longestLease,
             stopTime,
+            onCrash: () => {
+                crashWorker(id);
+            },
             ...(cpuOf === undefined ? {} : { cpuOf }),
         });
         workers.set(id, worker);
@@ -143,8 +158,29 @@
         });
         return successor;
     };
+    const crashWorker = (id: string): void => {
+        const address = addressOf(id);
+        const worker = workers.get(id);
+        if (worker === undefined || crashed.has(id)) {
+            return;
+        }
+        crashed.add(id);
+        worker.restart();
+        network.removeServer(address);
+        setTimeout(() => {
+            crashed.delete(id);
+            if (options.keepsIdAfterCrash === true) {
+                worker.restart();
+                network.addServer(address, worker.handler);
+                writeEntry(id);
+            }
+            else {
+                replaceWorker(id);
+            }
+        }, crashDownTime);
+    };
     const timer = setInterval(() => {
-        [...states].filter(([, { state }]) => state !== undefined).forEach(([id]) => {
+        [...states].filter(([id, { state }]) => state !== undefined && !crashed.has(id)).forEach(([id]) => {
             writeEntry(id);
         });
     }, heartbeatInterval);
@@ -164,6 +200,11 @@
             }
         },
         replaceWorker,
+        crashWorker,
+        resizeWorker: (id, millicores) => {
+            resized.set(id, millicores);
+            writeEntry(id);
+        },
         configure: document => {
             store.put("op", "config", document);
         },
--- a/packages/platform-stand-in/src/protocol/protocol-worker.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-worker.ts
@@ -10,6 +10,8 @@
     readonly failures?: number;
     /** Whether the tasks are long-running: they run until they are stopped. Default false. */
     readonly isLasting?: boolean;
+    /** Indices of the tasks that crash each worker which starts them. Default: none. */
+    readonly crashing?: readonly number[];
 }
 
 /** Options of {@link createProtocolWorker}. */
@@ -26,6 +28,8 @@
     readonly longestLease: number;
     /** Milliseconds that the worker takes to stop a task. */
     readonly stopTime: number;
+    /** Called when a task has crashed the worker. Default: the worker goes on. */
+    readonly onCrash?: () => void;
 }
 
 /**
@@ -78,6 +82,8 @@
 
 /** Milliseconds by which a worker's clock is ahead of monotonic time, so that a mix-up of the two shows in tests. */
 const clockOffset = 400_000;
+/** Milliseconds from the start of a task that crashes its worker to the crash. */
+const timeToCrash = 10;
 /** Default run time of a task in milliseconds. */
 const defaultWork = 500;
 
@@ -155,6 +161,13 @@
         };
         running.set(task, started);
         journal.record({ kind: "started", at: performance.now(), worker: id, task, run: runNumber });
+        if (script.crashing?.includes(Number(task.split(".").at(-1))) === true) {
+            setTimeout(() => {
+                if (bornAtStart === bornAt) {
+                    options.onCrash?.();
+                }
+            }, timeToCrash);
+        }
         if (!started.isStalled && (!started.isLasting || willFail)) {
             setTimeout(() => {
                 started.end(willFail ? "failed" : "done");
