Give up a task under which workers crash again and again

Cause: a run that is lost with its worker counts for nothing, so that the task starts again for ever. Ruled out: a count that is lost; there was none.

Change: a crash is the end of a worker's process without notice, not silence or a drain. It counts against the runs that the worker had not reported half a second after their start: 2 if there is one such run on a worker that did not crash lately, else 1. At 3 the workflow fails. The count is stored with the progress before the next start, so that a successor goes on with it. A task with a count starts alone among unproven runs, one of a workflow at a time, where a crash costs least.

Why this works: a task that crashes its worker at its start is unproven by definition, the second start is alone, and only the store's answer allows that start. Neighbours are proven or clear themselves by their next run.

--- a/packages/workflow/src/cell/create-run.ts
+++ b/packages/workflow/src/cell/create-run.ts
@@ -18,6 +18,7 @@
         measure: 0,
         pace: 100,
         haltedSince: Infinity,
+        isProven: false,
         hasFullRunTime: origin.checkpoint === "",
         doubtedAt: undefined,
         stopReason: undefined,
--- a/packages/workflow/src/cell/create-transferred-ledger.ts
+++ b/packages/workflow/src/cell/create-transferred-ledger.ts
@@ -19,6 +19,7 @@
             step,
             done: [...Array(count).keys()].filter(index => !isTransferred(step, index)),
             failures: [],
+            crashes: [],
             checkpoints: [],
             lastRuns: [],
         })),
--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -17,6 +17,7 @@
 import type { RunRegistry } from "./run-registry.js";
 import type { Run } from "./run.js";
 import type { UnansweredStarts } from "./unanswered-starts.js";
+import type { SuspectRun, WorkerCrashes } from "./worker-crashes.js";
 import type { WorkerSession } from "./worker-session.js";
 
 /** How a run ended; input for run time estimates and worker health. */
@@ -47,8 +48,12 @@
     readonly stopWorkflow: (job: JobId, reason: string) => void;
     /** Updates the worker's runs from a report; `sentAt` and `isFirst` as in `SessionEvents.onReport`. */
     readonly applyReport: (session: WorkerSession, report: WorkerReport, sentAt: number, isFirst: boolean) => void;
-    /** Removes all runs of a worker on which nothing can run any more. */
-    readonly dropWorkerRuns: (session: WorkerSession) => void;
+    /**
+     * Removes all runs of a worker on which nothing can run any more. `hasCrashed`: its process has ended without notice.
+     */
+    readonly dropWorkerRuns: (session: WorkerSession, hasCrashed: boolean) => void;
+    /** Records that the worker has restarted after a crash; its next report shows which runs that has ended. */
+    readonly recordRestart: (session: WorkerSession) => void;
 }
 
 /** Options of {@link createRunController}. */
@@ -66,6 +71,9 @@
     readonly onRunConfirmed: (run: Run) => void;
     /** Called after a run was removed. */
     readonly onRunRemoved: (end: RunEnd) => void;
+    /** Called before a run is removed that may have crashed its worker; `weight` is one of `crashWeights`. */
+    readonly onCrash: (suspect: SuspectRun) => void;
+    readonly workerCrashes: Pick<WorkerCrashes, "record">;
     /** Called when waiting tasks may have become able to start. */
     readonly onChange: () => void;
     /** Approval that is sent with the start order; undefined if the queue needs none. */
@@ -78,6 +86,8 @@
 const unansweredStartReason = "start without answer";
 /** Milliseconds after which a start without answer is stored for the next holder; workers usually answer in 5 ms. */
 const overdueTime = 200;
+/** Milliseconds after its start at which a reported run is proven; a task that crashes its worker does so at once. */
+const provenTime = 500;
 /** Milliseconds between attempts to stop a run whose start was not answered. */
 const settleRetryInterval = 300;
 
@@ -94,11 +104,15 @@
         onRunAdded,
         onRunConfirmed,
         onRunRemoved,
+        onCrash,
+        workerCrashes,
         onChange,
         ticketOf,
         signal,
     } = options;
     const runNumbers = createRunNumbers(epoch);
+    /** Runs that may have crashed a worker which has restarted, until its next report. */
+    const suspects = new Map<Run, SuspectRun>();
     const endQueues = new Map<WorkerId, { readonly bornAt: number; readonly queue: RunEndQueue; }>();
 
     const endQueueOf = (session: WorkerSession, bornAt: number): RunEndQueue => {
@@ -118,6 +132,7 @@
     /** Removes a run; its task waits again unless it is done or has another run. */
     const removeRun = (end: RunEnd): void => {
         const { run } = end;
+        suspects.delete(run);
         runRegistry.remove(run);
         runNumbers.close(run.task, run.number);
         if (runRegistry.ofTask(run.task).length === 0) {
@@ -350,8 +365,20 @@
         run.measure = row.measure;
         run.pace = undefined;
         run.hasFullRunTime = false;
+        run.isProven = true;
         addRun(run);
     };
+    const recordRestart = (session: WorkerSession): void => {
+        workerCrashes.record(session).forEach(suspect => suspects.set(suspect.run, suspect));
+    };
+    /** Removes a run that has disappeared, for which it is to blame if it may have crashed its worker. */
+    const removeLost = (run: Run): void => {
+        const suspect = suspects.get(run);
+        if (suspect !== undefined && !run.ledger.isSettled()) {
+            onCrash(suspect);
+        }
+        removeRun({ run, outcome: "lost" });
+    };
     const updateRun = (run: Run, row: ReportedRun, now: number): void => {
         if (row.percent !== run.percent) {
             run.percentChangedAt = now;
@@ -359,6 +386,10 @@
         run.percent = row.percent;
         run.reportedAt = now;
         run.measure = row.measure;
+        if (!run.isProven && now - run.startedAt >= provenTime) {
+            run.isProven = true;
+            run.ledger.clearCrashes(run.position);
+        }
         if (row.checkpoint !== "" && row.checkpoint !== run.checkpoint) {
             run.checkpoint = row.checkpoint;
             run.ledger.recordCheckpoint(run.position, row.checkpoint);
@@ -395,19 +426,23 @@
                 else {
                     logger.warn(details, "run missing from the worker's report");
                 }
-                removeRun({ run, outcome: "lost" });
+                removeLost(run);
             }
         }
+        [...suspects.keys()].filter(run => run.worker === session.id).forEach(run => suspects.delete(run));
     };
-    const dropWorkerRuns: RunController["dropWorkerRuns"] = session => {
+    const dropWorkerRuns: RunController["dropWorkerRuns"] = (session, hasCrashed) => {
         unansweredStarts.recordLapse(session.id);
+        if (hasCrashed) {
+            recordRestart(session);
+        }
         for (const run of [...runRegistry.ofWorker(session.id)]) {
             const { job } = run.position;
             logger.info(
                 { job, task: run.task, run: run.number, worker: session.id },
                 "run lost with its worker",
             );
-            removeRun({ run, outcome: "lost" });
+            removeLost(run);
         }
     };
     const stopWorkflow = (job: JobId, reason: string): void => {
@@ -423,5 +458,6 @@
         stopWorkflow,
         applyReport,
         dropWorkerRuns,
+        recordRestart,
     };
 };
--- a/packages/workflow/src/cell/run.ts
+++ b/packages/workflow/src/cell/run.ts
@@ -39,6 +39,8 @@
     pace: number | undefined;
     /** Monotonic time in ms since which `pace` is 0; Infinity while it is not. */
     haltedSince: number;
+    /** Whether the worker has reported the run so long after its start that the start can't be what crashes a worker. */
+    isProven: boolean;
     /** Whether the time since `startedAt` is the time that the task takes at full speed, from its beginning. */
     hasFullRunTime: boolean;
     /**
--- a/packages/workflow/src/cell/stage-candidate.ts
+++ b/packages/workflow/src/cell/stage-candidate.ts
@@ -11,4 +11,6 @@
     readonly urgency: Urgency;
     /** Indices of the tasks within the step. */
     readonly indices: readonly number[];
+    /** Whether workers have crashed under the tasks, so that each starts only where that can be told from other causes. */
+    readonly isSuspect: boolean;
 }
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -26,7 +26,9 @@
 import type { RunTimePredictor } from "./run-statistics.js";
 import type { StageCandidate } from "./stage-candidate.js";
 import { stageName } from "./stage-name.js";
+import { createSuspectPlacement } from "./suspect-placement.js";
 import type { UnansweredStarts } from "./unanswered-starts.js";
+import type { WorkerCrashes } from "./worker-crashes.js";
 import { createWorkerReservations } from "./worker-reservations.js";
 
 /** Decides which waiting tasks start, and on which workers. */
@@ -60,6 +62,7 @@
     readonly constraintOf: UnansweredStarts["constraintOf"];
     /** Places for long-running tasks of draining workers; the scheduler keeps, uses and releases them. */
     readonly replacementPlaces: ReplacementPlaces;
+    readonly workerCrashes: Pick<WorkerCrashes, "isRecent">;
     readonly interference: Pick<InterferenceController, "summarizeServing" | "slackWith" | "compatibleShareLoss">;
 }
 
@@ -134,6 +137,7 @@
         hasFailedOn,
         constraintOf,
         replacementPlaces,
+        workerCrashes,
         interference,
     } = options;
 
@@ -143,6 +147,7 @@
         runRegistry,
         runTimeOf: ({ ledger, step, position }) => runTime(ledger.workflow.id, queueOf(ledger), step, position.step),
     });
+    const suspectPlacement = createSuspectPlacement(runRegistry, workerCrashes);
     /** Spare-CPU steps that found no worker, by `requirementsOf`, with the monotonic time in ms of the search. */
     const failedSearches = new Map<string, { readonly step: Step; readonly at: number; }>();
     // The following caches are valid for one pass.
@@ -173,6 +178,21 @@
     };
     const objectiveOf = (ledger: WorkflowLedger, queue: Queue): number =>
         queue.slackFactor * criticalPath(ledger.workflow.steps, runTimesOf(ledger, queue)) + queue.latencyTarget;
+    /** The members of a gang start together, so that they are not kept apart. */
+    const groupBySuspicion = (
+        ledger: WorkflowLedger,
+        { step, stepIndex, occurrence, record }: Stage,
+        indices: readonly number[],
+    ): Pick<StageCandidate, "indices" | "isSuspect">[] => {
+        if (record.crashes.size === 0 || step.isGang) {
+            return [{ indices, isSuspect: false }];
+        }
+        const isSuspect = (index: number): boolean => ledger.crashWeight({ occurrence, step: stepIndex, index }) > 0;
+        return [
+            { indices: indices.filter(index => !isSuspect(index)), isSuspect: false },
+            { indices: indices.filter(isSuspect), isSuspect: true },
+        ].filter(group => group.indices.length > 0);
+    };
     const candidatesFrom = (ledger: WorkflowLedger, now: number, monotonicNow: number): StageCandidate[] => {
         const queue = queueOf(ledger);
         const waiting = ledger.openStages(now, monotonicNow).filter(({ record }) => record.waiting.size > 0);
@@ -182,13 +202,15 @@
         const objective = objectiveOf(ledger, queue);
         return waiting.flatMap(stage => {
             const urgency = urgencyOf(ledger, stage, queue, objective);
-            return groupWaiting(stage).map(([lasting, indices]) => ({
-                ledger,
-                stage,
-                queue,
-                urgency: { ...urgency, lasting },
-                indices,
-            }));
+            return groupWaiting(stage).flatMap(([lasting, indices]) =>
+                groupBySuspicion(ledger, stage, indices).map(group => ({
+                    ledger,
+                    stage,
+                    queue,
+                    urgency: { ...urgency, lasting },
+                    ...group,
+                }))
+            );
         });
     };
     /** Long-running tasks that run on draining workers and have no place on another one, by step. */
@@ -216,6 +238,7 @@
                 queue,
                 urgency: { ...urgencyOf(ledger, stage, queue, objective), lasting: "leaving" },
                 indices,
+                isSuspect: false,
             };
         });
     };
@@ -281,8 +304,13 @@
         rack?: string,
         countPlannedOn: (worker: CellWorker) => number = () => 0,
     ): EligibleWorkers => {
-        const { queue, stage: { step } } = candidate;
-        const open = workersOpenTo(queue.service).filter(worker => !reservations.isReserved(worker));
+        const { queue, stage: { step }, isSuspect } = candidate;
+        const available = workersOpenTo(queue.service).filter(worker =>
+            !reservations.isReserved(worker) && !suspectPlacement.isOnTrial(worker)
+        );
+        const open = isSuspect
+            ? suspectPlacement.select(available.filter(worker => canRunStep(worker, step)))
+            : available;
         return createEligibleWorkers({
             step,
             workers: rack === undefined ? open : open.filter(worker => worker.session.entry().rack === rack),
@@ -355,7 +383,10 @@
         summaries.delete(worker.session.id);
         reservations.recordStart(worker);
         admission.recordStart();
-        const { ledger, queue, stage, urgency } = candidate;
+        const { ledger, queue, stage, urgency, isSuspect } = candidate;
+        if (isSuspect) {
+            suspectPlacement.recordStart(ledger, worker);
+        }
         logger.info({
             job: ledger.workflow.id,
             queue: queue.name,
@@ -366,6 +397,7 @@
             cpu: stage.step.cpu,
             waited: Math.round(performance.now() - (stage.record.readySince ?? 0)),
             laxity: Math.round(urgency.laxity),
+            isSuspect,
             freeCpu: worker.resources.freeCpu(),
             spareCpu: worker.resources.spareCpu(),
         }, "start ordered");
@@ -449,8 +481,8 @@
         });
     /** Reserves the workers with the soonest room for long-running tasks, unless they are new. */
     const reserveWorkers = (candidate: StageCandidate, indices: readonly number[]): void => {
-        const { queue, stage: { step }, urgency } = candidate;
-        if (urgency.lasting === "no" || urgency.lasting === "new" || reservations.isFull()) {
+        const { queue, stage: { step }, urgency, isSuspect } = candidate;
+        if (urgency.lasting === "no" || urgency.lasting === "new" || isSuspect || reservations.isFull()) {
             return;
         }
         const suitable = workersOpenTo(queue.service).filter(worker =>
@@ -466,15 +498,34 @@
         }
     };
     /** Key of a step's requirements on workers, except its size. */
-    const requirementsOf = ({ queue, stage: { step } }: StageCandidate): string =>
-        [queue.service, step.requiredLabel, step.usesSpareCpu, step.isLasting, step.image, step.accelerators].join(" ");
+    const requirementsOf = ({ queue, stage: { step }, isSuspect }: StageCandidate): string =>
+        [queue.service, isSuspect, step.requiredLabel, step.usesSpareCpu, step.isLasting, step.image, step.accelerators]
+            .join(" ");
+    /** Starts one task that is suspected to crash workers, unless another one of the workflow is being tried. */
+    const startSuspect = (candidate: StageCandidate): void => {
+        const { ledger, indices: [index] } = candidate;
+        if (index === undefined || suspectPlacement.hasTrial(ledger)) {
+            return;
+        }
+        const eligible = eligibleWorkersFor(candidate);
+        const worker = eligible.choose(taskOf(candidate, index));
+        if (worker === undefined) {
+            logWait(candidate, () => countExcluded(candidate, index, eligible));
+            return;
+        }
+        startOne(candidate, index, worker);
+    };
     /** Whether a spare-CPU step with these requirements that needs no more found no worker a short time ago. */
     const hasSearchedInVain = (requirements: string, step: Step): boolean => {
         const search = failedSearches.get(requirements);
         return search !== undefined && isAtLeastAsLarge(step, search.step);
     };
     const startTasks = (candidate: StageCandidate): void => {
-        const { stage: { step, record }, urgency } = candidate;
+        const { stage: { step, record }, urgency, isSuspect } = candidate;
+        if (isSuspect) {
+            startSuspect(candidate);
+            return;
+        }
         const isLeaving = urgency.lasting === "leaving";
         const indices = step.isLasting && !isLeaving ? startOnPlaces(candidate) : candidate.indices;
         if (indices.length === 0) {
@@ -568,6 +619,7 @@
             replacementPlaces.releaseUnneeded(isPlaceNeeded);
             const candidates = findCandidates();
             admission.beginPass(candidates);
+            suspectPlacement.beginPass();
             reservations.beginPass();
             for (const candidate of candidates) {
                 if (candidate.stage.step.isGang) {
--- a/packages/workflow/src/cell/stranded-tasks.ts
+++ b/packages/workflow/src/cell/stranded-tasks.ts
@@ -54,7 +54,10 @@
                 taskName({ job: ledger.workflow.id, occurrence, step: stepIndex, index });
             const isMovable = (index: number): boolean => {
                 const task = nameOf(index);
-                return constraintOf(task) === undefined && runRegistry.ofTask(task).length === 0;
+                const position = { occurrence, step: stepIndex, index };
+                // Another cell would not know how many workers have crashed under the task.
+                return constraintOf(task) === undefined && runRegistry.ofTask(task).length === 0
+                    && ledger.crashWeight(position) === 0;
             };
             const movable = (): readonly number[] => {
                 const waiting = ledger.isSettled() ? [] : [...record.waiting].filter(isMovable);
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -61,8 +61,11 @@
     readonly onReport: (session: WorkerSession, report: WorkerReport, sentAt: number, isFirst: boolean) => void;
     /** The worker has restarted, some `age` ms ago; its next report shows what runs there. */
     readonly onRestarted: (session: WorkerSession, age: number) => void;
-    /** Nothing that ran on the worker still runs: its leases have expired, or it has left or been replaced. */
-    readonly onLapsed: (session: WorkerSession) => void;
+    /**
+     * Nothing that ran on the worker still runs: its leases have expired, or it has left or been replaced. `hasCrashed`:
+     * its process has ended, and it had not announced that.
+     */
+    readonly onLapsed: (session: WorkerSession, hasCrashed: boolean) => void;
     /** The worker refused an order because it has seen a higher token, such as that of a later holder. */
     readonly onFenced: (session: WorkerSession) => void;
     /** The result of `contact` has changed. */
@@ -206,12 +209,12 @@
     const hasLeftAsAnnounced = (error: OrderError): boolean =>
         error.kind === "closed" && isUnlisted && entry.isDraining
         && performance.now() - entryAt > (entry.remaining ?? Infinity);
-    const markLapsed = (details: object): void => {
+    const markLapsed = (hasProcessEnded: boolean, details: object): void => {
         setContact("lapsed", details);
         resetIncarnation();
         bornAt = undefined;
         leaseExpiry = newLeaseExpiry(0);
-        events.onLapsed(session);
+        events.onLapsed(session, hasProcessEnded && !entry.isDraining);
     };
     /**
      * Whether another worker has answered at the address, which ends all runs of this one. The answer to a poll that
@@ -227,7 +230,7 @@
             return;
         }
         if (isReplaced(error, sentAt)) {
-            markLapsed({ error: error.kind, reason: "another worker answers at its address" });
+            markLapsed(true, { error: error.kind, reason: "another worker answers at its address" });
             return;
         }
         consecutiveFailures += 1;
@@ -242,7 +245,7 @@
         const isOver = hasLeft || performance.now() > leaseExpiry.expiresAt() + lapseMargin;
         if (isOver && (contact === "silent" || contact === "unknown")) {
             const reason = hasLeft ? "the worker left after its announced drain" : "no answer until its leases expired";
-            markLapsed({ error: error.kind, reason });
+            markLapsed(error.kind === "closed", { error: error.kind, reason });
         }
     };
     const applyReport = (report: WorkerReport, sentAt: number): void => {
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -46,10 +46,13 @@
 import type { SubmissionReply } from "./submission-reply.js";
 import { summarizeCell } from "./summarize-cell.js";
 import type { HolderRow } from "./take-cell.js";
+import { createTaskCrashes } from "./task-crashes.js";
 import { createTransferOffers } from "./transfer-offers.js";
 import type { TransferRoomRequest } from "./transfer-room.js";
 import { createUnansweredStartWriter } from "./unanswered-start-writer.js";
+import type { UnansweredStarts } from "./unanswered-starts.js";
 import { createUnansweredStarts } from "./unanswered-starts.js";
+import { createWorkerCrashes } from "./worker-crashes.js";
 import { createWorkerRoster } from "./worker-roster.js";
 import type { SessionEvents } from "./worker-session.js";
 import { createWorkflowIntake } from "./workflow-intake.js";
@@ -232,6 +235,17 @@
         logger,
         snapshot: unansweredStarts.snapshot,
     });
+    const workerCrashes = createWorkerCrashes(runRegistry);
+    const taskCrashes = createTaskCrashes({
+        isOwn: ledger => ledgers.get(ledger.workflow.id) === ledger,
+        writer,
+        stopWorkflow: (job, reason) => {
+            runController.stopWorkflow(job, reason);
+        },
+        logger,
+    });
+    const constraintOf: UnansweredStarts["constraintOf"] = task =>
+        taskCrashes.isGivenUp(task) ? "nowhere" : unansweredStarts.constraintOf(task);
     const absences = createLongRunningAbsences({ metrics });
     const runController = createRunController({
         epoch,
@@ -251,6 +265,8 @@
             recordEnd(end);
             absences.recordEnd(end.run);
         },
+        onCrash: taskCrashes.record,
+        workerCrashes,
         onChange: passWakeUp.notify,
         ticketOf: () => undefined,
         signal,
@@ -261,7 +277,7 @@
             ledgers: from.values(),
             runRegistry,
             isHeldBack,
-            constraintOf: unansweredStarts.constraintOf,
+            constraintOf,
         });
     const incomingTransfers = createIncomingTransfers({
         lease,
@@ -314,7 +330,8 @@
         isHeldBack,
         interference: interferenceController,
         replacementPlaces,
-        constraintOf: unansweredStarts.constraintOf,
+        workerCrashes,
+        constraintOf,
         hasFailedOn: (task, worker) => hasFailedOn(task, worker.session.id),
     });
     const runWatchdog = createRunWatchdog({
@@ -336,10 +353,11 @@
         },
         onRestarted: (session, age) => {
             unansweredStarts.recordRestart(session, age);
+            runController.recordRestart(session);
             health.removeWorker(session.id);
         },
-        onLapsed: session => {
-            runController.dropWorkerRuns(session);
+        onLapsed: (session, hasCrashed) => {
+            runController.dropWorkerRuns(session, hasCrashed);
             health.removeWorker(session.id);
         },
         onFenced: () => {
--- a/packages/workflow/src/ledger/step-record.ts
+++ b/packages/workflow/src/ledger/step-record.ts
@@ -4,6 +4,8 @@
     readonly done: Set<number>;
     /** Numbers of the runs that ended `failed`, by task index; a set, so that a repeated report counts once. */
     readonly failures: Map<number, Set<number>>;
+    /** Weights of the runs under which a worker crashed, by run number and task index; see `crashWeights`. */
+    readonly crashes: Map<number, Map<number, number>>;
     /** Newest checkpoint by task index. */
     readonly checkpoints: Map<number, string>;
     /** Indices of tasks that have neither a run nor an end, and that no other cell runs. */
@@ -28,6 +30,7 @@
 export const createStepRecord = (count: number): StepRecord => ({
     done: new Set(),
     failures: new Map(),
+    crashes: new Map(),
     checkpoints: new Map(),
     waiting: new Set(Array(count).keys()),
     transferred: new Set(),
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -53,6 +53,15 @@
      * task has `Queue.maxAttempts` failed runs; those of a gang count together.
      */
     readonly recordFailure: (position: TaskPosition, run: number) => void;
+    /**
+     * Records that a worker crashed under a run, with one of `crashWeights`, once for each number `run`. The workflow
+     * fails when the weights of a task reach `crashLimit`; those of a gang count together.
+     */
+    readonly recordCrash: (position: TaskPosition, run: number, weight: number) => void;
+    /** Sum of the weights of the crashes under a task; 0 if it is not suspected to crash workers. */
+    readonly crashWeight: (position: TaskPosition) => number;
+    /** Records that the task does not crash its worker, which clears it of earlier crashes. */
+    readonly clearCrashes: (position: TaskPosition) => void;
     /** Records the newest checkpoint of the task, which is stored with the next change that raises the revision. */
     readonly recordCheckpoint: (position: TaskPosition, checkpoint: string) => void;
     readonly recordCancellation: () => void;
@@ -83,6 +92,11 @@
     readonly revision: () => number;
 }
 
+/** Weights of a crash under a run: other runs may have crashed the worker, or no other run may have. */
+export const crashWeights = { shared: 1, only: 2 } as const;
+/** Sum of weights at which a task is given up: two crashes if one can have no other cause, else three. */
+export const crashLimit = 3;
+
 const stageKey = (occurrence: number, stepIndex: number): string => `${String(occurrence)}.${String(stepIndex)}`;
 
 /** Creates the ledger of a workflow, from its stored progress where it has any. */
@@ -138,6 +152,7 @@
         record.waiting.delete(index);
         record.checkpoints.delete(index);
         record.failures.delete(index);
+        record.crashes.delete(index);
         if (isNew && record.done.size === step.count) {
             remainingSteps -= 1;
         }
@@ -148,6 +163,13 @@
         record?.transferred.add(task.index);
         transfers.set(cell, [...transfers.get(cell) ?? [], task]);
     };
+    /** Index under which failures and crashes are counted. */
+    const countedIndex = ({ step }: Stage, { index }: TaskPosition): number => step.isGang ? 0 : index;
+    const crashWeight = (position: TaskPosition): number => {
+        const stage = stageOf(position);
+        const weights = stage?.record.crashes.get(countedIndex(stage, position));
+        return [...weights?.values() ?? []].reduce((sum, weight) => sum + weight, 0);
+    };
     const isTransferred = (position: TaskPosition): boolean =>
         stageOf(position)?.record.transferred.has(position.index) ?? false;
     const isDue = (occurrence: number, now: number): boolean =>
@@ -163,6 +185,7 @@
                 markDone(stage, index);
             });
             row.failures.forEach(([index, runs]) => stage.record.failures.set(index, new Set(runs)));
+            row.crashes.forEach(([index, runs]) => stage.record.crashes.set(index, new Map(runs)));
             row.checkpoints.forEach(([index, checkpoint]) => stage.record.checkpoints.set(index, checkpoint));
             row.lastRuns.forEach(([index, lastRun]) => stage.record.lastRuns.set(index, lastRun));
         }
@@ -232,7 +255,7 @@
             if (stage === undefined || stage.step.isLasting) {
                 return;
             }
-            const index = stage.step.isGang ? 0 : position.index;
+            const index = countedIndex(stage, position);
             const runs = stage.record.failures.get(index) ?? new Set();
             if (runs.has(run)) {
                 return;
@@ -241,6 +264,22 @@
             isFailed ||= runs.size >= queue.maxAttempts;
             raiseRevision();
         },
+        recordCrash: (position, run, weight) => {
+            const stage = stageOf(position);
+            if (stage === undefined || stage.record.done.has(position.index)) {
+                return;
+            }
+            const index = countedIndex(stage, position);
+            const weights = stage.record.crashes.get(index) ?? new Map<number, number>();
+            stage.record.crashes.set(index, weights.set(run, weight));
+            isFailed ||= crashWeight(position) >= crashLimit;
+            raiseRevision();
+        },
+        crashWeight,
+        clearCrashes: position => {
+            const stage = stageOf(position);
+            stage?.record.crashes.delete(countedIndex(stage, position));
+        },
         recordCheckpoint: (position, checkpoint) => {
             stageOf(position)?.record.checkpoints.set(position.index, checkpoint);
         },
@@ -303,6 +342,7 @@
                 step: stepIndex,
                 done: [...record.done],
                 failures: [...record.failures].map(([index, runs]) => [index, [...runs]]),
+                crashes: [...record.crashes].map(([index, weights]) => [index, [...weights]]),
                 checkpoints: [...record.checkpoints],
                 lastRuns: [...record.lastRuns],
             })),
--- a/packages/workflow/src/ledger/workflow-progress.ts
+++ b/packages/workflow/src/ledger/workflow-progress.ts
@@ -20,6 +20,8 @@
         done: z.array(z.int()),
         /** Numbers of failed runs by task index. */
         failures: pairs(z.array(z.int())),
+        /** Runs under which a worker crashed, with their weights, by task index. */
+        crashes: pairs(z.array(z.tuple([z.int(), z.int()]))).default([]),
         /** Newest checkpoint by task index. */
         checkpoints: pairs(z.string()),
         /** Numbers of the last runs of tasks that other cells have given back, by task index. */
--- a/packages/workflow/tests/adopted-run.test.ts
+++ b/packages/workflow/tests/adopted-run.test.ts
@@ -51,6 +51,8 @@
             onRunConfirmed: () => undefined,
             onRunRemoved: () => undefined,
             onChange: () => undefined,
+            onCrash: () => undefined,
+            workerCrashes: { record: () => [] },
             ticketOf: () => undefined,
             signal: createStopSignal().signal,
         });
--- a/packages/workflow/tests/run-controller.test.ts
+++ b/packages/workflow/tests/run-controller.test.ts
@@ -40,6 +40,8 @@
                 onRunConfirmed: () => undefined,
                 onRunRemoved: () => undefined,
                 onChange: () => undefined,
+                onCrash: () => undefined,
+                workerCrashes: { record: () => [] },
                 ticketOf: () => undefined,
                 signal: createStopSignal().signal,
             });
--- a/packages/workflow/tests/start-without-answer.test.ts
+++ b/packages/workflow/tests/start-without-answer.test.ts
@@ -66,6 +66,8 @@
             onRunConfirmed: () => undefined,
             onRunRemoved: () => undefined,
             onChange: () => undefined,
+            onCrash: () => undefined,
+            workerCrashes: { record: () => [] },
             ticketOf: () => undefined,
             signal: createStopSignal().signal,
         });
@@ -80,7 +82,7 @@
 
     // Guards against a task that runs in two places: its worker was given up before the start counted as unanswered.
     it("is known as unanswered also if its worker was given up meanwhile", async () => {
-        controller.dropWorkerRuns(session);
+        controller.dropWorkerRuns(session, false);
         noAnswer();
         await jest.advanceTimersByTimeAsync(10);
         expect(unansweredStarts.constraintOf(task)).toBe(worker);
--- a/packages/workflow/tests/test-cell.ts
+++ b/packages/workflow/tests/test-cell.ts
@@ -161,6 +161,7 @@
         hasFailedOn: () => false,
         constraintOf: task => constrainedTasks.has(task) ? "nowhere" : constraintOf(task),
         replacementPlaces,
+        workerCrashes: { isRecent: () => false },
         interference,
     });
     return {
