Store the roster when a worker's capacity changes

What would happen: a worker that shrinks and doesn't guard its capacity gets more than it has room for (LIMIT), if the cell's holder is lost long after and the successor can't read the list of workers: the roster that it loads still had the old capacity.

Cause: the roster was written again only for a worker that is new, drains or is gone.

Change: also for one with another capacity, before anything else is started by it elsewhere.

Tests: shrinking-worker.test.ts. With the list unreadable after a takeover 8 tasks ran where 3 have room before, 3 now. That a holder itself follows a shrink within 2.5 s, and starts more again after it has grown, held before.

--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -65,14 +65,14 @@
     const list = createWorkerList({ store, directory });
     const { isOwn, mayInterfere, lateOrderDetector, inheritedLeasesUntil, onChange } = options;
     const { cell, epoch } = lease;
-    /** Whether each worker on the roster is stored as draining. */
-    const drainingById = new Map<WorkerId, boolean>();
+    /** The entries of the workers on the roster, as they are stored. */
+    const storedEntries = new Map<WorkerId, WorkerEntry>();
     let rosterVersion = 0;
     /** Whether the last write of the roster is known to have succeeded. */
     let isRosterStored = true;
 
     const addWorker = (entry: WorkerEntry): void => {
-        const isNew = !drainingById.has(entry.id);
+        const isNew = !storedEntries.has(entry.id);
         const sessionStop = createStopSignal(signal);
         const session = createWorkerSession({
             entry,
@@ -132,21 +132,29 @@
     /** A worker that is no longer listed is stored as draining, so that the next holder starts nothing on it either. */
     const storedEntry = (worker: CellWorker): WorkerEntry =>
         isListed(worker) ? worker.session.entry() : { ...worker.session.entry(), isDraining: true };
+    /** Whether the roster has what a later holder has to know of the worker before it starts anything there. */
+    const isStored = ({ id, isDraining, capacity }: WorkerEntry): boolean => {
+        const stored = storedEntries.get(id);
+        return stored !== undefined
+            && stored.isDraining === isDraining
+            && stored.capacity.cpu === capacity.cpu
+            && stored.capacity.memory === capacity.memory
+            && stored.capacity.accelerators === capacity.accelerators;
+    };
     const writeRoster = async (): Promise<void> => {
         const members = [...workers.values()].filter(worker =>
             worker.unlistedSince === undefined || runRegistry.ofWorker(worker.session.id).size > 0
             || worker.session.contact() !== "lapsed"
         );
         const entries = members.map(storedEntry);
-        const isUnchanged = entries.every(({ id, isDraining }) => drainingById.get(id) === isDraining)
-            && entries.length === drainingById.size;
+        const isUnchanged = entries.every(isStored) && entries.length === storedEntries.size;
         if (isRosterStored && isUnchanged) {
             return;
         }
         isRosterStored = false;
         // An unanswered write may have removed them; if they return, they have to be stored again before any start.
         const memberIds = new Set(entries.map(({ id }) => id));
-        [...drainingById.keys()].filter(id => !memberIds.has(id)).forEach(id => drainingById.delete(id));
+        [...storedEntries.keys()].filter(id => !memberIds.has(id)).forEach(id => storedEntries.delete(id));
         const key = rowKeys.roster(cell);
         const recordProof = lease.trackCall();
         const written = await store.commit({
@@ -166,25 +174,23 @@
         recordProof();
         rosterVersion = written.value;
         isRosterStored = true;
-        drainingById.clear();
-        entries.forEach(({ id, isDraining }) => drainingById.set(id, isDraining));
+        storedEntries.clear();
+        entries.forEach(entry => storedEntries.set(entry.id, entry));
         for (const [id, worker] of workers) {
-            worker.isOnRoster = drainingById.has(id);
+            worker.isOnRoster = storedEntries.has(id);
         }
-        logger.info({ cell, epoch, workers: drainingById.size }, "roster written");
+        logger.info({ cell, epoch, workers: storedEntries.size }, "roster written");
         onChange();
     };
     return {
         inherit: ({ roster, rosterVersion: version }) => {
             rosterVersion = version;
-            roster.forEach(entry => {
-                drainingById.set(entry.id, entry.isDraining);
-            });
+            roster.forEach(entry => storedEntries.set(entry.id, entry));
             roster.forEach(addWorker);
         },
         hasUnknownWorkers: () =>
             [...workers.values()].some(({ session }) =>
-                drainingById.has(session.id) && session.contact() === "unknown"
+                storedEntries.has(session.id) && session.contact() === "unknown"
             ),
         run: async stopSignal => {
             while (!stopSignal.aborted) {
