--- a/packages/world/src/index.ts
+++ b/packages/world/src/index.ts
@@ -30,6 +30,7 @@
 export * from "./util/count-indices.js";
 export * from "./util/count-unsettled-tasks.js";
 export * from "./util/has-index.js";
+export * from "./util/is-socket-address.js";
 export * from "./util/locate-toml-key.js";
 export * from "./util/rendezvous-rank.js";
 export * from "./util/resources-arithmetic.js";
