Ignore rows of entry hosts with impossible addresses and figures

An address with port 99999 makes the connection to that peer throw, in the loop that sends heartbeats to all; a negative number of processors would rank the host first for every cell.

Change: rows are decoded by a schema: an address with a valid port, at most 60 s of store delay, a positive number of processors.

Test: host-registry.test.ts, five more rows; four of them were taken for hosts before.

--- a/packages/workflow/src/peer/host-registry.ts
+++ b/packages/workflow/src/peer/host-registry.ts
@@ -1,6 +1,7 @@
 import type { FailureDomainId, HostId } from "@jayfront/world";
-import { sleep } from "@jayfront/world";
+import { isSocketAddress, sleep } from "@jayfront/world";
 import type { Logger } from "pino";
+import { z } from "zod";
 
 import { rowKeys } from "../cell/row-keys.js";
 import type { StateStore, StoredRow } from "../port/state-store.js";
@@ -58,15 +59,27 @@
 const removalInterval = 2_500;
 /** Share of peers with failing calls above which this host considers itself isolated and removes no peer. */
 const isolationShare = 0.5;
+/** Milliseconds that a store may take to answer, in a valid row. */
+const largestStoreDelay = 60_000;
+/** Processor cores of a host, in a valid row. */
+const largestProcessors = 10_000;
 
-/** Values of fields that rows written by an earlier release lack. */
-const defaults: Pick<EntryHostRecord, "processors"> = { processors: 1 };
+/** Schema of a host's row. Numbers that are not plausible would decide which host takes a cell. */
+const hostRow = z.object({
+    id: z.string().transform(value => value as HostId),
+    failureDomain: z.string().transform(value => value as FailureDomainId),
+    peerAddress: z.string().refine(isSocketAddress),
+    incarnation: z.string(),
+    storeDelay: z.number().min(0).max(largestStoreDelay),
+    /** Rows written by an earlier release lack it. */
+    processors: z.number().positive().max(largestProcessors).default(1),
+});
 
 /** Decodes a row; undefined if it is not a valid record. */
 const decode = (row: StoredRow): EntryHostRecord | undefined => {
     try {
-        const record: EntryHostRecord = { ...defaults, ...JSON.parse(row.value) as EntryHostRecord };
-        return typeof record.peerAddress === "string" && record.id === row.key ? record : undefined;
+        const record = hostRow.parse(JSON.parse(row.value));
+        return record.id === row.key ? record : undefined;
     }
     catch {
         return undefined;
--- a/packages/workflow/tests/host-registry.test.ts
+++ b/packages/workflow/tests/host-registry.test.ts
@@ -93,8 +93,18 @@
         expect(writes).toEqual(["a", "a", "a"]);
     });
 
-    // Guards against a process that crashes because of one invalid row.
-    it.each(["{", "null", "[]", JSON.stringify({ id: "d" })])("ignores a row that holds %s", async value => {
+    // Guards against a process that crashes, or sends no heartbeats any more, because of one invalid row.
+    it.each([
+        "{",
+        "null",
+        "[]",
+        "[".repeat(10_000),
+        JSON.stringify({ id: "d" }),
+        JSON.stringify({ ...createHost("d"), peerAddress: "10.0.0.1:99999" }),
+        JSON.stringify({ ...createHost("d"), peerAddress: "zzz" }),
+        JSON.stringify({ ...createHost("d"), processors: -1 }),
+        JSON.stringify({ ...createHost("d"), storeDelay: 1e300 }),
+    ])("ignores a row that holds %s", async value => {
         put("d", value);
         await jest.advanceTimersByTimeAsync(3_000);
         put("e", JSON.stringify(createHost("e")));
