Go on to poll a worker after a report whose handling fails

Change: the error is logged with its worker, and the poll counts as unanswered, so that the next one follows.

Test: worker-session.test.ts, failed before (no poll after the report).

--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -311,6 +311,20 @@
         applyReport(report.value, sentAt);
         return true;
     };
+    /** As `poll`; an error in the handling of the answer must not end the polls of the worker. */
+    const pollSafely = async (wait: number): Promise<boolean> => {
+        try {
+            return await poll(wait);
+        }
+        catch (error) {
+            const stack = error instanceof Error ? error.stack : undefined;
+            logger.error(
+                { worker: entry.id, epoch, error: String(error), stack },
+                "the answer of a worker could not be handled; report it as a bug",
+            );
+            return false;
+        }
+    };
     /** Whether an unanswered start may still be carried out. */
     const isStartPending = (): boolean =>
         performance.now() < startPossibleUntil && lateOrderDetector.mayBeDelayed(unansweredStartAt);
@@ -432,7 +446,7 @@
                     : mayInterfere()
                     ? interferencePollWait
                     : pollWait;
-                const answered = poll(canWait ? longestWait : 0);
+                const answered = pollSafely(canWait ? longestWait : 0);
                 // An order that is lost or carried out late must not keep the next one from a new incarnation.
                 const wasAnswered = await (isStartPending()
                     ? Promise.race([answered, sleep(2 * pendingStartInterval, signal).then(() => false)])
--- a/packages/workflow/tests/worker-session.test.ts
+++ b/packages/workflow/tests/worker-session.test.ts
@@ -43,6 +43,8 @@
     let acknowledgementDelay: number | undefined;
     /** Milliseconds since each restart of the worker that the session has seen, as of that moment. */
     let restarts: number[];
+    /** Number of the next reports whose handling fails. */
+    let failingReports: number;
     let session: WorkerSession;
     const report = (bornAt: number): Result<WorkerReport, OrderError> =>
         Result.ok({ clock: 500_000 + performance.now(), bornAt, running: [], ended: [] });
@@ -64,6 +66,7 @@
         delays = [];
         acknowledgementDelay = undefined;
         restarts = [];
+        failingReports = 0;
         const lateOrderDetector = createLateOrderDetector();
         session = createWorkerSession({
             entry,
@@ -93,7 +96,12 @@
                 disconnect: () => undefined,
             },
             events: {
-                onReport: () => undefined,
+                onReport: () => {
+                    if (failingReports > 0) {
+                        failingReports -= 1;
+                        throw new Error("the report can't be handled");
+                    }
+                },
                 onRestarted: (...[, age]) => {
                     restarts.push(age);
                 },
@@ -118,6 +126,17 @@
         jest.useRealTimers();
     });
 
+    // Guards against a worker that is never polled again, because an error in the handling of one report ended its polls.
+    it("is polled again after a report that can't be handled", async () => {
+        failingReports = 1;
+        await jest.advanceTimersByTimeAsync(3_000);
+        const polls = tokens.length;
+        await jest.advanceTimersByTimeAsync(3_000);
+        expect(failingReports).toBe(0);
+        expect(tokens.length).toBeGreaterThan(polls);
+        expect(session.contact()).toBe("known");
+    });
+
     it("marks a worker as lapsed at once if it left as announced, regardless of its leases", async () => {
         session.setEntry({ ...entry, isDraining: true, remaining: 2_000 });
         await jest.advanceTimersByTimeAsync(2_100);
