--- a/packages/workflow/src/cell/task-crashes.ts
+++ b/packages/workflow/src/cell/task-crashes.ts
@@ -1,8 +1,8 @@
 import type { JobId } from "@jayfront/world";
 import type { Logger } from "pino";
 
+import { crashLimit } from "../ledger/crash-limit.js";
 import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
-import { crashLimit } from "../ledger/workflow-ledger.js";
 import type { TaskName } from "../model/task-name.js";
 import type { ProgressWriter } from "./progress-writer.js";
 import type { SuspectRun } from "./worker-crashes.js";
--- a/packages/workflow/src/cell/worker-crashes.ts
+++ b/packages/workflow/src/cell/worker-crashes.ts
@@ -1,4 +1,4 @@
-import { crashWeights } from "../ledger/workflow-ledger.js";
+import { crashWeights } from "../ledger/crash-weights.js";
 import type { RunRegistry } from "./run-registry.js";
 import type { Run } from "./run.js";
 import type { WorkerSession } from "./worker-session.js";
--- a/packages/workflow/src/entry/cell-manager.ts
+++ b/packages/workflow/src/entry/cell-manager.ts
@@ -11,10 +11,12 @@
 import type { StateStore } from "../port/state-store.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { CellClaims } from "./cell-claims.js";
+import type { CellLocation } from "./cell-location.js";
 import type { CellPlan } from "./cell-plan.js";
 import { createHolderProbe } from "./holder-probe.js";
-import type { CellLocation } from "./rank-hosts.js";
-import { holdingCost, isInRegionOf, rankHosts } from "./rank-hosts.js";
+import { holdingCost } from "./holding-cost.js";
+import { isInRegionOf } from "./is-in-region-of.js";
+import { rankHosts } from "./rank-hosts.js";
 
 /**
  * Decides which cells this host holds: takes cells that have no live holder, and hands over cells that other hosts can
--- a/packages/workflow/src/entry/rank-hosts.ts
+++ b/packages/workflow/src/entry/rank-hosts.ts
@@ -1,6 +1,10 @@
-import type { CellId, FailureDomainId, HostId } from "@jayfront/world";
+import type { FailureDomainId, HostId } from "@jayfront/world";
 import { rendezvousRank } from "@jayfront/world";
 
+import type { CellLocation } from "./cell-location.js";
+import { holdingCost } from "./holding-cost.js";
+import { isInRegionOf } from "./is-in-region-of.js";
+
 /** A host that may hold a cell. */
 export interface HostCandidate {
     readonly id: HostId;
@@ -13,32 +17,8 @@
     readonly heldCells: number;
 }
 
-/** The workers of a cell, as far as the choice of its holder depends on them. */
-export interface CellLocation {
-    readonly cell: CellId;
-    /** Failure domains of its workers. */
-    readonly failureDomains: readonly FailureDomainId[];
-    /** Regions by failure domain. */
-    readonly regions: Readonly<Record<string, string>>;
-}
-
 /** Milliseconds of store delay that make no difference to the rank; within a region the store answers in less. */
 const storeDelayStep = 15;
-/** Cost of a host in another failure domain than the cell's workers, as a multiple of that of one beside them. */
-const otherDomainFactor = 1.5;
-
-/** Whether the host is in the region of some of the cell's workers, so that its calls to them cross no slow link. */
-export const isInRegionOf = (
-    { failureDomains, regions }: CellLocation,
-    { failureDomain }: Pick<HostCandidate, "failureDomain">,
-): boolean => failureDomains.some(domain => domain === failureDomain || regions[domain] === regions[failureDomain]);
-
-/** Cells per processor core of a host that holds `cells` cells; higher outside the failure domains of the cell's workers. */
-export const holdingCost = (
-    { failureDomains }: CellLocation,
-    { failureDomain, processors }: Pick<HostCandidate, "failureDomain" | "processors">,
-    cells: number,
-): number => cells / processors * (failureDomains.includes(failureDomain) ? 1 : otherDomainFactor);
 
 /**
  * Ranks hosts in the order in which they should take a cell: hosts in its regions first, then by store delay, then by
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -3,6 +3,7 @@
 import type { Step } from "../model/step.js";
 import type { TaskNameParts } from "../model/task-name.js";
 import type { Workflow, WorkflowState } from "../model/workflow.js";
+import { crashLimit } from "./crash-limit.js";
 import type { StepRecord } from "./step-record.js";
 import { createStepRecord } from "./step-record.js";
 import type { TransferredTask } from "./transferred-task.js";
@@ -92,11 +93,6 @@
     readonly revision: () => number;
 }
 
-/** Weights of a crash under a run: other runs may have crashed the worker, or no other run may have. */
-export const crashWeights = { shared: 1, only: 2 } as const;
-/** Sum of weights at which a task is given up: two crashes if one can have no other cause, else three. */
-export const crashLimit = 3;
-
 const stageKey = (occurrence: number, stepIndex: number): string => `${String(occurrence)}.${String(stepIndex)}`;
 
 /** Creates the ledger of a workflow, from its stored progress where it has any. */
