Log the delay of the process beside each change of a cell's holder and each start that is not confirmed

The logs could not tell a silent store, peer or worker from a process that reads their answers late. The cell manager's timer of 150 ms now measures how late it runs; the longest delay of the last 3 s stands as processDelay beside cell taken, cell handed over, cell lost and start not confirmed, which also has the ms from the order. workers of the cell known tells how long a new holder took to load the cell, to its first pass and start, and to the last worker.

No decision uses the figure. Tests of packages/workflow and takeover pass (341).

--- a/packages/workflow/src/cell/cell-lease.ts
+++ b/packages/workflow/src/cell/cell-lease.ts
@@ -49,6 +49,8 @@
     readonly row: Pick<StoredRow, "version">;
     readonly store: StateStore;
     readonly logger: Logger;
+    /** See `ProcessDelay.recent`. */
+    readonly processDelay: () => number;
     /** Monotonic time in ms at which the call that took the cell was sent. */
     readonly takenAt: number;
     /** Called before each store call that can prove the lease; the returned function is called if it does. */
@@ -62,7 +64,7 @@
 
 /** Creates the lease of a cell that this host has just taken. */
 export const createCellLease = (options: CellLeaseOptions): CellLease => {
-    const { cell, epoch, row, store, logger, onSending, onLost } = options;
+    const { cell, epoch, row, store, logger, processDelay, onSending, onLost } = options;
     const key = rowKeys.holder(cell);
     let provenAt = options.takenAt;
     let isLost = false;
@@ -75,7 +77,13 @@
     const markLost = (reason: string): void => {
         if (!isLost) {
             isLost = true;
-            logger.warn({ cell, epoch, reason, provenAgo: Math.round(performance.now() - provenAt) }, "cell lost");
+            logger.warn({
+                cell,
+                epoch,
+                reason,
+                provenAgo: Math.round(performance.now() - provenAt),
+                processDelay: Math.round(processDelay()),
+            }, "cell lost");
             onLost(reason);
         }
     };
--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -62,6 +62,8 @@
     readonly unansweredStarts: UnansweredStarts;
     readonly runRegistry: RunRegistry;
     readonly writer: Pick<ProgressWriter, "request">;
+    /** See `ProcessDelay.recent`. */
+    readonly processDelay: () => number;
     readonly logger: Logger;
     readonly ledgerOf: (job: JobId) => WorkflowLedger | undefined;
     readonly sessionOf: (worker: WorkerId) => WorkerSession | undefined;
@@ -98,6 +100,7 @@
         unansweredStarts,
         runRegistry,
         writer,
+        processDelay,
         logger,
         ledgerOf,
         sessionOf,
@@ -208,7 +211,13 @@
             return;
         }
         const { kind, message } = result.error;
-        logger.info({ ...details, error: kind, message }, "start not confirmed");
+        logger.info({
+            ...details,
+            error: kind,
+            message,
+            took: Math.round(run.answeredAt - run.orderedAt),
+            processDelay: Math.round(processDelay()),
+        }, "start not confirmed");
         if (isUnanswered) {
             void settleUnanswered(run);
             return;
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -33,6 +33,7 @@
 import { createProgressWriter } from "./progress-writer.js";
 import { createQueueLookup } from "./queue-lookup.js";
 import { recordPace } from "./record-pace.js";
+import { createRecoveryMonitor } from "./recovery-monitor.js";
 import { createReplacementPlaces } from "./replacement-places.js";
 import { createRunController } from "./run-controller.js";
 import { createRunRegistry } from "./run-registry.js";
@@ -111,6 +112,8 @@
     readonly timing: CellTiming;
     readonly logger: Logger;
     readonly metrics: WorkflowMetrics;
+    /** See `ProcessDelay.recent`. */
+    readonly processDelay: () => number;
     readonly onLost: (reason: string) => void;
     readonly otherCells: OtherCells;
     /** Whether another host receives heartbeats of a holder of the cell with a later epoch. */
@@ -151,6 +154,7 @@
         timing,
         logger,
         metrics,
+        processDelay,
         onLost,
         onActive,
         otherCells,
@@ -173,12 +177,15 @@
     const inheritedLeasesUntil = options.takenAt
         + leaseDuration(timing) / (1 - timing.clockDrift) + timing.stopTime;
 
+    const recovery = createRecoveryMonitor({ cell, epoch, takenAt: options.takenAt, processDelay, logger });
+
     const lease: CellLease = createCellLease({
         cell,
         epoch,
         row,
         store,
         logger,
+        processDelay,
         takenAt: options.takenAt,
         onSending: () => {
             const proofCallbacks = [...workers.values()].map(worker => worker.session.beginProof());
@@ -252,12 +259,14 @@
         unansweredStarts,
         runRegistry,
         writer,
+        processDelay,
         logger,
         ledgerOf: id => ledgers.get(id) ?? incomingTransfers.ledgers.get(id),
         sessionOf: id => workers.get(id)?.session,
         onRunAdded: run => {
             workers.get(run.worker)?.resources.add(run.step);
             absences.recordStart(run);
+            recovery.record("firstStart");
         },
         onRunConfirmed: absences.recordConfirmation,
         onRunRemoved: end => {
@@ -402,8 +411,9 @@
     };
     /** Releases the inherited workflows once each worker of the roster has reported its runs or can't run anything. */
     const releaseInherited = (): void => {
-        if (inheritedJobs.size > 0 && !roster.hasUnknownWorkers()) {
+        if (!roster.hasUnknownWorkers()) {
             inheritedJobs.clear();
+            recovery.record("workersKnown");
         }
     };
     const isCapacityKnown = (): boolean => {
@@ -438,6 +448,7 @@
                 const startedAt = performance.now();
                 releaseInherited();
                 scheduler.runPass();
+                recovery.record("firstPass");
                 passDuration = performance.now() - startedAt;
                 passMonitor.recordPass(startedAt - dueAt, passDuration);
                 if (!hasReportedCapacity && isCapacityKnown()) {
@@ -493,6 +504,7 @@
             workers.get(worker)?.session.expectStart(orderedAt);
         });
         isActive = true;
+        recovery.record("loaded");
         logger.info({
             cell,
             epoch,
--- a/packages/workflow/src/entry/cell-manager.ts
+++ b/packages/workflow/src/entry/cell-manager.ts
@@ -9,6 +9,7 @@
 import type { EntryHostRecord, HostRegistry } from "../peer/host-registry.js";
 import type { WorkflowNetwork } from "../peer/workflow-network.js";
 import type { StateStore } from "../port/state-store.js";
+import type { ProcessDelay } from "../process/process-delay.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { CellClaims } from "./cell-claims.js";
 import type { CellLocation } from "./cell-location.js";
@@ -53,6 +54,7 @@
     readonly registry: HostRegistry;
     readonly claims: CellClaims;
     readonly metrics: WorkflowMetrics;
+    readonly processDelay: ProcessDelay;
     readonly logger: Logger;
     /** Opens a cell that this host has just taken. `takenAt`: monotonic time in ms at which the call was sent. */
     readonly openCell: (
@@ -111,6 +113,7 @@
         registry,
         claims,
         metrics,
+        processDelay,
         logger,
         openCell,
         onChange,
@@ -140,7 +143,14 @@
         }
         const previous = row.holder?.host;
         const epoch = taken.value.holder?.epoch;
-        logger.info({ cell, epoch, previous, reason, silentFor: silence(cell) }, "cell taken");
+        logger.info({
+            cell,
+            epoch,
+            previous,
+            reason,
+            silentFor: silence(cell),
+            processDelay: Math.round(processDelay.recent()),
+        }, "cell taken");
         metrics.cellChanges.inc({ change: "taken" });
         const opened = openCell(cell, taken.value, takenAt, () => {
             if (cells.get(cell) === opened) {
@@ -281,7 +291,14 @@
         for (const peer of await findPeersWithStore(ordered)) {
             const answer = await network.call(peer, "take-over", { cell: held.cell, epoch: held.epoch });
             if (answer.isOk && answer.value) {
-                logger.info({ cell: held.cell, epoch: held.epoch, to: peer.id, reason }, "cell handed over");
+                logger.info({
+                    cell: held.cell,
+                    epoch: held.epoch,
+                    to: peer.id,
+                    reason,
+                    provenAgo: Math.round(held.provenAgo()),
+                    processDelay: Math.round(processDelay.recent()),
+                }, "cell handed over");
                 metrics.cellChanges.inc({ change: "handed-over" });
                 release(held);
                 return true;
@@ -389,7 +406,7 @@
             }
             while (!signal.aborted) {
                 plan()?.cells.forEach(planned => void review(planned));
-                await sleep(reviewInterval, signal);
+                await processDelay.sleep(reviewInterval, signal);
             }
         },
         handOverAll: async () => {
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -20,6 +20,7 @@
 import type { StateStore } from "../port/state-store.js";
 import type { WorkerDirectory } from "../port/worker-directory.js";
 import type { WorkerGateway } from "../port/worker-gateway.js";
+import { createProcessDelay } from "../process/process-delay.js";
 import { createAdaptiveTimeoutStore } from "../store/adaptive-timeout-store.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import { createCellClaims } from "./cell-claims.js";
@@ -95,6 +96,7 @@
     const store = createAdaptiveTimeoutStore({ store: options.store, metrics });
     const stop = createStopSignal();
     const claims = createCellClaims();
+    const processDelay = createProcessDelay();
     const network: WorkflowNetwork = {
         ...options.network,
         call: async (host, kind, body) => {
@@ -140,6 +142,7 @@
         registry,
         claims,
         metrics,
+        processDelay,
         logger,
         openCell: (cell, row, takenAt, onLost) =>
             createWorkflowCell({
@@ -154,6 +157,7 @@
                 timing,
                 logger,
                 metrics,
+                processDelay: processDelay.recent,
                 onLost,
                 otherCells: otherCellsOf(cell),
                 hasSuccessor: epoch => cellManager.hasSuccessor(cell, epoch),
--- a/packages/workflow/tests/cell-lease.test.ts
+++ b/packages/workflow/tests/cell-lease.test.ts
@@ -38,6 +38,7 @@
             row: { version: 1 },
             store,
             logger: pino({ level: "silent" }),
+            processDelay: () => 0,
             takenAt: performance.now(),
             onSending: () => () => undefined,
             onLost: () => undefined,
--- a/packages/workflow/tests/run-controller.test.ts
+++ b/packages/workflow/tests/run-controller.test.ts
@@ -33,6 +33,7 @@
                 unansweredStarts: {} as UnansweredStarts,
                 runRegistry: createRunRegistry(),
                 writer: { request: () => undefined },
+                processDelay: () => 0,
                 logger: pino({ level: "silent" }),
                 ledgerOf: id => id === job ? ledger : undefined,
                 sessionOf: () => undefined,
--- a/packages/workflow/tests/start-without-answer.test.ts
+++ b/packages/workflow/tests/start-without-answer.test.ts
@@ -59,6 +59,7 @@
             unansweredStarts,
             runRegistry: createRunRegistry(),
             writer: { request: () => undefined },
+            processDelay: () => 0,
             logger: pino({ level: "silent" }),
             ledgerOf: () => ledger,
             sessionOf: () => session,
