--- a/packages/world/src/index.ts
+++ b/packages/world/src/index.ts
@@ -35,6 +35,7 @@
 export * from "./util/rendezvous-rank.js";
 export * from "./util/resources-arithmetic.js";
 export * from "./util/sleep.js";
+export * from "./util/start-answer-timeout.js";
 export * from "./util/stop-signal.js";
 export * from "./util/wake-up.js";
 export type * from "./worker.js";
