End a placement pass after 30 ms and go on in the next one

During a pass the holder sends no heartbeat and renews no lease, and answers that arrive are read only after the timers that wait for them have fired, so that peers take its cell and starts count as unanswered.

A pass now ends after 30 ms; the start or search in hand is completed. The next pass goes on with the steps that have not had their turn (PassRounds). Each pass first visits long-running tasks and urgent work in time, within half of its time, whether they had their turn or not, and then at least one other step, in order of urgency, so that none starves. The candidates are collected anew in each pass, since their workflows, workers and reservations may change in between. Passes that go on do not wait for a change, but pause as before, for twice the duration of the last pass. A change during a round leads to another round, as its notification is kept until the round is over. Reservations of workers are kept until the round ends; a task gives up its own when it has its turn. `placement passes` counts the passes that the next one goes on with.

The searches that found no worker moved to a file of their own, which asks once whether the step has a limit per worker.

--- a/packages/workflow/src/cell/pass-monitor.ts
+++ b/packages/workflow/src/cell/pass-monitor.ts
@@ -7,8 +7,11 @@
 
 /** Measures whether the holder of a cell keeps up with its work. */
 export interface PassMonitor {
-    /** Records a placement pass that began `delay` ms after it was due and took `duration` ms. */
-    readonly recordPass: (delay: number, duration: number) => void;
+    /**
+     * Records a placement pass that began `delay` ms after it was due and took `duration` ms. `isFinished`: whether all
+     * tasks have had their turn, so that no further pass goes on with the rest.
+     */
+    readonly recordPass: (delay: number, duration: number, isFinished: boolean) => void;
 }
 
 /** Options of {@link createPassMonitor}. */
@@ -28,6 +31,7 @@
     let loggedAt = performance.now();
     let utilization = processPerformance.eventLoopUtilization();
     let passes = 0;
+    let unfinished = 0;
     let passTime = 0;
     let longestPass = 0;
     let longestDelay = 0;
@@ -36,6 +40,7 @@
             cell,
             epoch,
             passes,
+            unfinished,
             passTime: Math.round(passTime),
             longestPass: Math.round(longestPass),
             longestDelay: Math.round(longestDelay),
@@ -45,15 +50,17 @@
         utilization = processPerformance.eventLoopUtilization();
         loggedAt = now;
         passes = 0;
+        unfinished = 0;
         passTime = 0;
         longestPass = 0;
         longestDelay = 0;
     };
     return {
-        recordPass: (delay, duration) => {
+        recordPass: (delay, duration, isFinished) => {
             metrics.passSeconds.observe({ part: "delay" }, Math.max(0, delay) / msPerSecond);
             metrics.passSeconds.observe({ part: "pass" }, duration / msPerSecond);
             passes += 1;
+            unfinished += isFinished ? 0 : 1;
             passTime += duration;
             longestPass = Math.max(longestPass, duration);
             longestDelay = Math.max(longestDelay, delay);
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -18,8 +18,11 @@
 import { canRunStep, isOpenTo, mayStartOn } from "./cell-workers.js";
 import type { EligibleWorkers, WorkerExclusions } from "./eligible-workers.js";
 import { createEligibleWorkers } from "./eligible-workers.js";
+import { createFailedSearches } from "./failed-searches.js";
 import type { InterferenceController, ServingSummary } from "./interference-controller.js";
 import { createLongRunningAdmission } from "./long-running-admission.js";
+import type { CandidateVisit } from "./pass-rounds.js";
+import { createPassRounds } from "./pass-rounds.js";
 import type { ReplacementPlace, ReplacementPlaces } from "./replacement-places.js";
 import type { RunController } from "./run-controller.js";
 import type { RunRegistry } from "./run-registry.js";
@@ -33,8 +36,11 @@
 
 /** Decides which waiting tasks start, and on which workers. */
 export interface StageScheduler {
-    /** Starts all waiting tasks that can start now, and keeps places for long-running tasks of draining workers. */
-    readonly runPass: () => void;
+    /**
+     * Starts waiting tasks that can start now, and keeps places for long-running tasks of draining workers, until
+     * `StageSchedulerOptions.passTime` is over; the next pass goes on. Returns whether all tasks have had their turn.
+     */
+    readonly runPass: () => boolean;
     /** Why a long-running task that has run before did not start in the last pass, with the figures that decide it. */
     readonly explainWait: (ledger: WorkflowLedger, position: TaskNameParts) => WaitExplanation;
 }
@@ -64,6 +70,8 @@
     readonly replacementPlaces: ReplacementPlaces;
     readonly workerCrashes: Pick<WorkerCrashes, "isRecent">;
     readonly interference: Pick<InterferenceController, "summarizeServing" | "slackWith" | "compatibleShareLoss">;
+    /** Milliseconds of a pass after which the next one goes on; see `PassRounds`. */
+    readonly passTime: number;
 }
 
 /** Properties that tell in the log what excludes the workers with room. */
@@ -87,8 +95,6 @@
 };
 const resourceNames = Object.keys(resourceChecks) as readonly (keyof typeof resourceChecks)[];
 
-const isAtLeastAsLarge = (step: Step, other: Step): boolean => step.cpu >= other.cpu && step.memory >= other.memory;
-
 const taskOf = ({ ledger, stage }: StageCandidate, index: number): TaskName =>
     taskName({ job: ledger.workflow.id, occurrence: stage.occurrence, step: stage.stepIndex, index });
 
@@ -113,12 +119,6 @@
 /** Multiple of its objective after which a workflow's result is useless, as the users define it. */
 const uselessFactor = 3;
 
-/**
- * Milliseconds after which spare-CPU tasks that found no worker look for one again. All workers have room for them, so
- * that each search inspects all workers.
- */
-const spareCpuRetryInterval = 150;
-
 /** Minimum milliseconds between two log lines on why a step waits; the cause seldom changes sooner. */
 const waitLogInterval = 2_000;
 
@@ -139,6 +139,7 @@
         replacementPlaces,
         workerCrashes,
         interference,
+        passTime,
     } = options;
 
     const admission = createLongRunningAdmission({ workers, runRegistry, constraintOf });
@@ -148,15 +149,13 @@
         runTimeOf: ({ ledger, step, position }) => runTime(ledger.workflow.id, queueOf(ledger), step, position.step),
     });
     const suspectPlacement = createSuspectPlacement(runRegistry, workerCrashes);
-    /** Spare-CPU steps that found no worker, by `requirementsOf`, with the monotonic time in ms of the search. */
-    const failedSearches = new Map<string, { readonly step: Step; readonly at: number; }>();
+    const failedSearches = createFailedSearches();
+    const rounds = createPassRounds(passTime);
     // The following caches are valid for one pass.
     /** Summaries of the serving tasks by worker. */
     const summaries = new Map<WorkerId, ServingSummary>();
     /** Workers that accept new tasks, by service. */
     const openWorkers = new Map<ServiceId, readonly CellWorker[]>();
-    /** Stages that found no worker, by the requirements of their steps except the size. */
-    const blockedStages = new Map<string, StageCandidate>();
 
     const runTimesOf = (ledger: WorkflowLedger, queue: Queue) => (step: Step, number: number): number =>
         runTime(ledger.workflow.id, queue, step, number);
@@ -497,10 +496,6 @@
             }
         }
     };
-    /** Key of a step's requirements on workers, except its size. */
-    const requirementsOf = ({ queue, stage: { step }, isSuspect }: StageCandidate): string =>
-        [queue.service, isSuspect, step.requiredLabel, step.usesSpareCpu, step.isLasting, step.image, step.accelerators]
-            .join(" ");
     /** Starts one task that is suspected to crash workers, unless another one of the workflow is being tried. */
     const startSuspect = (candidate: StageCandidate): void => {
         const { ledger, indices: [index] } = candidate;
@@ -515,34 +510,30 @@
         }
         startOne(candidate, index, worker);
     };
-    /** Whether a spare-CPU step with these requirements that needs no more found no worker a short time ago. */
-    const hasSearchedInVain = (requirements: string, step: Step): boolean => {
-        const search = failedSearches.get(requirements);
-        return search !== undefined && isAtLeastAsLarge(step, search.step);
-    };
-    const startTasks = (candidate: StageCandidate): void => {
-        const { stage: { step, record }, urgency, isSuspect } = candidate;
-        if (isSuspect) {
-            startSuspect(candidate);
-            return;
-        }
-        const isLeaving = urgency.lasting === "leaving";
-        const indices = step.isLasting && !isLeaving ? startOnPlaces(candidate) : candidate.indices;
-        if (indices.length === 0) {
-            return;
-        }
-        const requirements = requirementsOf(candidate);
-        const blocked = blockedStages.get(requirements);
-        if (blocked !== undefined && isAtLeastAsLarge(step, blocked.stage.step)) {
+    /** Whether tasks of the candidate must not search, since others that need no more found no worker. */
+    const isSearchInVain = (candidate: StageCandidate, indices: readonly number[]): boolean => {
+        const { record } = candidate.stage;
+        const blocker = failedSearches.blockerOf(candidate);
+        if (blocker !== undefined) {
             record.noRoomSince ??= performance.now();
-            logWait(candidate, () => ({ blockedBy: stageName(blocked) }));
+            logWait(candidate, () => ({ blockedBy: stageName(blocker) }));
             reserveWorkers(candidate, indices);
-            return;
+            return true;
         }
-        if (hasSearchedInVain(requirements, step)) {
+        if (failedSearches.isTooEarly(candidate)) {
             record.noRoomSince ??= performance.now();
-            return;
+            return true;
         }
+        return false;
+    };
+    /** Starts or keeps places for tasks that need no particular worker; see `CandidateVisit`. */
+    const placeTasks = (
+        candidate: StageCandidate,
+        indices: readonly number[],
+        isTimeOver: () => boolean,
+    ): boolean => {
+        const { stage: { record }, urgency } = candidate;
+        const place = urgency.lasting === "leaving" ? keepPlace : startOne;
         let eligibleWorkers: EligibleWorkers | undefined;
         let constrainedIndex: number | undefined;
         for (const [position, index] of indices.entries()) {
@@ -551,7 +542,7 @@
                 const hasRoom = admission.hasRoomForTwo(candidate);
                 record.noRoomSince = hasRoom ? undefined : record.noRoomSince ?? performance.now();
                 logWait(candidate, () => countExcluded(candidate, index, eligibleWorkersFor(candidate)));
-                return;
+                return true;
             }
             const eligible = eligibleWorkers ??= eligibleWorkersFor(candidate);
             const worker = eligible.choose(taskOf(candidate, index));
@@ -561,17 +552,15 @@
             }
             if (worker === undefined) {
                 record.noRoomSince ??= performance.now();
-                if (step.perWorkerLimit === undefined) {
-                    blockedStages.set(requirements, candidate);
-                }
-                if (step.perWorkerLimit === undefined && step.usesSpareCpu) {
-                    failedSearches.set(requirements, { step, at: performance.now() });
-                }
+                failedSearches.record(candidate);
                 logWait(candidate, () => countExcluded(candidate, index, eligible));
                 reserveWorkers(candidate, indices.slice(position));
-                return;
+                return true;
+            }
+            place(candidate, index, worker);
+            if (position + 1 < indices.length && isTimeOver()) {
+                return false;
             }
-            (isLeaving ? keepPlace : startOne)(candidate, index, worker);
             eligible.refresh(worker);
         }
         if (constrainedIndex !== undefined && eligibleWorkers !== undefined) {
@@ -579,6 +568,25 @@
             const eligible = eligibleWorkers;
             logWait(candidate, () => countExcluded(candidate, index, eligible));
         }
+        return true;
+    };
+    const visitCandidate: CandidateVisit = (candidate, isTimeOver) => {
+        const { stage: { step }, urgency, isSuspect } = candidate;
+        if (step.isGang) {
+            startGang(candidate);
+            return true;
+        }
+        if (isSuspect) {
+            startSuspect(candidate);
+            return true;
+        }
+        if (step.isLasting) {
+            candidate.indices.forEach(index => {
+                reservations.release(taskOf(candidate, index));
+            });
+        }
+        const indices = step.isLasting && urgency.lasting !== "leaving" ? startOnPlaces(candidate) : candidate.indices;
+        return indices.length === 0 || isSearchInVain(candidate, indices) || placeTasks(candidate, indices, isTimeOver);
     };
     const explainWait: StageScheduler["explainWait"] = (ledger, position) => {
         const stage = ledger.stage(position);
@@ -610,25 +618,14 @@
         runPass: () => {
             summaries.clear();
             openWorkers.clear();
-            blockedStages.clear();
-            for (const [requirements, { at }] of failedSearches) {
-                if (performance.now() - at >= spareCpuRetryInterval) {
-                    failedSearches.delete(requirements);
-                }
-            }
+            failedSearches.beginPass();
             replacementPlaces.releaseUnneeded(isPlaceNeeded);
             const candidates = findCandidates();
             admission.beginPass(candidates);
             suspectPlacement.beginPass();
-            reservations.beginPass();
-            for (const candidate of candidates) {
-                if (candidate.stage.step.isGang) {
-                    startGang(candidate);
-                }
-                else {
-                    startTasks(candidate);
-                }
-            }
+            reservations.beginPass(rounds.isUnfinished());
+            rounds.visit(candidates, visitCandidate);
+            return !rounds.isUnfinished();
         },
     };
 };
--- a/packages/workflow/src/cell/worker-reservations.ts
+++ b/packages/workflow/src/cell/worker-reservations.ts
@@ -10,13 +10,18 @@
 
 /** Reserves workers for waiting long-running tasks: nothing else starts there until the task fits. */
 export interface WorkerReservations {
-    /** Starts a new pass without reservations; those of the last pass are preferred when they are made again. */
-    readonly beginPass: () => void;
-    /** Reserves one of `candidates` for the rest of the pass: that of the last pass, unless another has room sooner. */
+    /**
+     * Starts a new pass. The reservations are kept if it continues a round (see `PassRounds`); otherwise all are given
+     * up, and those of the last round are preferred when they are made again.
+     */
+    readonly beginPass: (isContinued?: boolean) => void;
+    /** Reserves one of `candidates` for the rest of the round: that of the last one, unless another has room sooner. */
     readonly reserve: (task: TaskName, step: Step, candidates: readonly CellWorker[]) => void;
-    /** Whether the worker has been reserved in this pass. */
+    /** Gives up the task's reservation, so that it can start on any worker or reserve one anew. */
+    readonly release: (task: TaskName) => void;
+    /** Whether the worker has been reserved in this round. */
     readonly isReserved: (worker: CellWorker) => boolean;
-    /** Whether no more workers may be reserved in this pass. */
+    /** Whether no more workers may be reserved in this round. */
     readonly isFull: () => boolean;
     /** Has to be called after each start in the pass, since it changes when the worker has room. */
     readonly recordStart: (worker: CellWorker) => void;
@@ -43,7 +48,7 @@
 export const createWorkerReservations = (
     { workers, runRegistry, runTimeOf }: WorkerReservationsOptions,
 ): WorkerReservations => {
-    /** Reservations of the last pass. */
+    /** Reservations of the last round, and of this one as far as they were released since. */
     let previous = new Map<TaskName, WorkerId>();
     let reserved = new Map<TaskName, WorkerId>();
     let reservedWorkers = new Set<WorkerId>();
@@ -77,11 +82,13 @@
     const isReserved = (worker: CellWorker): boolean => reservedWorkers.has(worker.session.id);
     const isFull = (): boolean => reservedWorkers.size >= Math.max(1, Math.floor(workers.size * maxReservedShare));
     return {
-        beginPass: () => {
-            previous = reserved;
-            reserved = new Map();
-            reservedWorkers = new Set();
+        beginPass: (isContinued = false) => {
             described.clear();
+            if (!isContinued) {
+                previous = reserved;
+                reserved = new Map();
+                reservedWorkers = new Set();
+            }
         },
         reserve: (task, step, candidates) => {
             if (isFull()) {
@@ -99,6 +106,14 @@
             reserved.set(task, id);
             reservedWorkers.add(id);
         },
+        release: task => {
+            const id = reserved.get(task);
+            if (id !== undefined) {
+                previous.set(task, id);
+                reserved.delete(task);
+                reservedWorkers.delete(id);
+            }
+        },
         isReserved,
         isFull,
         recordStart: worker => {
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -130,6 +130,8 @@
 const failingStoreInterval = 200;
 /** Milliseconds for which changes are collected before a placement pass. */
 const passBatchDelay = 15;
+/** Milliseconds after which a placement pass ends and the next one goes on, so that heartbeats are sent in between. */
+const passTime = 30;
 /** Multiple of a pass's duration for which other work comes first, so that passes take at most a third of the time. */
 const passPauseFactor = 2;
 /** Milliseconds after which a placement pass runs even without a change, for work that becomes due with time. */
@@ -342,6 +344,7 @@
         workerCrashes,
         constraintOf,
         hasFailedOn: (task, worker) => hasFailedOn(task, worker.session.id),
+        passTime,
     });
     const runWatchdog = createRunWatchdog({
         runRegistry,
@@ -438,19 +441,22 @@
         let reviewedAt = performance.now();
         let hasReportedCapacity = false;
         let passDuration = 0;
+        let hasFinishedRound = true;
         const passMonitor = createPassMonitor({ cell, epoch, metrics, logger });
         while (!signal.aborted) {
-            await passWakeUp.wait(passInterval, signal);
+            if (hasFinishedRound) {
+                await passWakeUp.wait(passInterval, signal);
+            }
             const delay = Math.max(passBatchDelay, passDuration * passPauseFactor);
             const dueAt = performance.now() + delay;
             await sleep(delay, signal);
             if (!signal.aborted) {
                 const startedAt = performance.now();
                 releaseInherited();
-                scheduler.runPass();
+                hasFinishedRound = scheduler.runPass();
                 recovery.record("firstPass");
                 passDuration = performance.now() - startedAt;
-                passMonitor.recordPass(startedAt - dueAt, passDuration);
+                passMonitor.recordPass(startedAt - dueAt, passDuration, hasFinishedRound);
                 if (!hasReportedCapacity && isCapacityKnown()) {
                     hasReportedCapacity = true;
                     options.onCapacityKnown();
--- a/packages/workflow/src/policy/urgency.ts
+++ b/packages/workflow/src/policy/urgency.ts
@@ -40,6 +40,12 @@
     return expiryLaxity >= 0 ? 5 : 6;
 };
 
+/** The last class that goes before other work; see {@link rankOf}. */
+const lastRankBeforeOtherWork = 3;
+
+/** Whether the task is long-running, or urgent and in time, so that it goes before all other work. */
+export const isBeforeOtherWork = (urgency: Urgency): boolean => rankOf(urgency) <= lastRankBeforeOtherWork;
+
 /** Compares for an ascending sort in which the more urgent comes first: by class, then priority, then laxity. */
 export const compareUrgency = (left: Urgency, right: Urgency): number =>
     rankOf(left) - rankOf(right)
--- a/packages/workflow/tests/placement-faults.test.ts
+++ b/packages/workflow/tests/placement-faults.test.ts
@@ -59,7 +59,7 @@
         reservations.reserve(waiting, step, [...workers.values()]);
         return [...workers.values()].filter(reservations.isReserved).map(({ session }) => session.id);
     };
-    return { startRun, reserveIn };
+    return { startRun, reserveIn, reservations, workers };
 };
 
 // Guards against reserving a worker on which the task can't start, or starts later than on others.
@@ -98,6 +98,32 @@
     });
 });
 
+// Guards against a reservation that is forgotten between the passes of a round, so that other tasks take the room for
+// which a long-running task waits before it has its turn again.
+describe("a reserved worker, when a pass ends before all steps had their turn", () => {
+    const reserveOne = () => {
+        const { startRun, reserveIn, reservations, workers } = setUp({ busy: 0 });
+        startRun("busy", createStep({ count: 1, cpu: 12_000 }), 1);
+        expect(reserveIn(longRunning)).toEqual(["busy"]);
+        return { reservations, isReserved: () => [...workers.values()].some(reservations.isReserved) };
+    };
+
+    it("stays reserved in the passes that go on", () => {
+        const { reservations, isReserved } = reserveOne();
+        reservations.beginPass(true);
+        expect(isReserved()).toBe(true);
+        reservations.beginPass();
+        expect(isReserved()).toBe(false);
+    });
+
+    it("is released when the task has its turn again", () => {
+        const { reservations, isReserved } = reserveOne();
+        reservations.beginPass(true);
+        reservations.release(waiting);
+        expect(isReserved()).toBe(false);
+    });
+});
+
 // Guards against two members of a gang on one worker if the step allows one per worker.
 describe("a gang with a limit per worker", () => {
     it("never has more members on a worker than the limit", () => {
--- a/packages/workflow/tests/test-cell.ts
+++ b/packages/workflow/tests/test-cell.ts
@@ -63,6 +63,10 @@
     readonly startLimit?: number;
     /** See `UnansweredStarts.constraintOf`; no task is constrained by default. */
     readonly constraintOf?: UnansweredStarts["constraintOf"];
+    /** Milliseconds of a pass; unlimited by default. */
+    readonly passTime?: number;
+    /** Called at each start and at each look-up of an expected run time. */
+    readonly onWork?: () => void;
 }
 
 const openSession = (id: WorkerId, cpu: number, deadline: () => number): WorkerSession => {
@@ -99,7 +103,15 @@
 
 /** Creates a cell in which starts succeed immediately. */
 export const createTestCell = (
-    { workers: count, cpu, runTime, startLimit = 1_000, constraintOf = () => undefined }: TestCellOptions,
+    {
+        workers: count,
+        cpu,
+        runTime,
+        startLimit = 1_000,
+        constraintOf = () => undefined,
+        passTime = Infinity,
+        onWork = () => undefined,
+    }: TestCellOptions,
 ): TestCell => {
     const lines: Readonly<Record<string, unknown>>[] = [];
     const logger = pino({}, {
@@ -141,6 +153,7 @@
         runRegistry.add(run);
         ledger.recordStart(position);
         workers.get(session.id)?.resources.add(step);
+        onWork();
     };
     const runController: Partial<RunController> = { start, nextNumber: () => 1 };
     const replacementPlaces = createReplacementPlaces();
@@ -152,6 +165,7 @@
         runController: runController as RunController,
         runTime: () => {
             counts.runTimes += 1;
+            onWork();
             return runTime;
         },
         health: createWorkerHealth({ initialStartLimit: startLimit }),
@@ -163,6 +177,7 @@
         replacementPlaces,
         workerCrashes: { isRecent: () => false },
         interference,
+        passTime,
     });
     return {
         scheduler,
