Start no task twice when a pass visits its step twice

A step whose turn ended with the first part of a pass, which urgent and long-running work has, was visited again in the second part, with the list of tasks that waited when the pass began.

Each visit now takes only the tasks that still wait, or, for tasks of draining workers, that have no place yet.

Three tests in pass-rounds.test.ts guard against it.

--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -570,7 +570,15 @@
         }
         return true;
     };
-    const visitCandidate: CandidateVisit = (candidate, isTimeOver) => {
+    /** Whether the task has neither been started nor got a place since the candidates were collected. */
+    const isStillOpen = (candidate: StageCandidate, index: number): boolean =>
+        candidate.urgency.lasting === "leaving"
+            ? !replacementPlaces.has(taskOf(candidate, index))
+            : candidate.stage.record.waiting.has(index);
+    const visitCandidate: CandidateVisit = (collected, isTimeOver) => {
+        // A pass may visit a candidate twice, if its first turn ended early.
+        const open = collected.indices.filter(index => isStillOpen(collected, index));
+        const candidate = { ...collected, indices: open };
         const { stage: { step }, urgency, isSuspect } = candidate;
         if (step.isGang) {
             startGang(candidate);
@@ -581,11 +589,11 @@
             return true;
         }
         if (step.isLasting) {
-            candidate.indices.forEach(index => {
+            open.forEach(index => {
                 reservations.release(taskOf(candidate, index));
             });
         }
-        const indices = step.isLasting && urgency.lasting !== "leaving" ? startOnPlaces(candidate) : candidate.indices;
+        const indices = step.isLasting && urgency.lasting !== "leaving" ? startOnPlaces(candidate) : open;
         return indices.length === 0 || isSearchInVain(candidate, indices) || placeTasks(candidate, indices, isTimeOver);
     };
     const explainWait: StageScheduler["explainWait"] = (ledger, position) => {
--- a/packages/workflow/tests/pass-rounds.test.ts
+++ b/packages/workflow/tests/pass-rounds.test.ts
@@ -42,6 +42,14 @@
     };
     const runsOf = (cell: TestCell, ledger: WorkflowLedger): Run[] =>
         [...cell.runRegistry.all()].filter(run => run.ledger === ledger);
+    /** Number of passes until all steps have had their turn, at most 100. */
+    const runRound = (cell: TestCell): number => {
+        let passes = 1;
+        while (!cell.scheduler.runPass() && passes < 100) {
+            passes += 1;
+        }
+        return passes;
+    };
     const submitBatch = (cell: TestCell, count: number, cpu: number): WorkflowLedger[] =>
         Array.from(
             { length: count },
@@ -75,10 +83,7 @@
         const cell = createSlowCell();
         const tooLarge = submitBatch(cell, 60, 60_000);
         const small = cell.submit({ priority: 3 }, [{ count: 4, cpu: 1_000, usesSpareCpu: true, image: "small" }]);
-        let passes = 1;
-        while (!cell.scheduler.runPass() && passes < 100) {
-            passes += 1;
-        }
+        const passes = runRound(cell);
         expect(passes).toBeGreaterThan(1);
         expect(passes).toBeLessThanOrEqual(tooLarge.length);
         expect(runsOf(cell, small)).toHaveLength(4);
@@ -95,6 +100,39 @@
         expect(batch.map(ledger => runsOf(cell, ledger).length)).toEqual([4, 4, 4]);
     });
 
+    // Guards against a second run of a task: a step whose turn ended with the part of the time that urgent work has was
+    // visited again in the same pass, as it was at the beginning of the pass.
+    it.each([
+        ["an urgent step", { count: 2 * passTime, cpu: 1, memory: 1, expectedRunTime: 1_000 }],
+        ["a long-running step", { count: 2 * passTime, cpu: 1, memory: 1, isLasting: true }],
+    ])("starts each task of %s once", (...[, step]) => {
+        const cell = createSlowCell({ cpu: 1_000_000 });
+        const workflow = cell.submit({}, [step]);
+        expect(runRound(cell)).toBeGreaterThan(1);
+        const tasks = runsOf(cell, workflow).map(run => run.task);
+        expect([tasks.length, new Set(tasks).size]).toEqual([step.count, step.count]);
+    });
+
+    // Guards against the same for the places of tasks on draining workers.
+    it("keeps one place for each long-running task of draining workers", () => {
+        const cell = createSlowCell({ cpu: 1_000_000 });
+        untimed(() => {
+            cell.submit({}, [{ count: 2 * passTime, cpu: 1, memory: 1, isLasting: true }]);
+            cell.scheduler.runPass();
+        });
+        const drained = [...new Set([...cell.runRegistry.all()].map(run => run.worker))].slice(0, workers - 2);
+        drained.forEach(cell.drainWorker);
+        const draining = [...cell.runRegistry.all()].filter(run => drained.includes(run.worker)).length;
+        const originalKeep = cell.replacementPlaces.keep;
+        const keep = jest.spyOn(cell.replacementPlaces, "keep").mockImplementation(place => {
+            jest.advanceTimersByTime(workTime);
+            originalKeep(place);
+        });
+        expect(runRound(cell)).toBeGreaterThan(1);
+        const tasks = keep.mock.calls.map(([place]) => place.task);
+        expect([tasks.length, new Set(tasks).size]).toEqual([draining, draining]);
+    });
+
     // Guards against urgent and long-running work that waits until the steps before it have had their turn.
     it("is continued with urgent and long-running work first", () => {
         const cell = createSlowCell();
