Simulate processors of hosts, and test that a cell of small hosts comes to rest

The simulated cluster could delay only calls to workers. With hostWork it now carries out all work of a host in the order of its arrival: answers of workers and of the store, messages of peers and callbacks of timers, so that a saturated host is late with everything, and processDelay shows that. Answers that have arrived wait for the processor; they do not time out meanwhile. Connections between simulated hosts now close when a call on them times out and when their opener's process ends.

--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -15,6 +15,7 @@
     Schedule,
     Step,
     SubmissionAnswer,
+    WorkerGateway,
     Workflow,
     WorkflowHost,
     WorkflowMessageKind,
@@ -27,7 +28,11 @@
 import { Registry } from "prom-client";
 import { Result } from "true-myth";
 
+import type { HostProcessor } from "./host-processor.js";
+import { createHostProcessor, runOutsideHosts } from "./host-processor.js";
+import type { HostWork } from "./host-work.js";
 import { limitProcessor } from "./limit-processor.js";
+import { createPeerConnections } from "./peer-connections.js";
 import type { PlantedFault } from "./planted-faults.js";
 import type { RegionLink } from "./region-link.js";
 
@@ -90,6 +95,11 @@
     readonly processors?: Readonly<Record<string, number>>;
     /** Milliseconds of one core that a run takes of its holder. Default: none, so that no host is ever busy. */
     readonly timePerRun?: number;
+    /**
+     * Processor time that the hosts' work takes, for which `installHostTimers` has to have been called. Default: none,
+     * so that timers, messages and answers are never late.
+     */
+    readonly hostWork?: HostWork;
     /** Protocol fault of all hosts. Default: none. */
     readonly plantedFault?: PlantedFault;
 }
@@ -130,6 +140,58 @@
         setTimeout(resolve, milliseconds);
     });
 
+/** Kilobytes of a value in JSON. */
+const sizeOf = (value: unknown): number => (JSON.stringify(value) ?? "").length / 1_000;
+
+/** Runs an action of a host once its processor gets to it. */
+const takeTurn = <Value>(processor: HostProcessor, work: number, action: () => Promise<Value>): Promise<Value> =>
+    new Promise((resolve, reject) => {
+        processor.enqueue(work, () => {
+            action().then(resolve, reject);
+        });
+    });
+
+/** Lets what reaches a host from outside wait for its processor. */
+const limitHost = (host: WorkflowHost, processor: HostProcessor, workPerMessage: number): WorkflowHost => ({
+    ...host,
+    router: {
+        ...host.router,
+        submit: (workflow, timeout) => takeTurn(processor, workPerMessage, () => host.router.submit(workflow, timeout)),
+    },
+    handlePeer: (message, onClose) =>
+        takeTurn(processor, workPerMessage, () =>
+            host.handlePeer(message, callback => {
+                onClose(() => {
+                    processor.enqueue(0, callback);
+                });
+            })),
+});
+
+/**
+ * Makes a call on behalf of a host: it leaves after the work before it, and its answer, which takes `workOf` ms of one
+ * core, is read after the work that arrived before it.
+ */
+const carryOut = <Value>(
+    processor: HostProcessor | undefined,
+    work: number,
+    send: () => Promise<Value>,
+    workOf: (value: Value) => number,
+): Promise<Value> => {
+    if (processor === undefined) {
+        return send();
+    }
+    const delay = processor.charge(work);
+    return new Promise(resolve => {
+        runOutsideHosts(() =>
+            void pause(delay).then(send).then(value => {
+                processor.enqueue(workOf(value), () => {
+                    resolve(value);
+                });
+            })
+        );
+    });
+};
+
 /** Creates a cluster whose hosts are all started. */
 export const createWorkflowCluster = (options: WorkflowClusterOptions): WorkflowCluster => {
     const { logger = pino({ level: "silent" }), cpuOf, plantedFault = {}, longestLease = defaultLongestLease } =
@@ -146,7 +208,7 @@
     const hosts = new Map<string, WorkflowHost>();
     const domains = new Map<string, string>();
     const isolated = new Set<string>();
-    const { link } = options;
+    const { link, hostWork } = options;
     const regions = options.regions
         ?? Object.fromEntries(Object.keys(options.workers).map(domain => [domain, "region"]));
     const regionOf = (id: string): string => regions[domains.get(id) ?? ""] ?? "";
@@ -157,11 +219,11 @@
             await link?.transfer(from, to, serialize(value).length);
         }
     };
+    const connections = createPeerConnections();
     let incarnations = 0;
 
-    const networkOf = (from: string, isAlive: () => boolean): WorkflowNetwork => ({
-        call: async (to, kind, body) => {
-            options.onPeerCall?.(from, kind, to.id);
+    const networkOf = (from: string, isAlive: () => boolean, processor: HostProcessor | undefined): WorkflowNetwork => {
+        const send: WorkflowNetwork["call"] = async (to, kind, body) => {
             const target = hosts.get(to.id);
             await pause(peerLatency);
             if (target === undefined) {
@@ -171,20 +233,33 @@
                 await pause(peerTimeout);
                 return Result.err({ kind: "unknown", message: `${to.id} gave no reply` });
             }
+            const connection = connections.between(from, to.id);
             const message = { kind, body: structuredClone(body) };
             const answered = crossLink(regionOf(from), regionOf(to.id), message).then(async () => {
-                const value = await target.handlePeer(message, () => undefined);
+                const value = await target.handlePeer(message, connection.onClose);
                 await crossLink(regionOf(to.id), regionOf(from), value);
                 return { value };
             });
-            const reply = await Promise.race([answered, pause(peerTimeout).then(() => undefined)]);
+            const timedOut = pause(peerTimeout).then(() => undefined);
+            const reply = await Promise.race([answered, timedOut, connection.closed]);
+            if (reply === undefined) {
+                // The client takes the connection for dead.
+                connection.close();
+            }
             await pause(peerLatency);
             return isAlive() && hosts.get(to.id) === target && reply !== undefined
                 ? Result.ok(structuredClone(reply.value) as never)
                 : Result.err({ kind: "unknown", message: `${to.id} gave no reply` });
-        },
-        close: () => undefined,
-    });
+        };
+        return {
+            call: (to, kind, body) => {
+                options.onPeerCall?.(from, kind, to.id);
+                const work = (hostWork?.perMessage ?? 0) / 2;
+                return carryOut(processor, work, () => send(to, kind, body), () => work);
+            },
+            close: () => undefined,
+        };
+    };
     const start = (id: string): void => {
         incarnations += 1;
         let isAlive = true;
@@ -196,9 +271,24 @@
             storeDelay: regionOf(id) === storeRegion ? storeDelay : storeDelay + crossRegionDelay,
             processors: options.processors?.[id] ?? 1,
         };
+        const processor = hostWork === undefined
+            ? undefined
+            : createHostProcessor({ cores: self.processors, timePerTimer: hostWork.perTimer });
         const metrics = createWorkflowMetrics(new Registry());
         const connectedClient = platform.network.clientOf(id);
         const neverAnswered = new Promise<never>(() => undefined);
+        const send: typeof connectedClient.call = call => {
+            const answered = connectedClient.call(call).then(async answer => {
+                if (answer.isOk && call.address === platform.storeAddress) {
+                    await crossLink(storeRegion, regionOf(id), answer.value);
+                }
+                return answer;
+            });
+            const timedOut = pause(call.timeout).then(() =>
+                Result.err({ isSent: true, isRefused: false, message: "no answer within the timeout of the call" })
+            );
+            return Promise.race([answered, timedOut]);
+        };
         // A killed process neither sends calls nor receives answers.
         const client = {
             ...connectedClient,
@@ -206,47 +296,63 @@
                 if (!isAlive) {
                     return neverAnswered;
                 }
-                const answered = connectedClient.call(call).then(async answer => {
-                    if (answer.isOk && call.address === platform.storeAddress) {
-                        await crossLink(storeRegion, regionOf(id), answer.value);
-                    }
-                    return answer;
-                });
-                const timedOut = pause(call.timeout).then(() =>
-                    Result.err({ isSent: true, isRefused: false, message: "no answer within the timeout of the call" })
+                const work = (hostWork?.perCall ?? 0) / 2;
+                const answer = await carryOut(
+                    processor,
+                    work,
+                    () => send(call),
+                    value =>
+                        call.address === platform.storeAddress && value.isOk
+                            ? work + sizeOf(value.value.body) * (hostWork?.perStoreKilobyte ?? 0)
+                            : work,
                 );
-                const answer = await Promise.race([answered, timedOut]);
                 return isAlive ? answer : neverAnswered;
             },
         };
         const hostLogger = logger.child({ host: id });
         const store = createPlatformStore({ address: platform.storeAddress, client, metrics, logger: hostLogger });
         const unlimitedGateway = createPlatformWorkers(client, metrics);
-        const gateway = options.timePerRun === undefined
+        const limitedGateway = options.timePerRun === undefined
             ? unlimitedGateway
             : limitProcessor(unlimitedGateway, { cores: self.processors, timePerRun: options.timePerRun });
-        const host = createWorkflowHost({
-            self,
-            regions,
-            timing: { ...timing, longestLease },
-            store: plantedFault.store?.(store) ?? store,
-            gateway: plantedFault.gateway?.(gateway) ?? gateway,
-            directory: createPlatformDirectory(hostLogger),
-            configurationSource: createPlatformConfiguration(store, hostLogger),
-            network: networkOf(id, () => isAlive),
-            metrics,
-            logger: hostLogger,
-            storeHeardAt: store.heardAt,
-            ...(options.largestCell === undefined ? {} : { largestCell: options.largestCell }),
-        });
+        const gateway: WorkerGateway = {
+            ...limitedGateway,
+            start: (worker, order) => {
+                processor?.charge(hostWork?.perStart ?? 0);
+                return limitedGateway.start(worker, order);
+            },
+        };
+        const createHost = (): WorkflowHost =>
+            createWorkflowHost({
+                self,
+                regions,
+                timing: { ...timing, longestLease },
+                store: plantedFault.store?.(store) ?? store,
+                gateway: plantedFault.gateway?.(gateway) ?? gateway,
+                directory: createPlatformDirectory(hostLogger),
+                configurationSource: createPlatformConfiguration(store, hostLogger),
+                network: networkOf(id, () => isAlive, processor),
+                metrics,
+                logger: hostLogger,
+                storeHeardAt: store.heardAt,
+                ...(options.largestCell === undefined ? {} : { largestCell: options.largestCell }),
+            });
+        const host = processor === undefined ? createHost() : processor.enter(createHost);
         hosts.set(id, {
-            ...host,
+            ...processor === undefined ? host : limitHost(host, processor, hostWork?.perMessage ?? 0),
             stop: () => {
                 isAlive = false;
                 host.stop();
+                processor?.stop();
+                connections.closeAllFrom(id);
             },
         });
-        host.start();
+        if (processor === undefined) {
+            host.start();
+        }
+        else {
+            processor.enter(host.start);
+        }
     };
     const kill = (id: string): void => {
         hosts.get(id)?.stop();
