Leave time in which a host is late out of the silence that it measures

A host whose process is late reads the heartbeats of a holder late, since Node.js runs timers before it reads sockets; it took the time for the holder's silence, took the cell, and told other hosts that ask (holder-heard) that the holder is silent. Silence now counts only the time in which this process was on time, but at least a third of the time, so that a host that is always late still notices a loss. Who holds a cell is decided by conditional writes as before.

--- a/packages/workflow/src/entry/cell-claims.ts
+++ b/packages/workflow/src/entry/cell-claims.ts
@@ -9,7 +9,9 @@
     readonly host: EntryHostRecord;
     /** Monotonic time in ms at which the heartbeat was received. */
     readonly heardAt: number;
-    /** Milliseconds without another heartbeat after which the holder counts as down. */
+    /** Milliseconds by which the timers of this process had been late in all at that time. */
+    readonly lateTime: number;
+    /** Milliseconds of silence after which the holder counts as down. */
     readonly timeout: number;
 }
 
@@ -25,12 +27,23 @@
     readonly last: (cell: CellId) => CellClaim | undefined;
     /** All claims that have not timed out. */
     readonly allFresh: () => readonly CellClaim[];
+    /**
+     * Milliseconds since the last heartbeat of the cell's holder, without the time in which this process was late: the
+     * heartbeats of that time may wait unread. Undefined if there was no heartbeat.
+     */
+    readonly silence: (cell: CellId) => number | undefined;
     /** The cell of a workflow, if this host remembers it. */
     readonly cellOf: (id: JobId) => CellId | undefined;
     /** Remembers the cell of a workflow; the oldest entries are evicted. */
     readonly rememberCell: (id: JobId, cell: CellId) => void;
 }
 
+/** Options of {@link createCellClaims}. */
+export interface CellClaimsOptions {
+    /** See `ProcessDelay.total`. */
+    readonly lateTime: () => number;
+}
+
 /** Missed heartbeats after which a holder counts as down. */
 const missedHeartbeats = 3;
 /** Milliseconds from the close of a holder's connection until the holder counts as down, unless it reconnects. */
@@ -38,11 +51,18 @@
 /** Number of workflows whose cell is remembered: a day's load of a busy host, in a few MB. */
 const maxRememberedWorkflows = 20_000;
 
+/** Largest share of the time since a heartbeat that counts as late: even a host that is always late notices a loss. */
+const maxLateShare = 2 / 3;
+
 /** Creates a set of claims that is empty. */
-export const createCellClaims = (): CellClaims => {
+export const createCellClaims = ({ lateTime }: CellClaimsOptions): CellClaims => {
     const claims = new Map<CellId, CellClaim>();
     const cells = new Map<JobId, CellId>();
-    const isFresh = (claim: CellClaim): boolean => performance.now() - claim.heardAt < claim.timeout;
+    const silenceOf = (claim: CellClaim): number => {
+        const elapsed = performance.now() - claim.heardAt;
+        return elapsed - Math.min(lateTime() - claim.lateTime, elapsed * maxLateShare);
+    };
+    const isFresh = (claim: CellClaim): boolean => silenceOf(claim) < claim.timeout;
     const rememberCell = (id: JobId, cell: CellId): void => {
         cells.set(id, cell);
         const [oldest] = cells.keys();
@@ -58,7 +78,13 @@
             for (const summary of summaries) {
                 const known = claims.get(summary.cell);
                 if (known === undefined || summary.epoch >= known.summary.epoch) {
-                    claims.set(summary.cell, { summary, host, heardAt: performance.now(), timeout });
+                    claims.set(summary.cell, {
+                        summary,
+                        host,
+                        heardAt: performance.now(),
+                        lateTime: lateTime(),
+                        timeout,
+                    });
                 }
                 summary.accepted.forEach(id => {
                     rememberCell(id, summary.cell);
@@ -69,7 +95,7 @@
             for (const [cell, claim] of claims) {
                 if (claim.host.id === host.id && claim.host.incarnation === host.incarnation) {
                     const heardAt = Math.min(claim.heardAt, performance.now() - claim.timeout + disconnectTimeout);
-                    claims.set(cell, { ...claim, heardAt });
+                    claims.set(cell, { ...claim, heardAt, lateTime: lateTime() });
                 }
             }
         },
@@ -78,6 +104,10 @@
             return claim !== undefined && isFresh(claim) ? claim : undefined;
         },
         last: cell => claims.get(cell),
+        silence: cell => {
+            const claim = claims.get(cell);
+            return claim === undefined ? undefined : silenceOf(claim);
+        },
         allFresh: () => [...claims.values()].filter(isFresh),
     };
 };
--- a/packages/workflow/src/entry/cell-manager.ts
+++ b/packages/workflow/src/entry/cell-manager.ts
@@ -164,8 +164,8 @@
         onChange();
         return true;
     };
-    /** Milliseconds since the last heartbeat of the cell's holder, or since the start of this host. */
-    const silence = (cell: CellId): number => Math.round(performance.now() - (claims.last(cell)?.heardAt ?? startedAt));
+    /** See `CellClaims.silence`; without a heartbeat, the time since the start of this host. */
+    const silence = (cell: CellId): number => Math.round(claims.silence(cell) ?? performance.now() - startedAt);
     const locationOf = (cell: CellId, failureDomains: readonly FailureDomainId[]): CellLocation => ({
         cell,
         failureDomains,
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -95,8 +95,8 @@
     const { largestCell = defaultLargestCell } = options;
     const store = createAdaptiveTimeoutStore({ store: options.store, metrics });
     const stop = createStopSignal();
-    const claims = createCellClaims();
     const processDelay = createProcessDelay();
+    const claims = createCellClaims({ lateTime: processDelay.total });
     const network: WorkflowNetwork = {
         ...options.network,
         call: async (host, kind, body) => {
@@ -224,7 +224,7 @@
         "holder-heard": ({ cell, epoch }) => {
             const claim = claims.last(cell);
             const isHeard = claim !== undefined && claim.summary.epoch >= epoch;
-            return isHeard ? performance.now() - claim.heardAt : neverHeard;
+            return isHeard ? claims.silence(cell) ?? neverHeard : neverHeard;
         },
         "store-contact": async () => {
             if (performance.now() - storeHeardAt() > recentStoreContact) {
--- a/packages/workflow/tests/process-delay.test.ts
+++ b/packages/workflow/tests/process-delay.test.ts
@@ -36,4 +36,17 @@
         await jest.advanceTimersByTimeAsync(1_000);
         expect([longest, later, delay.recent()]).toEqual([400, 20, 0]);
     });
+
+    // Guards against a silence of others that counts the time in which this process read nothing.
+    it("adds up, with the delay of a timer that is overdue", async () => {
+        await runTimer(400);
+        await runTimer(20);
+        const finished = delay.total();
+        void delay.sleep(interval);
+        const clock = performance.now();
+        const now = jest.spyOn(performance, "now").mockReturnValue(clock + interval + 70);
+        const withOverdue = delay.total();
+        now.mockRestore();
+        expect([finished, withOverdue]).toEqual([420, 490]);
+    });
 });
