Announce the heartbeat interval that a late holder can keep

A holder announced 400 ms whatever its delay, so that its peers took its cell after 1,200 ms without a heartbeat, which a holder whose timers are 400 ms late exceeds in one long pass. The announced interval now includes the measured delay, at most 600 ms: a lost holder of that kind is replaced after 3 s, still before the leases of its tasks lapse (5.4 s). The peers that are asked whether they hear the holder apply the same timeout, in place of 700 ms for any holder.

--- a/packages/workflow/src/entry/cell-heartbeats.ts
+++ b/packages/workflow/src/entry/cell-heartbeats.ts
@@ -30,6 +30,8 @@
     /** Hosts that would take a cell if its holder were lost, in order of preference. */
     readonly successors: (cell: CellId) => readonly HostId[];
     readonly configurationVersion: () => number;
+    /** See `ProcessDelay.recent`. */
+    readonly processDelay: () => number;
 }
 
 /** Milliseconds between heartbeats to the watchers, which take this host's cells if it is lost. */
@@ -38,6 +40,8 @@
 const watcherCount = 6;
 /** Multiple of {@link watcherInterval} at which other hosts get heartbeats; they only route submissions by them. */
 const slowHeartbeatFactor = 3;
+/** Milliseconds of this process's delay that are announced at most, so that a lost holder is still replaced in time. */
+const maxAnnouncedDelay = 600;
 /** Milliseconds between two requests for a heartbeat to the same holder. */
 const requestInterval = 1_000;
 /** Recently accepted workflows listed per cell at most, for hosts that missed the heartbeat right after acceptance. */
@@ -45,7 +49,7 @@
 
 /** Creates the heartbeats of a host. */
 export const createCellHeartbeats = (options: CellHeartbeatsOptions): CellHeartbeats => {
-    const { self, network, claims, peers, held, successors, configurationVersion } = options;
+    const { self, network, claims, peers, held, successors, configurationVersion, processDelay } = options;
     /** Workflows accepted since the last heartbeat to all hosts, by cell. */
     const accepted = new Map<CellId, JobId[]>();
     /** Monotonic time in ms of the last request to each holder. */
@@ -60,7 +64,9 @@
             accepted.set(cell.cell, recentlyAccepted);
             return { ...summary, accepted: recentlyAccepted };
         });
-    const send = (hosts: readonly EntryHostRecord[], cells: readonly CellSummary[], interval: number): void => {
+    /** `planned`: milliseconds until the next heartbeat if this process is on time. */
+    const send = (hosts: readonly EntryHostRecord[], cells: readonly CellSummary[], planned: number): void => {
+        const interval = planned + Math.min(processDelay(), maxAnnouncedDelay);
         const heartbeat = { host: self, interval, configurationVersion: configurationVersion(), cells };
         hosts.forEach(host => void network.call(host, "cell-heartbeat", heartbeat));
     };
--- a/packages/workflow/src/entry/cell-manager.ts
+++ b/packages/workflow/src/entry/cell-manager.ts
@@ -202,9 +202,11 @@
     };
     const rankOf = (cell: CellId, failureDomains: readonly FailureDomainId[]): number =>
         successorsOf(cell, failureDomains).indexOf(self.id);
+    /** Milliseconds of silence after which the cell's holder counts as down. */
+    const timeoutOf = (cell: CellId): number => claims.last(cell)?.timeout ?? unknownHolderTimeout;
     /** Milliseconds without a holder's heartbeat after which this host takes the cell. */
     const takeoverDelay = (cell: CellId, failureDomains: readonly FailureDomainId[]): number =>
-        (claims.last(cell)?.timeout ?? unknownHolderTimeout)
+        timeoutOf(cell)
         + Math.min(rankOf(cell, failureDomains), maxDelayedRank) * rankDelay;
     /** Whether the cell's row has been unchanged for so long that this host should take the cell. */
     const isTakeoverDue = (
@@ -232,7 +234,8 @@
         { epoch, host }: CellHolder,
     ): Promise<boolean> => {
         const peers = watchersOf(cell, failureDomains).filter(peer => peer.id !== host);
-        return await probe.isDown({ cell, epoch, peers }) && !isHeld(cell);
+        const timeout = timeoutOf(cell);
+        return await probe.isDown({ cell, epoch, timeout, peers }) && !isHeld(cell);
     };
     const reviewUnheld = async (cell: CellId, failureDomains: readonly FailureDomainId[]): Promise<void> => {
         if (!isRowReadDue(cell, failureDomains)) {
--- a/packages/workflow/src/entry/holder-probe.ts
+++ b/packages/workflow/src/entry/holder-probe.ts
@@ -9,6 +9,8 @@
     readonly cell: CellId;
     /** Epoch of the cell's holder. */
     readonly epoch: number;
+    /** Milliseconds of silence after which the holder counts as down, by its last heartbeat to this host. */
+    readonly timeout: number;
     /** Hosts that may receive the holder's heartbeats, in the order in which to ask them. */
     readonly peers: readonly EntryHostRecord[];
 }
@@ -22,7 +24,7 @@
     /** Whether the holder counts as down; also false for a while after a peer was found to hear it. */
     readonly isDown: (probed: ProbedCell) => Promise<boolean>;
     /** Whether a peer has received a heartbeat of a holder with a later epoch. */
-    readonly hasSuccessor: (probed: ProbedCell) => Promise<boolean>;
+    readonly hasSuccessor: (probed: Omit<ProbedCell, "timeout">) => Promise<boolean>;
 }
 
 /** Options of {@link createHolderProbe}. */
@@ -38,10 +40,10 @@
 /** Peers that are asked at most. */
 const maxAskedPeers = 16;
 /**
- * Milliseconds since its last heartbeat within which a holder counts as alive. The last heartbeat of a lost holder is
- * older when a watcher asks: watchers wait for three missed heartbeats, one of which only the watcher may have missed.
+ * Share of its timeout for which a holder may be silent and counts as alive. The last heartbeat of a lost holder is older
+ * when a watcher asks: watchers wait for three missed heartbeats, one of which only the watcher may have missed.
  */
-const maxAliveSilence = 700;
+const maxAliveShare = 0.6;
 /** Milliseconds for which a peer's answer that the holder is alive stays valid. */
 const heardValidity = 600;
 /** Milliseconds without an answer from any peer after which a holder counts as down nonetheless. */
@@ -49,6 +51,14 @@
 /** Milliseconds between two unanswered probes above which they do not belong to the same isolation. */
 const maxProbeGap = 1_500;
 
+/** What peers are asked. */
+interface Question {
+    readonly cell: CellId;
+    readonly epoch: number;
+    /** Milliseconds of silence below which one answer is enough. */
+    readonly maxAliveSilence: number;
+}
+
 /** A time in which no peer has answered, in ms of the monotonic clock. */
 interface Isolation {
     readonly since: number;
@@ -66,7 +76,10 @@
      * Resolves to the milliseconds since each peer last heard the holder, without those that do not answer; as soon as
      * one peer reports that the holder is alive, or else when all calls are over.
      */
-    const askPeers = (peers: readonly EntryHostRecord[], cell: CellId, epoch: number): Promise<readonly number[]> =>
+    const askPeers = (
+        peers: readonly EntryHostRecord[],
+        { cell, epoch, maxAliveSilence }: Question,
+    ): Promise<readonly number[]> =>
         new Promise(resolve => {
             const silences: number[] = [];
             let remaining = peers.length;
@@ -88,18 +101,19 @@
         });
     const askInBatches = async (
         peers: readonly EntryHostRecord[],
-        cell: CellId,
-        epoch: number,
+        question: Question,
     ): Promise<readonly number[]> => {
-        const silences = await askPeers(peers.slice(0, firstBatchSize), cell, epoch);
-        return silences.length > 0 ? silences : askPeers(peers.slice(firstBatchSize, maxAskedPeers), cell, epoch);
+        const silences = await askPeers(peers.slice(0, firstBatchSize), question);
+        return silences.length > 0 ? silences : askPeers(peers.slice(firstBatchSize, maxAskedPeers), question);
     };
     return {
         hasSuccessor: async ({ cell, epoch, peers }) => {
-            const silences = await askPeers(peers.slice(0, firstBatchSize), cell, epoch + 1);
+            const question = { cell, epoch: epoch + 1, maxAliveSilence: neverHeard };
+            const silences = await askPeers(peers.slice(0, firstBatchSize), question);
             return silences.some(silence => silence < neverHeard);
         },
-        isDown: async ({ cell, epoch, peers }) => {
+        isDown: async ({ cell, epoch, timeout, peers }) => {
+            const maxAliveSilence = timeout * maxAliveShare;
             const now = performance.now();
             if (now - (heardAt.get(cell) ?? -Infinity) < heardValidity) {
                 return false;
@@ -107,7 +121,7 @@
             if (peers.length === 0) {
                 return true;
             }
-            const silences = await askInBatches(peers, cell, epoch);
+            const silences = await askInBatches(peers, { cell, epoch, maxAliveSilence });
             if (silences.length === 0) {
                 const previous = isolations.get(cell);
                 const isOngoing = previous !== undefined && now - previous.lastProbeAt <= maxProbeGap;
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -183,6 +183,7 @@
         held: cellManager.allHeld,
         successors: cellManager.successors,
         configurationVersion: () => configurationWatch.current()?.version ?? 0,
+        processDelay: processDelay.recent,
     });
     /** Incarnations of the peers whose connections have a close callback. */
     const watchedIncarnations = new Set<string>();
