Close a peer connection only if nothing at all arrives on it

A holder that lacked processor time lost its connections to its peers, which tells them that it is down.

Causes, each shown by a test: - The timeout of a call fired before the reply that had arrived was read, and so did that of the handshake, and that of the server for the hello of a client ("unknown" and "not-sent" instead of the replies). - One call without a reply closed the connection although other replies arrived on it ("not-sent" for the next call). - A connection that went silent between its upgrade and the first message of the server was never closed, so that all calls on it waited for ever.

Change: calls, handshake and hello use `startAnswerTimeout`. The timeout of the handshake covers the first message. A call without a reply closes the connection only if no other reply was received since it was sent; a silent connection is still replaced.

--- a/packages/jayfrontd/src/peer/ws-peer-connection.ts
+++ b/packages/jayfrontd/src/peer/ws-peer-connection.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from "node:crypto";
 
+import { startAnswerTimeout } from "@jayfront/world";
 import { Result } from "true-myth";
 import { WebSocket } from "ws";
 
@@ -24,7 +25,10 @@
     readonly peerKey: string;
     /** Undefined for plain TCP. */
     readonly tls: TlsMaterial | undefined;
-    /** Milliseconds to wait for a reply before a call's outcome counts as unknown. */
+    /**
+     * Milliseconds to wait for a reply before a call's outcome counts as unknown. If nothing at all was received
+     * meanwhile, or the connection was not established within this time, it may be dead and is closed.
+     */
     readonly timeout: number;
     /** Called with the length of each sent frame in bytes. */
     readonly onSent: (bytes: number) => void;
@@ -45,16 +49,18 @@
 /** Opens a connection; calls wait until it is established. */
 export const createPeerConnection = (options: PeerConnectionOptions): PeerConnection => {
     const { address, peerKey, tls, timeout, onSent } = options;
-    const socket = new WebSocket(`${tls === undefined ? "ws" : "wss"}://${address}/peer`, {
-        handshakeTimeout: timeout,
-        ...tls,
-    });
+    const socket = new WebSocket(`${tls === undefined ? "ws" : "wss"}://${address}/peer`, { ...tls });
     const pendingCalls = new Map<number, (result: Result<unknown, PeerError>) => void>();
     let nextId = 0;
     let isClosed = false;
+    let receivedFrames = 0;
 
+    const stopHandshakeTimeout = startAnswerTimeout(timeout, () => {
+        socket.terminate();
+    });
     const established = new Promise<FrameCodec | undefined>(resolve => {
         socket.once("message", (data: Buffer) => {
+            stopHandshakeTimeout();
             const serverNonce = data.toString();
             const nonce = randomBytes(16).toString("hex");
             socket.send(JSON.stringify({ nonce, code: computeHelloMac(peerKey, serverNonce, nonce) }));
@@ -65,6 +71,7 @@
             resolve(codec);
         });
         socket.on("close", () => {
+            stopHandshakeTimeout();
             isClosed = true;
             resolve(undefined);
             for (const settle of [...pendingCalls.values()]) {
@@ -81,6 +88,7 @@
             socket.terminate();
             return;
         }
+        receivedFrames += 1;
         pendingCalls.get(frame.id)?.(Result.ok(frame.body));
     };
     const send = (codec: FrameCodec, message: unknown): Promise<Result<unknown, PeerError>> =>
@@ -88,15 +96,18 @@
             const id = nextId;
             nextId += 1;
             const settle = (result: Result<unknown, PeerError>): void => {
-                clearTimeout(timer);
+                stopTimeout();
                 pendingCalls.delete(id);
                 resolve(result);
             };
-            const timer = setTimeout(() => {
+            const receivedBefore = receivedFrames;
+            const stopTimeout = startAnswerTimeout(timeout, () => {
                 settle(Result.err(peerErrors.noReply(address)));
-                // The connection may be dead. The next call opens a new one, which fails if the peer is down.
-                socket.terminate();
-            }, timeout);
+                if (receivedFrames === receivedBefore) {
+                    // The connection may be dead. The next call opens a new one, which fails if the peer is down.
+                    socket.terminate();
+                }
+            });
             pendingCalls.set(id, settle);
             const sealed = codec.seal({ id, kind: "call", body: message });
             onSent(sealed.length);
--- a/packages/jayfrontd/src/peer/ws-peer-server.ts
+++ b/packages/jayfrontd/src/peer/ws-peer-server.ts
@@ -1,6 +1,7 @@
 import { randomBytes } from "node:crypto";
 import type { Server } from "node:http";
 
+import { startAnswerTimeout } from "@jayfront/world";
 import type { Logger } from "pino";
 import type { WebSocket } from "ws";
 import { WebSocketServer } from "ws";
@@ -76,14 +77,14 @@
     const serveConnection = (socket: WebSocket): void => {
         const nonce = randomBytes(16).toString("hex");
         let codec: FrameCodec | undefined;
-        const timer = setTimeout(() => {
+        const stopTimeout = startAnswerTimeout(helloTimeoutMs, () => {
             disconnect(socket, "no hello was received in time");
-        }, helloTimeoutMs);
+        });
         socket.on("error", () => {
             socket.terminate();
         });
         socket.on("close", () => {
-            clearTimeout(timer);
+            stopTimeout();
         });
         socket.on("message", (data: Buffer) => {
             if (codec !== undefined) {
@@ -103,7 +104,7 @@
                 );
                 return;
             }
-            clearTimeout(timer);
+            stopTimeout();
             codec = createFrameCodec(peerKey, nonce, hello.nonce, "server");
         });
         socket.send(nonce);
--- a/packages/workflow/src/peer/workflow-network.ts
+++ b/packages/workflow/src/peer/workflow-network.ts
@@ -17,7 +17,7 @@
     readonly close: () => void;
 }
 
-/** Milliseconds after which a call to a peer times out; its connection is closed then. */
+/** Milliseconds after which a call to a peer times out; its connection is closed if nothing was received meanwhile. */
 const callTimeout = 1_200;
 
 /** Creates a network with one `ws` connection to each peer, opened when it is first needed. */
