--- a/packages/workflow/src/cell/unanswered-starts.ts
+++ b/packages/workflow/src/cell/unanswered-starts.ts
@@ -1,6 +1,7 @@
 import type { WorkerId } from "@jayfront/world";
 
 import type { TaskName } from "../model/task-name.js";
+import type { ExpectedStart } from "./expected-start.js";
 import type { LateOrderDetector } from "./late-order-detector.js";
 import type { Run } from "./run.js";
 import type { StoredStarts } from "./stored-starts.js";
@@ -33,10 +34,8 @@
     readonly constraintOf: (task: TaskName) => WorkerId | "nowhere" | undefined;
     /** The starts that may still be carried out, as a later holder has to know them. */
     readonly snapshot: () => StoredStarts;
-    /** Adds the starts of an earlier holder; returns when each was ordered at the latest, in monotonic time in ms. */
-    readonly inherit: (
-        stored: StoredStarts,
-    ) => readonly { readonly worker: WorkerId; readonly orderedAt: number; }[];
+    /** Adds the starts of an earlier holder and returns them. */
+    readonly inherit: (stored: StoredStarts) => readonly (ExpectedStart & { readonly worker: WorkerId; })[];
 }
 
 /** Options of {@link createUnansweredStarts}. */
--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -12,6 +12,7 @@
 import { isListed } from "./cell-workers.js";
 import type { LateOrderDetector } from "./late-order-detector.js";
 import type { LoadedCell } from "./load-cell.js";
+import type { PollBudget } from "./poll-budget.js";
 import { createResourceAccount } from "./resource-account.js";
 import { rosterCodec } from "./roster-codec.js";
 import { rowKeys } from "./row-keys.js";
@@ -52,6 +53,10 @@
     readonly lateOrderDetector: LateOrderDetector;
     /** Monotonic time in ms by which all leases that earlier holders granted have expired. */
     readonly inheritedLeasesUntil: number;
+    /** See `ProcessDelay.recent`. */
+    readonly processDelay: () => number;
+    /** Shared by all cells of the host. */
+    readonly pollBudget: PollBudget;
     /** Called when waiting tasks may have become able to start. */
     readonly onChange: () => void;
 }
@@ -63,7 +68,8 @@
 export const createWorkerRoster = (options: WorkerRosterOptions): WorkerRoster => {
     const { workers, lease, store, directory, gateway, timing, logger, runRegistry, events, signal } = options;
     const list = createWorkerList({ store, directory });
-    const { isOwn, mayInterfere, lateOrderDetector, inheritedLeasesUntil, onChange } = options;
+    const { isOwn, mayInterfere, lateOrderDetector, inheritedLeasesUntil, processDelay, pollBudget, onChange } =
+        options;
     const { cell, epoch } = lease;
     /** The entries of the workers on the roster, as they are stored. */
     const storedEntries = new Map<WorkerId, WorkerEntry>();
@@ -86,6 +92,8 @@
             lateOrderDetector,
             // A worker that is not on the roster can't have a lease of an earlier holder.
             inheritedLeasesUntil: isNew ? 0 : inheritedLeasesUntil,
+            processDelay,
+            pollBudget,
         });
         workers.set(entry.id, {
             session,
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -8,10 +8,12 @@
 import type { OrderError, StartOrder, WorkerGateway, WorkerReport } from "../port/worker-gateway.js";
 import type { CellTiming } from "./cell-timing.js";
 import { leaseDuration } from "./cell-timing.js";
+import type { ExpectedStart } from "./expected-start.js";
 import type { LateOrderDetector } from "./late-order-detector.js";
 import type { LeaseExpiry } from "./lease-expiry.js";
 import { createLeaseExpiry } from "./lease-expiry.js";
 import { createOrderTokens } from "./order-tokens.js";
+import type { PollBudget } from "./poll-budget.js";
 import { createWorkerClock } from "./worker-clock.js";
 
 /**
@@ -42,8 +44,8 @@
     readonly stop: (task: TaskName, run: number) => Promise<boolean>;
     /** Lets a run work at `percent` of its speed; true if the worker answered. */
     readonly throttle: (task: TaskName, run: number, percent: number) => Promise<boolean>;
-    /** Records that a start of an earlier holder, ordered at `orderedAt` (monotonic time in ms), has no answer. */
-    readonly expectStart: (orderedAt: number) => void;
+    /** Records that a start of an earlier holder has no answer. */
+    readonly expectStart: (start: ExpectedStart) => void;
     /** Records that all ends up to `number` are stored, so that the worker may forget them. */
     readonly recordEnds: (number: number) => void;
     /** See `WorkerClock.beginProof`. */
@@ -89,6 +91,10 @@
     readonly lateOrderDetector: LateOrderDetector;
     /** Monotonic time in ms until which leases that earlier holders granted may last. */
     readonly inheritedLeasesUntil: number;
+    /** See `ProcessDelay.recent`. */
+    readonly processDelay: () => number;
+    /** Shared by all sessions of the host. */
+    readonly pollBudget: PollBudget;
 }
 
 /** Milliseconds that a worker may wait for an end before it answers a poll; longer would hide a dead connection. */
@@ -424,7 +430,7 @@
         },
         throttle: async (task, run, percent) =>
             (await tokens.send(token => gateway.throttle(entry, { task, run, token, percent }))).isOk,
-        expectStart: orderedAt => {
+        expectStart: ({ orderedAt }) => {
             unansweredStartAt = Math.max(unansweredStartAt, orderedAt);
             startPossibleUntil = Math.max(startPossibleUntil, orderedAt + timing.lateOrderTime);
             expectedStarts = [...expectedStarts, orderedAt];
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -30,6 +30,7 @@
 import type { OtherCells } from "./other-cells.js";
 import { createOutgoingTransfers } from "./outgoing-transfers.js";
 import { createPassMonitor } from "./pass-monitor.js";
+import type { PollBudget } from "./poll-budget.js";
 import { createProgressWriter } from "./progress-writer.js";
 import { createQueueLookup } from "./queue-lookup.js";
 import { recordPace } from "./record-pace.js";
@@ -114,6 +115,8 @@
     readonly metrics: WorkflowMetrics;
     /** See `ProcessDelay.recent`. */
     readonly processDelay: () => number;
+    /** Shared by all cells of the host. */
+    readonly pollBudget: PollBudget;
     readonly onLost: (reason: string) => void;
     readonly otherCells: OtherCells;
     /** Whether another host receives heartbeats of a holder of the cell with a later epoch. */
@@ -400,6 +403,8 @@
         mayInterfere: interferenceController.mayInterfere,
         lateOrderDetector,
         inheritedLeasesUntil,
+        processDelay,
+        pollBudget: options.pollBudget,
         onChange: passWakeUp.notify,
     });
     const runRenewals = async (): Promise<void> => {
@@ -506,8 +511,8 @@
         [...incomingTransfers.ledgers.keys()].forEach(id => inheritedJobs.add(id));
         roster.inherit(loaded.value);
         startWriter.setVersion(loaded.value.unansweredStartsVersion);
-        unansweredStarts.inherit(loaded.value.unansweredStarts).forEach(({ worker, orderedAt }) => {
-            workers.get(worker)?.session.expectStart(orderedAt);
+        unansweredStarts.inherit(loaded.value.unansweredStarts).forEach(({ worker, ...start }) => {
+            workers.get(worker)?.session.expectStart(start);
         });
         isActive = true;
         recovery.record("loaded");
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -4,6 +4,7 @@
 
 import type { CellTiming } from "../cell/cell-timing.js";
 import type { OtherCells } from "../cell/other-cells.js";
+import { createPollBudget } from "../cell/poll-budget.js";
 import { rowKeys } from "../cell/row-keys.js";
 import { createWorkflowCell } from "../cell/workflow-cell.js";
 import type { Configuration } from "../model/configuration.js";
@@ -97,6 +98,7 @@
     const stop = createStopSignal();
     const processDelay = createProcessDelay();
     const claims = createCellClaims({ lateTime: processDelay.total });
+    const pollBudget = createPollBudget();
     const network: WorkflowNetwork = {
         ...options.network,
         call: async (host, kind, body) => {
@@ -158,6 +160,7 @@
                 logger,
                 metrics,
                 processDelay: processDelay.recent,
+                pollBudget,
                 onLost,
                 otherCells: otherCellsOf(cell),
                 hasSuccessor: epoch => cellManager.hasSuccessor(cell, epoch),
--- a/packages/workflow/tests/worker-session.test.ts
+++ b/packages/workflow/tests/worker-session.test.ts
@@ -5,6 +5,7 @@
 import { Result } from "true-myth";
 
 import { createLateOrderDetector } from "../src/cell/late-order-detector.js";
+import { createPollBudget } from "../src/cell/poll-budget.js";
 import type { WorkerSession } from "../src/cell/worker-session.js";
 import { createWorkerSession } from "../src/cell/worker-session.js";
 import type { WorkerEntry } from "../src/model/worker-entry.js";
@@ -113,6 +114,8 @@
             mayInterfere: () => false,
             lateOrderDetector,
             inheritedLeasesUntil: 0,
+            processDelay: () => 0,
+            pollBudget: createPollBudget(),
         });
         void session.run(stop.signal);
         session.beginProof();
