Answer a submission within the time of its submitter, and refuse at once what is known not to be served

Cause: the timeout of WorkflowRouter.submit bounded only the rounds after an unknown outcome. One call to a holder took up to 1,200 ms for a connection that did not open (640 answers 503 `not-sent`, half of them after 1,040 ms) or a reply that did not come (504 `no-answer`, half after 1,358 ms), and each of 628 requests waited 300 ms for a holder although the requests before it had waited in vain. Ruled out: the host that answers is not itself late; its own requests take 1 to 3 ms.

Change: nothing is waited for beyond the timeout. A call to a holder can be limited: it is given up before it is sent if the connection is not open within half of the time left, or 400 ms after it began to open, so that later submissions do not wait for the same connection again. A call that has been given up is never sent, so that 503 stays true; one that has been sent ends as unknown (504). Submissions wait together, 300 ms at most, for any cell to get a holder; later ones are refused at once.

Tests, which failed before: workflow-router.test.ts (answered as unknown after 1,350 instead of 250 ms; no limit for sending; 250 ms instead of 0 without a holder), ws-peer-server.test.ts (calls had no limits; the compiler refused them).

--- a/packages/jayfrontd/src/peer/ws-peer-connection.ts
+++ b/packages/jayfrontd/src/peer/ws-peer-connection.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from "node:crypto";
 
-import { startAnswerTimeout } from "@jayfront/world";
+import { createStopSignal, sleep, startAnswerTimeout } from "@jayfront/world";
 import { Result } from "true-myth";
 import { WebSocket } from "ws";
 
@@ -9,10 +9,21 @@
 import { computeHelloMac, createFrameCodec } from "./frame-codec.js";
 import type { PeerError } from "./peer-network.js";
 
+/** Limits after which a call that has not been sent yet, for lack of a connection, never is. */
+export interface SendLimits {
+    /** Milliseconds from the call. */
+    readonly sendWithin: number;
+    /** Milliseconds from the start of opening the connection, so that later calls do not wait for it as long again. */
+    readonly openWithin: number;
+}
+
 /** A WebSocket connection to one peer for calls and their replies. */
 export interface PeerConnection {
-    /** Sends a message and resolves with the body of its reply. */
-    readonly call: (message: unknown) => Promise<Result<unknown, PeerError>>;
+    /**
+     * Sends a message and resolves with the body of its reply. Without `limits`, it is sent whenever the connection has
+     * been opened.
+     */
+    readonly call: (message: unknown, limits?: SendLimits) => Promise<Result<unknown, PeerError>>;
     readonly isClosed: () => boolean;
     readonly close: () => void;
 }
@@ -51,9 +62,11 @@
     const { address, peerKey, tls, timeout, onSent } = options;
     const socket = new WebSocket(`${tls === undefined ? "ws" : "wss"}://${address}/peer`, { ...tls });
     const pendingCalls = new Map<number, (result: Result<unknown, PeerError>) => void>();
+    const openedAt = performance.now();
     let nextId = 0;
     let isClosed = false;
     let receivedFrames = 0;
+    let openCodec: FrameCodec | undefined;
 
     const stopHandshakeTimeout = startAnswerTimeout(timeout, () => {
         socket.terminate();
@@ -68,6 +81,7 @@
             socket.on("message", (reply: Buffer) => {
                 handleReply(codec, reply);
             });
+            openCodec = codec;
             resolve(codec);
         });
         socket.on("close", () => {
@@ -113,9 +127,19 @@
             onSent(sealed.length);
             socket.send(sealed);
         });
+    /** Resolves to undefined if the connection fails or is not open within the limits. */
+    const waitUntilOpen = async ({ sendWithin, openWithin }: SendLimits): Promise<FrameCodec | undefined> => {
+        const limit = Math.min(sendWithin, openWithin - (performance.now() - openedAt));
+        const givenUp = createStopSignal();
+        const codec = openCodec ?? (limit <= 0
+            ? undefined
+            : await Promise.race([established, sleep(limit, givenUp.signal).then(() => undefined)]));
+        givenUp.abort();
+        return codec;
+    };
     return {
-        call: async message => {
-            const codec = await established;
+        call: async (message, limits) => {
+            const codec = limits === undefined ? await established : await waitUntilOpen(limits);
             return codec === undefined || socket.readyState !== socket.OPEN
                 ? Result.err(peerErrors.notConnected(address))
                 : send(codec, message);
--- a/packages/jayfrontd/tests/ws-peer-server.test.ts
+++ b/packages/jayfrontd/tests/ws-peer-server.test.ts
@@ -14,6 +14,7 @@
 describe("peer server", () => {
     let server: Server;
     let connections: PeerConnection[];
+    let handled: number;
     const connect = (): PeerConnection => {
         const { port } = server.address() as AddressInfo;
         const connection = createPeerConnection({
@@ -28,12 +29,16 @@
     };
     beforeEach(async () => {
         connections = [];
+        handled = 0;
         server = createServer();
         attachPeerServer<{ readonly hosts: readonly string[]; }>({
             server,
             peerKey,
             parse: body => body as { readonly hosts: readonly string[]; },
-            handle: message => Promise.resolve(message.hosts.length),
+            handle: message => {
+                handled += 1;
+                return Promise.resolve(message.hosts.length);
+            },
             logger: pino({ level: "silent" }),
         });
         await new Promise<void>(resolve => {
@@ -54,4 +59,22 @@
         const next = await connect().call({ hosts: ["a", "b"] });
         expect([answer.isOk, next.isOk && next.value]).toEqual([false, 2]);
     });
+
+    // Guards against a call that was reported as not sent and is sent once the connection is open.
+    it("never gets a call that was given up before the connection was open", async () => {
+        const connection = connect();
+        const given = await connection.call({ hosts: ["a"] }, { sendWithin: 0, openWithin: 1_000 });
+        const next = await connection.call({ hosts: ["a", "b"] });
+        expect([given.isErr && given.error.kind, next.isOk && next.value, handled]).toEqual(["not-sent", 2, 1]);
+    });
+
+    // Guards against calls of which each waits again for a connection that has been opening for too long.
+    it("refuses a call at once if the connection has been opening for too long, and takes one when it is open", async () => {
+        const connection = connect();
+        const limits = { sendWithin: 1_000, openWithin: 0 };
+        const given = await connection.call({ hosts: ["a"] }, limits);
+        await connection.call({ hosts: ["a", "b"] });
+        const next = await connection.call({ hosts: ["a", "b", "c"] }, limits);
+        expect([given.isErr && given.error.kind, next.isOk && next.value, handled]).toEqual(["not-sent", 3, 2]);
+    });
 });
--- a/packages/workflow/src/entry/workflow-router.ts
+++ b/packages/workflow/src/entry/workflow-router.ts
@@ -1,5 +1,5 @@
 import type { CellId, JobId } from "@jayfront/world";
-import { sleep } from "@jayfront/world";
+import { createStopSignal, sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 
 import type { CellLoad } from "../cell/cell-load.js";
@@ -60,6 +60,10 @@
 const resolveInterval = 150;
 /** Milliseconds for which a holder may take to tell its cell's load; a few round trips between regions. */
 const loadTimeout = 150;
+/** Milliseconds for which a connection to a holder may take to open before submissions are refused instead. */
+const openWithin = 400;
+/** Share of the time left within which a submission has to be sent; the rest is left for the reply. */
+const sendingShare = 0.5;
 /** Milliseconds between checks for a holder. */
 const holderPollInterval = 50;
 /** Seconds after which submitters should retry if no cell could take their workflow: a takeover's time and a margin. */
@@ -103,11 +107,22 @@
         }
         return found;
     };
+    /** Monotonic time in ms of the first submission that found no cell with a holder, if the last one found none. */
+    let withoutHolderSince: number | undefined;
+    /** Waits until a cell has a holder, unless submissions have waited for one for long enough already. */
+    const waitForAnyHolder = async (timeout: number): Promise<void> => {
+        const find = (): true | undefined => activeClaims().length > 0 ? true : undefined;
+        const now = performance.now();
+        const timeLeft = submissionWait - (now - (withoutHolderSince ?? now));
+        const isFound = await waitFor(find, Math.min(timeout, timeLeft)) === true;
+        withoutHolderSince = isFound ? undefined : withoutHolderSince ?? now;
+    };
     const submitTo = async (
         cell: CellId,
         workflow: Workflow,
         mayDecline: boolean,
         knownLongRunningCpu: number | undefined,
+        sendWithin: number,
     ): Promise<OfferOutcome> => {
         const ownCell = held(cell);
         if (ownCell !== undefined) {
@@ -118,7 +133,8 @@
             return { kind: "not-holder" };
         }
         const known = knownLongRunningCpu === undefined ? {} : { knownLongRunningCpu };
-        const answer = await network.call(claim.host, "submit", { cell, workflow, mayDecline, ...known });
+        const body = { cell, workflow, mayDecline, ...known };
+        const answer = await network.call(claim.host, "submit", body, { sendWithin, openWithin });
         return answer.isOk ? answer.value : { kind: answer.error.kind === "unknown" ? "no-answer" : "not-sent" };
     };
     const candidates = (): readonly CellCandidate[] =>
@@ -174,10 +190,22 @@
         // Each cell may decline for lack of capacity; after that, cells have to accept the workflow.
         let mayDecline = true;
         let loads: RankedCells["loads"] = new Map();
-        const offer = createWorkflowOffer({
-            submitTo: cell => submitTo(cell, workflow, mayDecline, loads.get(cell)?.longRunningCpu),
-            deadline,
-        });
+        /** Offers the workflow to a cell; after the deadline, nothing is sent and no reply is waited for. */
+        const offerInTime = async (cell: CellId): Promise<OfferOutcome> => {
+            const timeLeft = deadline - performance.now();
+            if (timeLeft <= 0) {
+                return { kind: "not-sent" };
+            }
+            const knownCpu = loads.get(cell)?.longRunningCpu;
+            const ended = createStopSignal();
+            const outcome = await Promise.race([
+                submitTo(cell, workflow, mayDecline, knownCpu, timeLeft * sendingShare),
+                sleep(timeLeft, ended.signal).then((): OfferOutcome => ({ kind: "no-answer" })),
+            ]);
+            ended.abort();
+            return outcome;
+        };
+        const offer = createWorkflowOffer({ submitTo: offerInTime, deadline });
         /** Offers the workflow again, to the cells that had room for the largest share of it first. */
         const offerByRoom = async (cells: readonly CellId[]): Promise<CellId | undefined> =>
             offer.isDeclined()
@@ -185,7 +213,7 @@
                     [...cells].sort((left, right) => offer.roomShareOf(right) - offer.roomShareOf(left)),
                 )
                 : undefined;
-        await waitFor(() => activeClaims().length > 0 ? true : undefined, Math.min(timeout, submissionWait));
+        await waitForAnyHolder(timeout);
         do {
             const storedIn = offer.storedIn();
             const ranked = storedIn === undefined ? await rank(workflow) : { cells: [storedIn], loads };
@@ -203,8 +231,9 @@
                 return { kind: "accepted", reason: offer.describeAttempts() };
             }
             // A workflow that may be stored must not be reported as refused: it is offered again until that is known.
-            if (offer.mayBeStored()) {
-                await sleep(resolveInterval);
+            const timeLeft = deadline - performance.now();
+            if (offer.mayBeStored() && timeLeft > 0) {
+                await sleep(Math.min(resolveInterval, timeLeft));
             }
         }
         while (offer.mayBeStored() && performance.now() < deadline);
--- a/packages/workflow/src/peer/workflow-network.ts
+++ b/packages/workflow/src/peer/workflow-network.ts
@@ -1,4 +1,4 @@
-import type { PeerConnection, PeerError } from "@jayfront/jayfrontd";
+import type { PeerConnection, PeerError, SendLimits } from "@jayfront/jayfrontd";
 import { createPeerConnection } from "@jayfront/jayfrontd";
 import type { Result } from "true-myth";
 
@@ -7,11 +7,12 @@
 
 /** Sends messages to other entry hosts. */
 export interface WorkflowNetwork {
-    /** Sends a message and waits for the reply. */
+    /** Sends a message and waits for the reply. The result is `not-sent` only if the peer never gets the message. */
     readonly call: <Kind extends WorkflowMessageKind>(
         host: EntryHostRecord,
         kind: Kind,
         body: WorkflowMessages[Kind],
+        limits?: SendLimits,
     ) => Promise<Result<WorkflowReplies[Kind], PeerError>>;
     /** Closes all connections. */
     readonly close: () => void;
@@ -39,7 +40,8 @@
         return created;
     };
     return {
-        call: async (host, kind, body) => await connectionTo(host.peerAddress).call({ kind, body }) as never,
+        call: async (host, kind, body, limits) =>
+            await connectionTo(host.peerAddress).call({ kind, body }, limits) as never,
         close: () => {
             connections.forEach(connection => {
                 connection.close();
--- /dev/null
+++ b/packages/workflow/tests/workflow-router.test.ts
@@ -0,0 +1,124 @@
+import type { CellId, FailureDomainId, HostId, JobId } from "@jayfront/world";
+import { sleep } from "@jayfront/world";
+import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
+import pino from "pino";
+import { Result } from "true-myth";
+
+import type { CellSummary } from "../src/cell/cell-summary.js";
+import type { CellClaims } from "../src/entry/cell-claims.js";
+import { createCellClaims } from "../src/entry/cell-claims.js";
+import type { SubmissionAnswer, WorkflowRouter } from "../src/entry/workflow-router.js";
+import { createWorkflowRouter } from "../src/entry/workflow-router.js";
+import type { EntryHostRecord } from "../src/peer/host-registry.js";
+import type { WorkflowNetwork } from "../src/peer/workflow-network.js";
+import type { StateStore } from "../src/port/state-store.js";
+import { testQueue } from "./test-queue.js";
+
+/** Milliseconds within which the submitter should get an answer. */
+const timeout = 250;
+/** Milliseconds after which a call to a peer times out. */
+const callTimeout = 1_200;
+/** Milliseconds until a holder's claim is out of date. */
+const heartbeatInterval = 400;
+
+const hostOf = (id: string): EntryHostRecord => ({
+    id: id as HostId,
+    failureDomain: "east-a" as FailureDomainId,
+    peerAddress: `${id}:1`,
+    incarnation: id,
+    storeDelay: 4,
+    processors: 1,
+});
+const summaryOf = (cell: string): CellSummary => ({
+    cell: cell as CellId,
+    epoch: 1,
+    isActive: true,
+    provenAgo: 0,
+    pending: {},
+    racks: [],
+    capacityCpu: 16_000,
+    usedCpu: 0,
+    freeCpu: 16_000,
+    backlog: [],
+    accepted: [],
+});
+
+describe("submissions that the holder does not answer in time", () => {
+    let claims: CellClaims;
+    let router: WorkflowRouter;
+    /** What a call to a holder resolves to. */
+    let answerCall: WorkflowNetwork["call"];
+    let calls: number;
+
+    beforeEach(() => {
+        jest.useFakeTimers();
+        calls = 0;
+        claims = createCellClaims({ lateTime: () => 0 });
+        answerCall = async () => {
+            await sleep(callTimeout);
+            return Result.err({ kind: "unknown", message: "no reply" });
+        };
+        router = createWorkflowRouter({
+            cells: () => ["a" as CellId],
+            store: {} as StateStore,
+            network: {
+                call: async (...call) => {
+                    calls += 1;
+                    return await answerCall(...call);
+                },
+                close: () => undefined,
+            },
+            claims,
+            held: () => undefined,
+            isNear: () => true,
+            logger: pino({ level: "silent" }),
+        });
+    });
+    afterEach(() => {
+        jest.useRealTimers();
+    });
+
+    /** Submits a workflow; resolves to the answer and the milliseconds until it. */
+    const submit = async (): Promise<SubmissionAnswer & { readonly after: number; }> => {
+        const submittedAt = performance.now();
+        const answered = router.submit({
+            id: "0000000000000001" as JobId,
+            queue: testQueue,
+            payload: "",
+            steps: [],
+            acceptedAt: 0,
+        }, timeout).then(answer => ({ ...answer, after: performance.now() - submittedAt }));
+        await jest.advanceTimersByTimeAsync(5 * callTimeout);
+        return await answered;
+    };
+
+    // Guards against a submission that is held beyond the time that its submitter waits, for a holder without an answer.
+    it("are answered as unknown when the submitter's time is over", async () => {
+        claims.recordHeartbeat(hostOf("h-1"), [summaryOf("a")], 100 * heartbeatInterval);
+        const { kind, after } = await submit();
+        expect([kind, after]).toEqual(["unknown", timeout]);
+    });
+
+    // Guards against a call that is sent after the submission has been answered as not run.
+    it("are not sent later than that", async () => {
+        claims.recordHeartbeat(hostOf("h-1"), [summaryOf("a")], 100 * heartbeatInterval);
+        let sendWithin = Infinity;
+        answerCall = async (...[, , , limits]) => {
+            sendWithin = limits?.sendWithin ?? Infinity;
+            await sleep(sendWithin);
+            return Result.err({ kind: "not-sent", message: "no connection" });
+        };
+        const { kind, after } = await submit();
+        expect([kind, after <= timeout, sendWithin <= timeout]).toEqual(["unavailable", true, true]);
+    });
+
+    // Guards against submissions that wait for a holder although the host knows that none has answered for long.
+    it("are refused at once after a while without any holder", async () => {
+        const first = await submit();
+        const second = await submit();
+        expect([first.kind, second.kind, first.after <= timeout, second.after]).toEqual(
+            ["unavailable", "unavailable", true, 0],
+        );
+        expect(calls).toBe(0);
+    });
+});
