Decline new workflows while a cell's placement is late and accepted tasks wait

Change: a cell measures the time in which a placement pass was due and more than 250 ms late, counting other work of the process, the pause after long passes and the pass itself. While that is more than 0.35 of the last 3 s, and until it is less than 0.1, the cell answers a new workflow with `behind` before anything is written, provided that accepted tasks wait; with nothing waiting it takes work, so that a holder that is always late still makes progress. Heartbeats say that a cell is behind; other hosts then send it nothing but submissions of workflows that it is known to have, offer the workflow to other cells and otherwise refuse it at once. The time to come back is 2 to 4 s by the workflow's id, so that callers do not return together. Repeated submissions, state requests, cancels and transfers of accepted work are taken as before. A pause of less than 1.3 s by itself does not make a holder decline.

--- a/packages/bench/src/util/fake-time.ts
+++ b/packages/bench/src/util/fake-time.ts
@@ -9,6 +9,10 @@
      * milliseconds. Returns whether it is met.
      */
     readonly advanceUntil: (condition: () => boolean, timeout: number, step?: number) => Promise<boolean>;
+    /**
+     * Lets `milliseconds` pass in which the process is suspended: timers that fall due meanwhile run once, at the end.
+     */
+    readonly suspend: (milliseconds: number) => Promise<void>;
     /** Monotonic milliseconds. */
     readonly now: () => number;
     /** Reinstates the real timers and clocks. */
@@ -35,6 +39,10 @@
             }
             return condition();
         },
+        suspend: async milliseconds => {
+            clock.jump(milliseconds);
+            await advance(0);
+        },
         now: () => performance.now(),
         restore: () => {
             clock.uninstall();
--- a/packages/workflow/src/cell/cell-summary.ts
+++ b/packages/workflow/src/cell/cell-summary.ts
@@ -6,6 +6,8 @@
     readonly epoch: number;
     /** Whether the holder has loaded the cell's stored workflows and roster; the figures are complete only then. */
     readonly isActive: boolean;
+    /** Whether the holder declines new workflows since it is late with the placement of those that it has accepted. */
+    readonly isBehind: boolean;
     /** Milliseconds since the holder sent the last call that proved its lease. */
     readonly provenAgo: number;
     /** Number of workflows of which no task has started, by queue name. */
--- a/packages/workflow/src/cell/summarize-cell.ts
+++ b/packages/workflow/src/cell/summarize-cell.ts
@@ -13,6 +13,7 @@
 export interface SummarizeCellOptions {
     readonly lease: CellLease;
     readonly isActive: boolean;
+    readonly isBehind: boolean;
     /** Workflows accepted since the last summary. */
     readonly accepted: readonly JobId[];
     readonly ledgers: Iterable<WorkflowLedger>;
@@ -40,7 +41,7 @@
 
 /** Summarizes a cell for all entry hosts. */
 export const summarizeCell = (options: SummarizeCellOptions): CellSummary => {
-    const { lease, isActive, accepted, ledgers, transferredLedgers, workers, queueOf, runTime } = options;
+    const { lease, isActive, isBehind, accepted, ledgers, transferredLedgers, workers, queueOf, runTime } = options;
     const pending: Record<string, number> = {};
     const backlog: number[] = [];
     let waitingCpu = 0;
@@ -71,6 +72,7 @@
         cell: lease.cell,
         epoch: lease.epoch,
         isActive,
+        isBehind,
         provenAgo: performance.now() - lease.provenAt(),
         pending,
         racks: [...new Set(usable.map(({ session }) => session.entry().rack))],
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -22,6 +22,7 @@
 import type { CellTiming } from "./cell-timing.js";
 import { leaseDuration } from "./cell-timing.js";
 import type { CellWorkers } from "./cell-workers.js";
+import { hasWaitingTasks } from "./has-waiting-tasks.js";
 import { createIncomingTransfers } from "./incoming-transfers.js";
 import { createInterferenceController } from "./interference-controller.js";
 import { createLateOrderDetector } from "./late-order-detector.js";
@@ -30,6 +31,7 @@
 import type { OtherCells } from "./other-cells.js";
 import { createOutgoingTransfers } from "./outgoing-transfers.js";
 import { createPassMonitor } from "./pass-monitor.js";
+import { createPlacementLag } from "./placement-lag.js";
 import type { PollBudget } from "./poll-budget.js";
 import { createProgressWriter } from "./progress-writer.js";
 import { createQueueLookup } from "./queue-lookup.js";
@@ -174,6 +176,7 @@
     const workers: CellWorkers = new Map();
     const runRegistry = createRunRegistry();
     const passWakeUp = createWakeUp();
+    const placementLag = createPlacementLag();
     const interferenceModel = createInterferenceModel();
     const lateOrderDetector = createLateOrderDetector();
     let isActive = false;
@@ -442,6 +445,19 @@
             }, "long-running task without a run for too long");
         }
     };
+    let wasBehind = false;
+    const logLag = (): void => {
+        const isBehind = placementLag.isBehind();
+        if (isBehind !== wasBehind) {
+            wasBehind = isBehind;
+            const lateShare = Number(placementLag.lateShare().toFixed(2));
+            const figures = { cell, epoch, lateShare, workflows: ledgers.size };
+            logger.info(
+                figures,
+                isBehind ? "placement is behind; declining new workflows" : "placement keeps up again",
+            );
+        }
+    };
     const runPasses = async (): Promise<void> => {
         let reviewedAt = performance.now();
         let hasReportedCapacity = false;
@@ -450,7 +466,9 @@
         const passMonitor = createPassMonitor({ cell, epoch, metrics, logger });
         while (!signal.aborted) {
             if (hasFinishedRound) {
+                placementLag.expectRound(passInterval);
                 await passWakeUp.wait(passInterval, signal);
+                placementLag.expectRound(0);
             }
             const delay = Math.max(passBatchDelay, passDuration * passPauseFactor);
             const dueAt = performance.now() + delay;
@@ -462,6 +480,10 @@
                 recovery.record("firstPass");
                 passDuration = performance.now() - startedAt;
                 passMonitor.recordPass(startedAt - dueAt, passDuration, hasFinishedRound);
+                if (hasFinishedRound) {
+                    placementLag.endRound();
+                    logLag();
+                }
                 if (!hasReportedCapacity && isCapacityKnown()) {
                     hasReportedCapacity = true;
                     options.onCapacityKnown();
@@ -564,6 +586,11 @@
         pendingWorkflows: intake.pendingWorkflows,
     });
     const transferOffers = createTransferOffers({ workers, runRegistry, capacity: room.forTransfers });
+    /** Whether placement is late while tasks wait for it, so that further workflows would run late or not at all. */
+    const isBehind = (): boolean =>
+        placementLag.isBehind()
+        && (intake.pendingWorkflows().length > 0
+            || [...ledgers.values(), ...incomingTransfers.ledgers.values()].some(hasWaitingTasks));
     void writer.run(signal);
     void run();
     const operations = createWorkflowOperations({
@@ -586,6 +613,10 @@
                 return { kind: "not-holder" };
             }
             const isNew = !ledgers.has(workflow.id) && !intake.hasPendingSubmission(workflow.id);
+            if (isNew && isBehind()) {
+                metrics.submissions.inc({ outcome: "behind" });
+                return { kind: "behind" };
+            }
             if (isNew && mayDecline) {
                 const roomShare = room.shareFor(workflow.steps);
                 const hasMoreWork = Number.isFinite(knownLongRunningCpu)
@@ -609,6 +640,7 @@
             return summarizeCell({
                 lease,
                 isActive,
+                isBehind: isBehind(),
                 accepted: reported,
                 ledgers: ledgers.values(),
                 transferredLedgers: incomingTransfers.ledgers.values(),
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -254,6 +254,7 @@
             held: cellManager.held,
             isNear: cell => domainsOf(cell).some(domain => regions[domain] === regions[self.failureDomain]),
             logger,
+            metrics,
         }),
         configuration: configurationWatch.current,
         isReady: () => !isDraining && configurationWatch.current() !== undefined && claims.allFresh().length > 0,
--- a/packages/workflow/src/entry/workflow-offer.ts
+++ b/packages/workflow/src/entry/workflow-offer.ts
@@ -15,6 +15,8 @@
     readonly roomShareOf: (cell: CellId) => number;
     /** Whether a write may have stored the workflow; then it must not be reported as refused. */
     readonly mayBeStored: () => boolean;
+    /** Whether a cell declined because its holder is late with the placement of accepted workflows. */
+    readonly hasFoundBehind: () => boolean;
     /** The cell that the index names for the workflow, if known; no other cell can accept it. */
     readonly storedIn: () => CellId | undefined;
     /** Lists the cells that were tried, with the outcomes, for logs. */
@@ -38,6 +40,7 @@
     const roomShares = new Map<CellId, number>();
     let mayBeStored = false;
     let isDeclined = false;
+    let hasFoundBehind = false;
     let storedIn: CellId | undefined;
 
     const offerTo = async (cells: readonly CellId[]): Promise<CellId | undefined> => {
@@ -52,6 +55,7 @@
                 isDeclined = true;
                 roomShares.set(cell, outcome.roomShare);
             }
+            hasFoundBehind ||= outcome.kind === "behind";
             // The index row ensures that only one cell stores an id, so others can be tried after an unknown outcome.
             mayBeStored ||= uncertainKinds.has(outcome.kind);
             if (outcome.kind === "elsewhere") {
@@ -70,6 +74,7 @@
         isDeclined: () => isDeclined && !mayBeStored,
         roomShareOf: cell => roomShares.get(cell) ?? 0,
         mayBeStored: () => mayBeStored,
+        hasFoundBehind: () => hasFoundBehind,
         storedIn: () => storedIn,
         describeAttempts: () => attempts.join(", "),
     };
--- a/packages/workflow/src/entry/workflow-router.ts
+++ b/packages/workflow/src/entry/workflow-router.ts
@@ -10,11 +10,12 @@
 import type { CellCandidate } from "../policy/rank-cells.js";
 import { rankCells, widestStepCpu } from "../policy/rank-cells.js";
 import type { StateStore } from "../port/state-store.js";
+import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { CellClaim, CellClaims } from "./cell-claims.js";
 import { lookUpCell } from "./look-up-cell.js";
 import { readState } from "./read-state.js";
 import type { WorkflowAnswer } from "./workflow-answer.js";
-import type { OfferOutcome } from "./workflow-offer.js";
+import type { OfferOutcome, WorkflowOffer } from "./workflow-offer.js";
 import { createWorkflowOffer } from "./workflow-offer.js";
 
 /** Answer to the submission of a workflow. */
@@ -50,6 +51,7 @@
     /** Whether the cell is in the region of this host. */
     readonly isNear: (cell: CellId) => boolean;
     readonly logger: Logger;
+    readonly metrics: Pick<WorkflowMetrics, "refusedSubmissions">;
 }
 
 /** Milliseconds for which a request about a workflow waits for a holder of its cell, which may be changing. */
@@ -68,6 +70,13 @@
 const holderPollInterval = 50;
 /** Seconds after which submitters should retry if no cell could take their workflow: a takeover's time and a margin. */
 const retryAfterOutage = 1;
+/** Seconds, at least and at most, after which submitters should retry while holders are late with placement. */
+const shortestRetryAfterBehind = 2;
+const longestRetryAfterBehind = 4;
+/** Seconds after which the submitter of a workflow should retry; differ, so that submitters do not all return at once. */
+const retryAfterBehind = (id: JobId): number =>
+    shortestRetryAfterBehind
+    + Number.parseInt(id.slice(-4), 16) % (longestRetryAfterBehind - shortestRetryAfterBehind + 1);
 /**
  * Milliseconds for which this host adds workflows that it has sent to a cell to the cell's reported load; longer than
  * the slowest heartbeat interval, after which the report includes them.
@@ -83,7 +92,7 @@
 
 /** Creates the router of an entry host. */
 export const createWorkflowRouter = (options: WorkflowRouterOptions): WorkflowRouter => {
-    const { cells, store, network, claims, held, isNear, logger } = options;
+    const { cells, store, network, claims, held, isNear, logger, metrics } = options;
     const recentlySent: { readonly cell: CellId; readonly cpu: number; readonly at: number; }[] = [];
 
     /** Millicores requested by the widest steps of the workflows that this host has recently sent to a cell. */
@@ -137,8 +146,11 @@
         const answer = await network.call(claim.host, "submit", body, { sendWithin, openWithin });
         return answer.isOk ? answer.value : { kind: answer.error.kind === "unknown" ? "no-answer" : "not-sent" };
     };
-    const candidates = (): readonly CellCandidate[] =>
-        activeClaims().map(({ summary }) => ({
+    /** Cells that may take the workflow: those that keep up with placement, and the one that is known to have it. */
+    const candidates = (id: JobId): readonly CellCandidate[] =>
+        activeClaims().filter(({ summary }) => !summary.isBehind || claims.cellOf(id) === summary.cell).map((
+            { summary },
+        ) => ({
             ...summary,
             sentCpu: recentlySentTo(summary.cell),
             isNear: isNear(summary.cell),
@@ -171,7 +183,7 @@
      * that the holders tell now; other work goes by their heartbeats and a draw.
      */
     const rank = async ({ id, steps, queue }: Workflow): Promise<RankedCells> => {
-        const known = candidates();
+        const known = candidates(id);
         const isAsked = known.length > 1 && steps.some(step => step.isLasting);
         const loads = isAsked ? await askLoads(known.map(({ cell }) => cell)) : undefined;
         return loads === undefined
@@ -185,6 +197,19 @@
                 loads,
             };
     };
+    /** The answer to a submission that no cell has accepted. */
+    const describeFailure = ({ id }: Workflow, offer: WorkflowOffer): SubmissionAnswer => {
+        const mayBeStored = offer.mayBeStored();
+        const isBehind = offer.hasFoundBehind() || activeClaims().some(({ summary }) => summary.isBehind);
+        const attempts = offer.describeAttempts();
+        const reason = attempts || (isBehind ? "every holder is late with placement" : "no cell has a holder");
+        logger.info({ job: id, mayBeStored, storedIn: offer.storedIn(), reason }, "workflow not accepted");
+        if (mayBeStored) {
+            return { kind: "unknown", reason };
+        }
+        metrics.refusedSubmissions.inc({ reason: isBehind ? "behind" : attempts === "" ? "no-holder" : "other" });
+        return { kind: "unavailable", reason, retryAfter: isBehind ? retryAfterBehind(id) : retryAfterOutage };
+    };
     const submit = async (workflow: Workflow, timeout: number): Promise<SubmissionAnswer> => {
         const deadline = performance.now() + timeout;
         // Each cell may decline for lack of capacity; after that, cells have to accept the workflow.
@@ -237,12 +262,7 @@
             }
         }
         while (offer.mayBeStored() && performance.now() < deadline);
-        const mayBeStored = offer.mayBeStored();
-        const reason = offer.describeAttempts() || "no cell has a holder";
-        logger.info({ job: workflow.id, mayBeStored, storedIn: offer.storedIn(), reason }, "workflow not accepted");
-        return mayBeStored
-            ? { kind: "unknown", reason }
-            : { kind: "unavailable", reason, retryAfter: retryAfterOutage };
+        return describeFailure(workflow, offer);
     };
     /** Finds the cell of a workflow, from memory or from the index. */
     const findCell = async (id: JobId): Promise<WorkflowAnswer<CellId>> => {
--- a/packages/workflow/src/workflow-metrics.ts
+++ b/packages/workflow/src/workflow-metrics.ts
@@ -10,6 +10,8 @@
     readonly workflowSeconds: Histogram<"queue" | "state">;
     /** Workflows submitted to cells that this host holds, by outcome. */
     readonly submissions: Counter<"outcome">;
+    /** Submissions that this host answered as not accepted, by reason: `behind`, `no-holder` or `other`. */
+    readonly refusedSubmissions: Counter<"reason">;
     /** Runs of tasks that ended or were not started, by queue and outcome. */
     readonly runEnds: Counter<"queue" | "outcome">;
     /** Long-running tasks that cells held by this host have transferred to other cells, by queue. */
@@ -72,6 +74,12 @@
             labelNames: ["outcome"],
             registers,
         }),
+        refusedSubmissions: new Counter({
+            name: "jayfront_refused_submissions_total",
+            help: "Submissions answered as not accepted",
+            labelNames: ["reason"],
+            registers,
+        }),
         runEnds: new Counter({
             name: "jayfront_run_ends_total",
             help: "Runs of tasks that ended or were not started",
--- a/packages/workflow/tests/workflow-router.test.ts
+++ b/packages/workflow/tests/workflow-router.test.ts
@@ -2,6 +2,7 @@
 import { sleep } from "@jayfront/world";
 import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
 import pino from "pino";
+import { Registry } from "prom-client";
 import { Result } from "true-myth";
 
 import type { CellSummary } from "../src/cell/cell-summary.js";
@@ -12,6 +13,7 @@
 import type { EntryHostRecord } from "../src/peer/host-registry.js";
 import type { WorkflowNetwork } from "../src/peer/workflow-network.js";
 import type { StateStore } from "../src/port/state-store.js";
+import { createWorkflowMetrics } from "../src/workflow-metrics.js";
 import { testQueue } from "./test-queue.js";
 
 /** Milliseconds within which the submitter should get an answer. */
@@ -33,6 +35,7 @@
     cell: cell as CellId,
     epoch: 1,
     isActive: true,
+    isBehind: false,
     provenAgo: 0,
     pending: {},
     racks: [],
@@ -72,6 +75,7 @@
             held: () => undefined,
             isNear: () => true,
             logger: pino({ level: "silent" }),
+            metrics: createWorkflowMetrics(new Registry()),
         });
     });
     afterEach(() => {
@@ -112,6 +116,25 @@
         expect([kind, after <= timeout, sendWithin <= timeout]).toEqual(["unavailable", true, true]);
     });
 
+    // Guards against submissions that add to the work of a holder which would decline them, or is too late to answer.
+    it("are refused at once, with a later time to come back, if the holder has said that it is behind", async () => {
+        claims.recordHeartbeat(hostOf("h-1"), [{ ...summaryOf("a"), isBehind: true }], 100 * heartbeatInterval);
+        const { kind, after, retryAfter = 0 } = await submit();
+        expect([kind, after, retryAfter >= 2, calls]).toEqual(["unavailable", 0, true, 0]);
+    });
+
+    // Guards against a workflow that is reported as not accepted although the holder has said that it is stored.
+    it("are sent to a holder that is behind if it has accepted the workflow before", async () => {
+        claims.recordHeartbeat(
+            hostOf("h-1"),
+            [{ ...summaryOf("a"), isBehind: true, accepted: ["0000000000000001" as JobId] }],
+            100 * heartbeatInterval,
+        );
+        answerCall = () => Promise.resolve(Result.ok({ kind: "accepted" }) as never);
+        const { kind } = await submit();
+        expect([kind, calls]).toEqual(["accepted", 1]);
+    });
+
     // Guards against submissions that wait for a holder although the host knows that none has answered for long.
     it("are refused at once after a while without any holder", async () => {
         const first = await submit();
