Refuse submissions at once while a holder leaves others without a reply

In the log, 334 of 761 `no-answer` followed an unanswered one of the same host that was more than 1 s older.

If one has been without a reply for more than 1 s and nothing was heard of the holder since (no reply, no heartbeat), the host sends it no further ones; the offer's outcome is `silent`, the answer 503 with Retry-After if no other cell takes the workflow. It was not sent, so that it has not run. A reply or a heartbeat ends that. State requests and cancels are sent as before.

Test, which failed before (sent again, and unknown after 250 ms): workflow-router.test.ts, "are refused at once while the holder has been silent for too long, and sent again once it is heard".

--- a/packages/workflow/src/entry/workflow-offer.ts
+++ b/packages/workflow/src/entry/workflow-offer.ts
@@ -2,8 +2,11 @@
 
 import type { SubmissionReply } from "../cell/submission-reply.js";
 
-/** Outcome of offering a workflow to a cell. `no-answer`: the holder may have stored it. `not-sent`: it has not. */
-export type OfferOutcome = SubmissionReply | { readonly kind: "no-answer" | "not-sent"; };
+/**
+ * Outcome of offering a workflow to a cell. `no-answer`: the holder may have stored it. `not-sent`: it has not. `silent`:
+ * as `not-sent`, since the holder has not answered earlier submissions.
+ */
+export type OfferOutcome = SubmissionReply | { readonly kind: "no-answer" | "not-sent" | "silent"; };
 
 /** Offers one workflow to cells until one accepts it, and tracks whether a cell may have stored it. */
 export interface WorkflowOffer {
--- a/packages/workflow/src/entry/workflow-router.ts
+++ b/packages/workflow/src/entry/workflow-router.ts
@@ -12,6 +12,7 @@
 import type { StateStore } from "../port/state-store.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { CellClaim, CellClaims } from "./cell-claims.js";
+import { createHolderSilence } from "./holder-silence.js";
 import { lookUpCell } from "./look-up-cell.js";
 import { readState } from "./read-state.js";
 import type { WorkflowAnswer } from "./workflow-answer.js";
@@ -126,6 +127,7 @@
         const isFound = await waitFor(find, Math.min(timeout, timeLeft)) === true;
         withoutHolderSince = isFound ? undefined : withoutHolderSince ?? now;
     };
+    const silence = createHolderSilence();
     const submitTo = async (
         cell: CellId,
         workflow: Workflow,
@@ -141,10 +143,18 @@
         if (claim === undefined) {
             return { kind: "not-holder" };
         }
+        if (silence.isSilent(claim)) {
+            return { kind: "silent" };
+        }
+        const recordReply = silence.recordSent(claim);
         const known = knownLongRunningCpu === undefined ? {} : { knownLongRunningCpu };
         const body = { cell, workflow, mayDecline, ...known };
         const answer = await network.call(claim.host, "submit", body, { sendWithin, openWithin });
-        return answer.isOk ? answer.value : { kind: answer.error.kind === "unknown" ? "no-answer" : "not-sent" };
+        if (answer.isErr) {
+            return { kind: answer.error.kind === "unknown" ? "no-answer" : "not-sent" };
+        }
+        recordReply();
+        return answer.value;
     };
     /** Cells that may take the workflow: those that keep up with placement, and the one that is known to have it. */
     const candidates = (id: JobId): readonly CellCandidate[] =>
--- a/packages/workflow/tests/workflow-router.test.ts
+++ b/packages/workflow/tests/workflow-router.test.ts
@@ -135,6 +135,19 @@
         expect([kind, calls]).toEqual(["accepted", 1]);
     });
 
+    // Guards against submissions of which each ends as unknown, sent to a holder that has not answered those before.
+    it("are refused at once while the holder has been silent for too long, and sent again once it is heard", async () => {
+        claims.recordHeartbeat(hostOf("h-1"), [summaryOf("a")], 100 * heartbeatInterval);
+        const first = await submit();
+        const second = await submit();
+        const callsWhileSilent = calls;
+        claims.recordHeartbeat(hostOf("h-1"), [summaryOf("a")], 100 * heartbeatInterval);
+        answerCall = () => Promise.resolve(Result.ok({ kind: "accepted" }) as never);
+        const third = await submit();
+        expect([first.kind, second.kind, second.after, callsWhileSilent]).toEqual(["unknown", "unavailable", 0, 1]);
+        expect([third.kind, calls]).toEqual(["accepted", 2]);
+    });
+
     // Guards against submissions that wait for a holder although the host knows that none has answered for long.
     it("are refused at once after a while without any holder", async () => {
         const first = await submit();
