Build the keys of a step's run time estimate once

Each search for a worker looks up the expected run time of its step once for each worker, and each look-up built two strings from the job, the queue and the step. The subject is now kept for each step object.

--- a/packages/workflow/src/cell/run-statistics.ts
+++ b/packages/workflow/src/cell/run-statistics.ts
@@ -52,11 +52,26 @@
 /** Creates statistics without any recorded run. */
 export const createRunStatistics = ({ metrics, queueOf }: RunStatisticsOptions): RunStatistics => {
     const runTimes = createRunTimeEstimate();
-    const subjectOf = (job: JobId, queue: Queue, step: Step, number: number): RunTimeSubject => ({
-        kind: kindOf(queue, step, number),
-        stepKey: `${job}.${String(number)}`,
-        declared: step.expectedRunTime,
-    });
+    /** Subjects by step, with what they were created of; each search for a worker looks up that of its step many times. */
+    const subjects = new WeakMap<Step, {
+        readonly job: JobId;
+        readonly queueName: string;
+        readonly number: number;
+        readonly subject: RunTimeSubject;
+    }>();
+    const subjectOf = (job: JobId, queue: Queue, step: Step, number: number): RunTimeSubject => {
+        const known = subjects.get(step);
+        if (known?.job === job && known.queueName === queue.name && known.number === number) {
+            return known.subject;
+        }
+        const subject = {
+            kind: kindOf(queue, step, number),
+            stepKey: `${job}.${String(number)}`,
+            declared: step.expectedRunTime,
+        };
+        subjects.set(step, { job, queueName: queue.name, number, subject });
+        return subject;
+    };
     const health = createWorkerHealth({
         failureLimit,
         suspectLimit,
