Choose a worker without copies of the list of workers that no filter needs

For each task that looked for a worker, the workers with room were copied and filtered by their health, even if all are healthy, and their free room was added up for scorers that ignore it. A task that may start on one worker only, or nowhere, copied the whole list as well; it is now looked up.

--- a/packages/workflow/src/cell/eligible-workers.ts
+++ b/packages/workflow/src/cell/eligible-workers.ts
@@ -75,13 +75,19 @@
             eligible.delete(id);
         }
     };
-    const eligibleFor = (task: TaskName): EligibleWorker[] => {
+    const eligibleFor = (task: TaskName): readonly EligibleWorker[] => {
         const constraint = constraintOf(task);
-        const all = [...eligible.values()];
-        return constraint === undefined ? all : all.filter(({ worker }) => worker.session.id === constraint);
+        if (constraint === undefined) {
+            return [...eligible.values()];
+        }
+        const only = constraint === "nowhere" ? undefined : eligible.get(constraint);
+        return only === undefined ? [] : [only];
     };
     /** The workers that the task may start on as far as their health is concerned. */
     const selectByHealth = (fitting: readonly EligibleWorker[]): readonly EligibleWorker[] => {
+        if (fitting.every(candidate => candidate.isTrusted)) {
+            return fitting;
+        }
         const trusted = fitting.filter(candidate => candidate.isTrusted);
         // For a long-running task, a worker in quarantine is better than no run at all.
         return trusted.length === 0 && step.isLasting ? fitting : trusted;
--- a/packages/workflow/src/policy/choose-worker.ts
+++ b/packages/workflow/src/policy/choose-worker.ts
@@ -53,8 +53,12 @@
     (freeCpu - step.cpu) / capacityCpu * (isRoomAmple ? 1 : -1);
 
 const hasAmpleRoom = (candidates: readonly WorkerCandidate[]): boolean => {
-    const free = candidates.reduce((sum, candidate) => sum + candidate.freeCpu, 0);
-    const capacity = candidates.reduce((sum, candidate) => sum + candidate.capacityCpu, 0);
+    let free = 0;
+    let capacity = 0;
+    for (const candidate of candidates) {
+        free += candidate.freeCpu;
+        capacity += candidate.capacityCpu;
+    }
     return free > capacity * ampleRoomShare;
 };
 const scorerFor = (step: Step): Scorer =>
@@ -63,7 +67,8 @@
 /** The best worker among candidates that all have room for the task; undefined where the task should wait. */
 export const chooseWorker = (step: Step, candidates: readonly WorkerCandidate[]): WorkerCandidate | undefined => {
     const scorer = scorerFor(step);
-    const isRoomAmple = hasAmpleRoom(candidates);
+    // The other scorers ignore it.
+    const isRoomAmple = scorer === scoreForReserving && hasAmpleRoom(candidates);
     let best: WorkerCandidate | undefined;
     let bestScore = -Infinity;
     for (const candidate of candidates) {
