--- a/packages/workflow/src/cell/unanswered-starts.ts
+++ b/packages/workflow/src/cell/unanswered-starts.ts
@@ -66,16 +66,36 @@
     isIncarnationOver: boolean;
 }
 
+const groupByTask = (starts: readonly UnansweredStart[]): ReadonlyMap<TaskName, readonly UnansweredStart[]> => {
+    const byTask = new Map<TaskName, UnansweredStart[]>();
+    for (const start of starts) {
+        const ofTask = byTask.get(start.task) ?? [];
+        ofTask.push(start);
+        byTask.set(start.task, ofTask);
+    }
+    return byTask;
+};
+
 /** Creates an empty set of unanswered starts. */
 export const createUnansweredStarts = (options: UnansweredStartsOptions): UnansweredStarts => {
     const { lateOrderTime, lateOrderDetector, onChange } = options;
-    let starts: UnansweredStart[] = [];
+    let starts: readonly UnansweredStart[] = [];
+    /** The starts by task; undefined after a change until the next look-up. Passes look up each task that they place. */
+    let startsByTask: ReadonlyMap<TaskName, readonly UnansweredStart[]> | undefined;
     /** Monotonic time in ms at which a worker last restarted under its id. */
     let restartedAt = -Infinity;
     const mayArrive = ({ orderedAt, isLasting }: UnansweredStart): boolean =>
         performance.now() - orderedAt < (isLasting ? Math.min(longRunningWait, lateOrderTime) : lateOrderTime);
+    const setStarts = (next: readonly UnansweredStart[]): void => {
+        starts = next;
+        startsByTask = undefined;
+    };
+    const startsOf = (task: TaskName): readonly UnansweredStart[] => {
+        startsByTask ??= groupByTask(starts);
+        return startsByTask.get(task) ?? [];
+    };
     const find = (worker: WorkerId, task: TaskName, run: number): UnansweredStart | undefined =>
-        starts.find(start => start.task === task && start.run === run && start.worker === worker);
+        startsOf(task).find(start => start.run === run && start.worker === worker);
     const findOrAdd = ({ worker, task, number, step, orderedAt }: Run): UnansweredStart => {
         const existing = find(worker, task, number);
         if (existing !== undefined) {
@@ -90,7 +110,7 @@
             isOverdue: true,
             isIncarnationOver: false,
         };
-        starts = [...starts.filter(mayArrive), start];
+        setStarts([...starts.filter(mayArrive), start]);
         onChange();
         return start;
     };
@@ -113,7 +133,7 @@
         remove: (worker, task, run) => {
             const found = find(worker, task, run);
             if (found !== undefined) {
-                starts = starts.filter(start => start !== found);
+                setStarts(starts.filter(start => start !== found));
                 onChange();
             }
         },
@@ -127,8 +147,8 @@
         },
         recordLapse: endIncarnation,
         constraintOf: task => {
-            const constraining = starts.filter(start =>
-                start.task === task && mayArrive(start) && lateOrderDetector.mayBeDelayed(start.orderedAt)
+            const constraining = startsOf(task).filter(start =>
+                mayArrive(start) && lateOrderDetector.mayBeDelayed(start.orderedAt)
             );
             const [first] = constraining;
             if (first === undefined) {
@@ -139,7 +159,7 @@
         },
         snapshot: () => {
             const now = performance.now();
-            starts = starts.filter(mayArrive);
+            setStarts(starts.filter(mayArrive));
             return {
                 restartAge: mayRestart() ? now - restartedAt : undefined,
                 starts: starts.map(({ task, run, worker, isLasting, orderedAt, isIncarnationOver }) => ({
@@ -163,7 +183,7 @@
                 }
                 return { ...start, orderedAt, isOverdue: false };
             });
-            starts = [...starts, ...inherited];
+            setStarts([...starts, ...inherited]);
             return inherited;
         },
     };
