Take a holder whose connections have closed for lost only if its host refuses new ones

The close of a holder's connection shortened its timeout to 250 ms. A holder that is late closes its own connections, since its calls to peers time out, and so told all its peers at once that it is down; they confirmed it to each other, since the shortened timeout also made their last heartbeat look older. A host now calls the holder when its connection closes, and shortens the timeout only if the call finds nobody at the address. A process that has ended is noticed as fast as before.

Test: "keeps a live holder whose connections close" in takeover-storm.test.ts: with connections closed every 730 ms for 40 s, the cell changed its holder 17 times; now it keeps it. "replaces a holder whose process has ended" still passes within 2.5 s.

--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -48,6 +48,8 @@
     readonly isolate: (id: string) => () => void;
     /** Cuts a host off from its peers only; the returned function undoes that. */
     readonly isolatePeers: (id: string) => () => void;
+    /** Closes the connections that a host has opened to its peers; the next calls open new ones. */
+    readonly closeConnections: (id: string) => void;
     /** The host that holds a cell according to the cell's stored row; without an argument, of the first cell with one. */
     readonly holder: (cell?: string) => string | undefined;
     /** Submits a workflow to a host. `payload` tells the workers of the stand-in how its tasks behave. */
@@ -384,6 +386,7 @@
                 isolated.delete(id);
             };
         },
+        closeConnections: connections.closeAllFrom,
         holder: cell => {
             const row = platform.store.rows("cells")
                 .find(candidate => candidate.key === "holder" && (cell === undefined || candidate.part === cell));
--- a/packages/bench/tests/workflow/takeover-storm.test.ts
+++ b/packages/bench/tests/workflow/takeover-storm.test.ts
@@ -37,6 +37,8 @@
 const downTime = 2_000;
 /** Milliseconds of a short outage of the store. */
 const outage = 3_000;
+/** Milliseconds between two moments at which connections close. */
+const closeInterval = 730;
 /** Milliseconds within which a lost holder that was on time is replaced. */
 const takeoverBound = 2_500;
 /** Milliseconds within which a lost holder that was late is replaced, so that no lease of a task lapses. */
@@ -173,6 +175,17 @@
         },
     );
 
+    // Guards against a live holder that counts as down since its calls time out, which closes its connections.
+    it("keeps a live holder whose connections close", async () => {
+        await startCluster(largeCores);
+        const before = epoch();
+        for (let passed = 0; passed < observedTime; passed += closeInterval) {
+            cluster.closeConnections(cluster.holder() ?? "");
+            await time.advance(closeInterval);
+        }
+        expect(epoch()).toBe(before);
+    });
+
     // Guards against a process that has ended, whose connections are closed, and that is waited for all the same.
     it.each([largeCores, smallCores])("replaces a holder of %d cores whose process has ended", async cores => {
         await startCluster(cores);
--- a/packages/workflow/src/entry/cell-claims.ts
+++ b/packages/workflow/src/entry/cell-claims.ts
@@ -19,8 +19,8 @@
 export interface CellClaims {
     /** Records a heartbeat. `interval`: milliseconds until the next one. */
     readonly recordHeartbeat: (host: EntryHostRecord, summaries: readonly CellSummary[], interval: number) => void;
-    /** Records that a holder's connection has closed, which shortens the timeout of its claims. */
-    readonly recordDisconnect: (host: EntryHostRecord) => void;
+    /** Records that a holder's process has probably ended, which shortens the timeout of its claims. */
+    readonly recordEnd: (host: EntryHostRecord) => void;
     /** The last claim on a cell, unless it has timed out. */
     readonly fresh: (cell: CellId) => CellClaim | undefined;
     /** The last claim on a cell, even if it has timed out. */
@@ -46,8 +46,8 @@
 
 /** Missed heartbeats after which a holder counts as down. */
 const missedHeartbeats = 3;
-/** Milliseconds from the close of a holder's connection until the holder counts as down, unless it reconnects. */
-const disconnectTimeout = 250;
+/** Milliseconds until a holder counts as down whose process has probably ended, unless another heartbeat arrives. */
+const endTimeout = 250;
 /** Number of workflows whose cell is remembered: a day's load of a busy host, in a few MB. */
 const maxRememberedWorkflows = 20_000;
 
@@ -91,10 +91,10 @@
                 });
             }
         },
-        recordDisconnect: host => {
+        recordEnd: host => {
             for (const [cell, claim] of claims) {
                 if (claim.host.id === host.id && claim.host.incarnation === host.incarnation) {
-                    const heardAt = Math.min(claim.heardAt, performance.now() - claim.timeout + disconnectTimeout);
+                    const heardAt = Math.min(claim.heardAt, performance.now() - claim.timeout + endTimeout);
                     claims.set(cell, { ...claim, heardAt, lateTime: lateTime() });
                 }
             }
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -79,6 +79,8 @@
  */
 const defaultLargestCell = 200;
 
+/** Calls to a holder whose connection has closed, to learn whether it has ended. */
+const closedHolderAttempts = 2;
 /** Milliseconds since the store's last answer within which the store counts as reachable without another call. */
 const recentStoreContact = 500;
 
@@ -188,6 +190,22 @@
         configurationVersion: () => configurationWatch.current()?.version ?? 0,
         processDelay: processDelay.recent,
     });
+    /**
+     * Checks whether a holder whose connection has closed has ended: then its host refuses connections. A late holder
+     * closes its connections too, when its calls time out. A first call may still use a connection of the ended process.
+     */
+    const checkClosedHolder = async (holder: EntryHostRecord): Promise<void> => {
+        for (let attempt = 0; attempt < closedHolderAttempts; attempt += 1) {
+            const answer = await network.call(holder, "hello", { host: self });
+            if (answer.isOk) {
+                return;
+            }
+            if (answer.error.kind === "not-sent") {
+                claims.recordEnd(holder);
+                return;
+            }
+        }
+    };
     /** Incarnations of the peers whose connections have a close callback. */
     const watchedIncarnations = new Set<string>();
     const handlers: Handlers = {
@@ -201,7 +219,7 @@
                 watchedIncarnations.add(host.incarnation);
                 onClose(() => {
                     watchedIncarnations.delete(host.incarnation);
-                    claims.recordDisconnect(host);
+                    void checkClosedHolder(host);
                 });
             }
             registry.addPeer(host);
