Size cells by the processors of the hosts that hold them

A cell had up to 200 workers whatever its holder's processor: on 17 hosts of 0.12 core one held all 160 workers and was saturated by their polls, while 16 were idle. 200 workers are what a host of 1.35 cores manages (docs/incidents/saturated-holder.md), hence 148 for a core. The plan now takes the fewest cells a region whose workers its strongest hosts can manage, and 200 workers at most, as before.

Nothing changes on hosts of 1.35 cores with 171 workers a cell nor on hosts of 0.675 cores with up to 99 workers. The tests of hosts with 1, and 0.1 cores fail on the code before, which makes one cell.

--- a/packages/workflow/src/entry/cell-plan.ts
+++ b/packages/workflow/src/entry/cell-plan.ts
@@ -6,6 +6,7 @@
 import { rowKeys } from "../cell/row-keys.js";
 import { createWorkerList } from "../cell/worker-list.js";
 import type { WorkerEntry } from "../model/worker-entry.js";
+import type { EntryHostRecord } from "../peer/host-registry.js";
 import type { StateStore } from "../port/state-store.js";
 import type { WorkerDirectory } from "../port/worker-directory.js";
 
@@ -26,8 +27,10 @@
     readonly directory: WorkerDirectory;
     /** Regions by failure domain. */
     readonly regions: Readonly<Record<string, string>>;
-    /** Maximum number of workers of a cell that has several failure domains. */
-    readonly largestCell: number;
+    /** The entry hosts known so far, this one included. */
+    readonly hosts: () => readonly Pick<EntryHostRecord, "failureDomain" | "processors">[];
+    /** Maximum number of workers of a cell with several failure domains, held by a host with `processors` cores. */
+    readonly largestCell: (processors: number) => number;
     /** Rank of this host, from 0, in the order in which hosts write the plan; the first lists the workers for all. */
     readonly rank: () => number;
     readonly logger: Logger;
@@ -51,29 +54,39 @@
             items.slice(Math.round(part * items.length / count), Math.round((part + 1) * items.length / count)),
     );
 
-/** The least number of parts, not below `minimum`, into which failure domains divide evenly. */
-const evenPartCount = (domains: number, minimum: number): number => {
+/** The least number of parts that meets `isEnough` and into which failure domains divide evenly. */
+const evenPartCount = (domains: number, isEnough: (parts: number) => boolean): number => {
     const divisors = Array.from({ length: domains }, (...[, index]) => index + 1).filter(part => domains % part === 0);
-    return divisors.find(part => part >= minimum) ?? domains;
+    return divisors.find(isEnough) ?? domains;
 };
 
 /** Name of a cell; unique even if a failure domain has the name of a region. */
 const cellName = (region: string, [first, ...others]: readonly FailureDomainId[]): CellId =>
     first !== undefined && others.length === 0 ? cellId(first, 0) : `${region}/${String(first)}` as CellId;
 
-/** One cell for all workers if there are few enough; else as few cells per region as its failure domains allow. */
+/** Processor cores of the weakest of the `count` strongest hosts, which hold the first `count` cells. */
+const weakestHolder = (hosts: readonly Pick<EntryHostRecord, "processors">[], count: number): number =>
+    hosts.map(({ processors }) => processors).toSorted((left, right) => right - left).slice(0, count).at(-1) ?? 0;
+
+/** One cell for all workers if one host can hold it; else as few cells per region as its hosts allow. */
 const createPlan = (
     workers: readonly WorkerEntry[],
-    { regions, largestCell }: Pick<CellPlanOptions, "regions" | "largestCell">,
+    { regions, hosts, largestCell }: Pick<CellPlanOptions, "regions" | "hosts" | "largestCell">,
 ): CellPlan => {
     const failureDomains = Object.keys(regions) as FailureDomainId[];
-    if (workers.length <= largestCell) {
+    const allHosts = hosts();
+    if (workers.length <= largestCell(weakestHolder(allHosts, 1))) {
         return { cells: [{ cell: globalCell, failureDomains }] };
     }
     const cells = [...new Set(Object.values(regions))].flatMap(region => {
         const domains = failureDomains.filter(domain => regions[domain] === region);
         const size = workers.filter(worker => domains.includes(worker.failureDomain)).length;
-        const parts = evenPartCount(domains.length, Math.ceil(size / largestCell));
+        const localHosts = allHosts.filter(host => domains.includes(host.failureDomain));
+        const candidates = localHosts.length > 0 ? localHosts : allHosts;
+        const parts = evenPartCount(
+            domains.length,
+            count => size <= count * largestCell(weakestHolder(candidates, count)),
+        );
         return splitEvenly(domains, parts).map(part => ({ cell: cellName(region, part), failureDomains: [...part] }));
     });
     return { cells };
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -68,16 +68,20 @@
     readonly logger: Logger;
     /** Monotonic time in ms of the store's last answer. */
     readonly storeHeardAt: () => number;
-    /** Maximum number of workers of a cell with several failure domains; 0: one cell per domain. Default 200. */
+    /**
+     * Maximum number of workers of a cell with several failure domains; 0: one cell per domain. Default: as many as the
+     * processors of its holder can manage, 200 at most.
+     */
     readonly largestCell?: number;
 }
 
 /**
- * Default of {@link WorkflowHostOptions.largestCell}: about as many workers as the processor of one holder can manage.
- * Large cells are preferred, since work that does not fit into one failure domain of a cell can then run in another one
- * without a change of holder.
+ * Largest cell that has several failure domains, in workers. Large cells are preferred, since work that does not fit into
+ * one failure domain of a cell can then run in another one without a change of holder.
  */
-const defaultLargestCell = 200;
+const maxCellSize = 200;
+/** Workers that a holder can manage per processor core. */
+const workersPerProcessor = 148;
 
 /** Calls to a holder whose connection has closed, to learn whether it has ended. */
 const closedHolderAttempts = 2;
@@ -95,7 +99,8 @@
 /** Creates a host that is not started. */
 export const createWorkflowHost = (options: WorkflowHostOptions): WorkflowHost => {
     const { self, regions, timing, gateway, directory, metrics, logger, storeHeardAt } = options;
-    const { largestCell = defaultLargestCell } = options;
+    const largestCell = (processors: number): number =>
+        options.largestCell ?? Math.min(maxCellSize, processors * workersPerProcessor);
     const store = createAdaptiveTimeoutStore({ store: options.store, metrics });
     const stop = createStopSignal();
     const processDelay = createProcessDelay();
@@ -282,7 +287,8 @@
             void registry.run(stop.signal);
             const rank = (): number =>
                 rendezvousRank("cell plan", [self.id, ...registry.peers().map(peer => peer.id)]).indexOf(self.id);
-            const planOptions = { store, directory, regions, largestCell, rank, logger, signal: stop.signal };
+            const hosts = (): readonly EntryHostRecord[] => [self, ...registry.peers()];
+            const planOptions = { store, directory, regions, hosts, largestCell, rank, logger, signal: stop.signal };
             void readCellPlan(planOptions).then(read => {
                 plan = read;
                 return cellManager.run(stop.signal);
--- a/packages/workflow/tests/cell-plan.test.ts
+++ b/packages/workflow/tests/cell-plan.test.ts
@@ -49,7 +49,8 @@
     });
     const planFor = async (
         counts: Readonly<Record<string, number>>,
-        largestCell: number,
+        largestCell: (processors: number) => number,
+        processors: readonly number[] = [1],
     ): Promise<CellPlan | undefined> => {
         const { signal } = createStopSignal();
         const read = readCellPlan({
@@ -61,6 +62,13 @@
                     ({ id: key as WorkerId, failureDomain: value as FailureDomainId }) as WorkerEntry,
             },
             rank: () => 0,
+            hosts: () =>
+                Object.keys(counts).flatMap(failureDomain =>
+                    processors.map(cores => ({
+                        failureDomain: failureDomain as FailureDomainId,
+                        processors: cores,
+                    }))
+                ),
             regions,
             largestCell,
             logger: pino({ level: "silent" }),
@@ -75,24 +83,35 @@
         {
             name: "one cell for a small site",
             counts: { "east-a": 3, "east-b": 3, "east-c": 3, "west-a": 3 },
-            largestCell: 12,
+            largestCell: () => 12,
         },
         {
             name: "a cell for each region",
             counts: { "east-a": 3, "east-b": 3, "east-c": 3, "west-a": 3 },
-            largestCell: 9,
+            largestCell: () => 9,
         },
         {
             name: "cells of even size for a large region",
             counts: { "east-a": 3, "east-b": 3, "east-c": 3, "west-a": 3 },
-            largestCell: 5,
+            largestCell: () => 5,
         },
         {
             name: "a cell for each domain",
             counts: { "east-a": 3, "east-b": 3, "east-c": 3, "west-a": 3 },
-            largestCell: 0,
+            largestCell: () => 0,
         },
     ])("is $name", async ({ counts, largestCell }) => {
         expect(await planFor(counts, largestCell)).toMatchSnapshot();
     });
+
+    // Guards against one cell whose holder has too little processor time for all workers, while other hosts are idle.
+    it.each([
+        { name: "one cell where one host can hold all workers", processors: [1.4, 0.3], cells: 1 },
+        { name: "a cell for each region where its strongest hosts can hold that many", processors: [1, 0.3], cells: 2 },
+        { name: "a cell for each domain where all hosts are weak", processors: [0.1, 0.1], cells: 4 },
+    ])("is $name", async ({ processors, cells }) => {
+        const counts = { "east-a": 30, "east-b": 30, "east-c": 30, "west-a": 30 };
+        const plan = await planFor(counts, cores => cores * 100, processors);
+        expect(plan?.cells.length).toBe(cells);
+    });
 });
