Start a task of each workflow that waits 2 s without a run while most of the room is free

Cause: spare-CPU tasks wait as long as they would interfere with serving tasks on each worker, however long that is; and late workflows come last in each round of passes, so that a holder that is short of processor time reaches them seldom.

Change: while at least half of the cell's CPU is unreserved, workflows without a run for 2 s get one task started in the first quarter of each pass, those that waited longest first. With less room free, tasks wait as before.

--- a/packages/workflow/src/cell/eligible-workers.ts
+++ b/packages/workflow/src/cell/eligible-workers.ts
@@ -4,6 +4,7 @@
 import type { Step } from "../model/step.js";
 import type { TaskName } from "../model/task-name.js";
 import { chooseWorker } from "../policy/choose-worker.js";
+import { leastHarmfulWorker } from "../policy/least-harmful-worker.js";
 import type { WorkerCandidate } from "../policy/worker-candidate.js";
 import type { CellWorker } from "./cell-workers.js";
 import { canRunStep } from "./cell-workers.js";
@@ -30,6 +31,8 @@
 export interface EligibleWorkers {
     /** The best worker for the task; undefined if it should wait. */
     readonly choose: (task: TaskName) => CellWorker | undefined;
+    /** As `choose`, but a spare-CPU task gets a worker though it may interfere with serving tasks there. */
+    readonly chooseAlways: (task: TaskName) => CellWorker | undefined;
     /** Updates the worker's entry after something has started there. */
     readonly refresh: (worker: CellWorker) => void;
     /** Counts the workers with room by what keeps the task from starting there. */
@@ -92,16 +95,18 @@
         // For a long-running task, a worker in quarantine is better than no run at all.
         return trusted.length === 0 && step.isLasting ? fitting : trusted;
     };
+    const describeFor = (task: TaskName): readonly WorkerCandidate[] =>
+        selectByHealth(eligibleFor(task)).map(({ worker, description }) =>
+            hasFailedOn(task, worker) ? { ...description, hasFailedBefore: true } : description
+        );
+    const workerOf = (candidate: WorkerCandidate | undefined): CellWorker | undefined =>
+        candidate === undefined ? undefined : eligible.get(candidate.id)?.worker;
     workers.forEach(refresh);
     return {
-        choose: task => {
-            const best = chooseWorker(
-                step,
-                selectByHealth(eligibleFor(task)).map(({ worker, description }) =>
-                    hasFailedOn(task, worker) ? { ...description, hasFailedBefore: true } : description
-                ),
-            );
-            return best === undefined ? undefined : eligible.get(best.id)?.worker;
+        choose: task => workerOf(chooseWorker(step, describeFor(task))),
+        chooseAlways: task => {
+            const candidates = describeFor(task);
+            return workerOf(chooseWorker(step, candidates) ?? leastHarmfulWorker(candidates));
         },
         refresh,
         countExclusions: task => {
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -29,6 +29,7 @@
 import type { RunTimePredictor } from "./run-statistics.js";
 import type { StageCandidate } from "./stage-candidate.js";
 import { stageName } from "./stage-name.js";
+import { createStarvingWorkflows } from "./starving-workflows.js";
 import { createSuspectPlacement } from "./suspect-placement.js";
 import type { UnansweredStarts } from "./unanswered-starts.js";
 import type { WorkerCrashes } from "./worker-crashes.js";
@@ -119,6 +120,9 @@
 /** Multiple of its objective after which a workflow's result is useless, as the users define it. */
 const uselessFactor = 3;
 
+/** Share of a pass in which tasks of starving workflows are started. */
+const starvingShare = 0.25;
+
 /** Minimum milliseconds between two log lines on why a step waits; the cause seldom changes sooner. */
 const waitLogInterval = 2_000;
 
@@ -150,6 +154,7 @@
     });
     const suspectPlacement = createSuspectPlacement(runRegistry, workerCrashes);
     const failedSearches = createFailedSearches();
+    const starvingWorkflows = createStarvingWorkflows({ workers, runRegistry });
     const rounds = createPassRounds(passTime);
     // The following caches are valid for one pass.
     /** Summaries of the serving tasks by worker. */
@@ -596,6 +601,21 @@
         const indices = step.isLasting && urgency.lasting !== "leaving" ? startOnPlaces(candidate) : open;
         return indices.length === 0 || isSearchInVain(candidate, indices) || placeTasks(candidate, indices, isTimeOver);
     };
+    /** Starts a task of each starving workflow, as far as a part of the pass allows; at least one is tried. */
+    const startStarving = (candidates: readonly StageCandidate[]): void => {
+        const startedAt = performance.now();
+        for (const [position, candidate] of starvingWorkflows.select(candidates).entries()) {
+            if (position > 0 && performance.now() - startedAt >= passTime * starvingShare) {
+                return;
+            }
+            starvingWorkflows.recordAttempt(candidate);
+            const [index = 0] = candidate.indices;
+            const worker = eligibleWorkersFor(candidate).chooseAlways(taskOf(candidate, index));
+            if (worker !== undefined) {
+                startOne(candidate, index, worker);
+            }
+        }
+    };
     const explainWait: StageScheduler["explainWait"] = (ledger, position) => {
         const stage = ledger.stage(position);
         if (stage === undefined) {
@@ -632,6 +652,7 @@
             admission.beginPass(candidates);
             suspectPlacement.beginPass();
             reservations.beginPass(rounds.isUnfinished());
+            startStarving(candidates);
             rounds.visit(candidates, visitCandidate);
             return !rounds.isUnfinished();
         },
--- /dev/null
+++ b/packages/workflow/src/cell/starving-workflows.ts
@@ -0,0 +1,75 @@
+import type { JobId } from "@jayfront/world";
+
+import type { CellWorkers } from "./cell-workers.js";
+import { isListed } from "./cell-workers.js";
+import type { RunRegistry } from "./run-registry.js";
+import type { StageCandidate } from "./stage-candidate.js";
+
+/**
+ * Finds workflows that wait without a run although most of the room is free: since the holder has no time for all tasks,
+ * urgent ones go first, or all workers are excluded because of interference.
+ */
+export interface StarvingWorkflows {
+    /**
+     * Has to be called at the start of each pass with all candidates. Returns those of starving workflows, one for each,
+     * that have waited longest first.
+     */
+    readonly select: (candidates: readonly StageCandidate[]) => readonly StageCandidate[];
+    /** Records an attempt to start a task of a selected candidate; if none started, others are selected before it. */
+    readonly recordAttempt: (candidate: StageCandidate) => void;
+}
+
+/** Options of {@link createStarvingWorkflows}. */
+export interface StarvingWorkflowsOptions {
+    readonly workers: CellWorkers;
+    readonly runRegistry: Pick<RunRegistry, "ofWorkflow">;
+}
+
+/** Milliseconds without a run, while tasks could run, after which a workflow starves; users expect a run within 3 s. */
+const starvationTime = 2_000;
+/** Share of the cell's CPU that has to be free; if less is, tasks wait for room in the order of their urgency. */
+const ampleFreeShare = 0.5;
+
+/** Creates the state of a cell without waiting workflows. */
+export const createStarvingWorkflows = ({ workers, runRegistry }: StarvingWorkflowsOptions): StarvingWorkflows => {
+    /** Monotonic times in ms since which workflows have waited without a run or an attempt to start one. */
+    let waitingSince = new Map<JobId, number>();
+    const isRoomAmple = (): boolean => {
+        let free = 0;
+        let capacity = 0;
+        for (const worker of workers.values()) {
+            if (isListed(worker) && worker.session.contact() === "known") {
+                free += worker.resources.freeCpu();
+                capacity += worker.resources.capacity().cpu;
+            }
+        }
+        return free > capacity * ampleFreeShare;
+    };
+    /** The first candidate of each workflow without a run. Long-running tasks go first in any case. */
+    const findWaiting = (candidates: readonly StageCandidate[]): ReadonlyMap<JobId, StageCandidate> => {
+        const found = new Map<JobId, StageCandidate>();
+        for (const candidate of candidates) {
+            const { ledger: { workflow: { id } }, stage: { step }, isSuspect } = candidate;
+            const isSingle = !step.isLasting && !step.isGang && !isSuspect;
+            if (isSingle && !found.has(id) && runRegistry.ofWorkflow(id).length === 0) {
+                found.set(id, candidate);
+            }
+        }
+        return found;
+    };
+    return {
+        select: candidates => {
+            const now = performance.now();
+            const waiting = findWaiting(candidates);
+            waitingSince = new Map([...waiting.keys()].map(id => [id, waitingSince.get(id) ?? now]));
+            const starving = [...waitingSince].filter(([, since]) => now - since >= starvationTime);
+            if (starving.length === 0 || !isRoomAmple()) {
+                return [];
+            }
+            return starving.sort(([, left], [, right]) => left - right).flatMap(([id]) => waiting.get(id) ?? []);
+        },
+        recordAttempt: ({ ledger }) => {
+            waitingSince.set(ledger.workflow.id, performance.now());
+        },
+    };
+};
--- /dev/null
+++ b/packages/workflow/tests/starving-workflows.test.ts
@@ -0,0 +1,86 @@
+import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
+
+import type { WorkflowLedger } from "../src/ledger/workflow-ledger.js";
+import type { Step } from "../src/model/step.js";
+import type { TestCell } from "./test-cell.js";
+import { createTestCell } from "./test-cell.js";
+
+/** Milliseconds without a run within which users expect one while most of the room is free. */
+const longestWait = 3_000;
+/** Milliseconds between two passes. */
+const passInterval = 50;
+const spareStep: Partial<Step> = { count: 4, cpu: 16_000, memory: 1, usesSpareCpu: true, image: "batch" };
+
+describe("a workflow that waits while most of the room is free", () => {
+    beforeEach(() => {
+        jest.useFakeTimers();
+    });
+    afterEach(() => {
+        jest.useRealTimers();
+    });
+    const countRuns = (cell: TestCell, ledger: WorkflowLedger): number =>
+        cell.runRegistry.ofWorkflow(ledger.workflow.id).length;
+    const runPasses = (cell: TestCell, milliseconds: number): void => {
+        for (let passed = 0; passed < milliseconds; passed += passInterval) {
+            cell.scheduler.runPass();
+            jest.advanceTimersByTime(passInterval);
+        }
+    };
+    /** A cell whose workers all have serving tasks, and as many spare-CPU tasks as they tolerate. */
+    const createServingCell = (servingCpu: number): TestCell => {
+        const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: 1_000 });
+        cell.submit({}, [{ count: 4, cpu: servingCpu, memory: 1, isLasting: true, tailTarget: 10, image: "desk" }]);
+        cell.submit({ priority: 1 }, [spareStep]);
+        cell.scheduler.runPass();
+        return cell;
+    };
+
+    // Guards against a spare-CPU workflow without any run, since it would interfere with serving tasks on all workers.
+    it("gets one run though all workers have serving tasks that it may slow", () => {
+        const cell = createServingCell(2_000);
+        const workflow = cell.submit({ priority: 2 }, [spareStep]);
+        runPasses(cell, longestWait / 2);
+        const early = countRuns(cell, workflow);
+        runPasses(cell, longestWait / 2);
+        expect([early, countRuns(cell, workflow)]).toEqual([0, 1]);
+    });
+
+    // Guards against spare-CPU work that slows serving tasks although it only waits for room.
+    it("gets none while less than half of the room is free", () => {
+        const cell = createServingCell(5_000);
+        const workflow = cell.submit({ priority: 2 }, [spareStep]);
+        runPasses(cell, 2 * longestWait);
+        expect(countRuns(cell, workflow)).toBe(0);
+    });
+
+    // Guards against a workflow whose turn never comes, since the holder has no time for all tasks of more urgent ones.
+    it("gets a run although more urgent work takes all the time of the passes", () => {
+        const cell = createTestCell({
+            workers: 4,
+            cpu: 1_000_000,
+            runTime: 1_000,
+            passTime: 30,
+            onWork: () => {
+                jest.advanceTimersByTime(1);
+            },
+        });
+        const late = cell.submit({ priority: 3 }, [{ count: 2, cpu: 1_000, memory: 1 }]);
+        const startedAt = performance.now();
+        while (countRuns(cell, late) === 0 && performance.now() - startedAt < 2 * longestWait) {
+            cell.submit({ priority: 1 }, [{ count: 100, cpu: 1, memory: 1 }]);
+            cell.scheduler.runPass();
+        }
+        expect(performance.now() - startedAt).toBeLessThanOrEqual(longestWait);
+    });
+
+    // Guards against a workflow that no worker can run and that keeps others from being started.
+    it("gets a run although others for which there is no worker have waited longer", () => {
+        const cell = createServingCell(2_000);
+        for (let number = 0; number < 20; number += 1) {
+            cell.submit({ priority: 2 }, [{ ...spareStep, requiredLabel: "missing" }]);
+        }
+        const workflow = cell.submit({ priority: 2 }, [spareStep]);
+        runPasses(cell, longestWait);
+        expect(countRuns(cell, workflow)).toBe(1);
+    });
+});
