Put off takeovers on suspicion longer with each recent change of the cell's holder

Each takeover makes the new holder load the cell, poll all workers and start the tasks that do not run, which on a small host takes longer than the silence after which its peers take the cell in turn. After the first change within 60 s, a host waits 1 s longer before it takes a cell whose holder is silent, then 2, 4 and 8 s. Changes are counted by epoch, so that missed ones count. A first takeover is as fast as before, and so is that of a holder whose process has ended.

--- a/packages/workflow/src/entry/cell-claims.ts
+++ b/packages/workflow/src/entry/cell-claims.ts
@@ -13,6 +13,8 @@
     readonly lateTime: number;
     /** Milliseconds of silence after which the holder counts as down. */
     readonly timeout: number;
+    /** Whether the holder's process has probably ended, so that its silence is no mere delay. */
+    readonly hasEnded: boolean;
 }
 
 /** The last claims of all cells that this host has received. */
@@ -84,6 +86,7 @@
                         heardAt: performance.now(),
                         lateTime: lateTime(),
                         timeout,
+                        hasEnded: false,
                     });
                 }
                 summary.accepted.forEach(id => {
@@ -95,7 +98,7 @@
             for (const [cell, claim] of claims) {
                 if (claim.host.id === host.id && claim.host.incarnation === host.incarnation) {
                     const heardAt = Math.min(claim.heardAt, performance.now() - claim.timeout + endTimeout);
-                    claims.set(cell, { ...claim, heardAt, lateTime: lateTime() });
+                    claims.set(cell, { ...claim, heardAt, lateTime: lateTime(), hasEnded: true });
                 }
             }
         },
--- a/packages/workflow/src/entry/cell-manager.ts
+++ b/packages/workflow/src/entry/cell-manager.ts
@@ -14,6 +14,7 @@
 import type { CellClaims } from "./cell-claims.js";
 import type { CellLocation } from "./cell-location.js";
 import type { CellPlan } from "./cell-plan.js";
+import { createHolderChanges } from "./holder-changes.js";
 import { createHolderProbe } from "./holder-probe.js";
 import { holdingCost } from "./holding-cost.js";
 import { isInRegionOf } from "./is-in-region-of.js";
@@ -126,6 +127,7 @@
     const cellsInReview = new Set<CellId>();
     /** Monotonic time in ms at which each cell was last offered because the store did not answer. */
     const offeredAt = new Map<CellId, number>();
+    const changes = createHolderChanges();
     /** The cells' rows as this host last read them. */
     const observedRows = new Map<CellId, ObservedRow>();
     let isStopping = false;
@@ -143,6 +145,7 @@
         }
         const previous = row.holder?.host;
         const epoch = taken.value.holder?.epoch;
+        changes.record(cell, epoch ?? 0);
         logger.info({
             cell,
             epoch,
@@ -207,6 +210,7 @@
     /** Milliseconds without a holder's heartbeat after which this host takes the cell. */
     const takeoverDelay = (cell: CellId, failureDomains: readonly FailureDomainId[]): number =>
         timeoutOf(cell)
+        + (claims.last(cell)?.hasEnded === true ? 0 : changes.pause(cell))
         + Math.min(rankOf(cell, failureDomains), maxDelayedRank) * rankDelay;
     /** Whether the cell's row has been unchanged for so long that this host should take the cell. */
     const isTakeoverDue = (
@@ -246,6 +250,7 @@
             return;
         }
         const { holder, version } = row.value;
+        changes.record(cell, holder?.epoch ?? 0);
         const lastObserved = observedRows.get(cell);
         const observed = lastObserved?.version === version ? lastObserved : { version, at: performance.now() };
         observedRows.set(cell, observed);
@@ -358,6 +363,10 @@
     const review = async (
         { cell, failureDomains }: CellPlan["cells"][number],
     ): Promise<void> => {
+        const claim = claims.last(cell);
+        if (claim !== undefined) {
+            changes.record(cell, claim.summary.epoch);
+        }
         if (cellsInReview.has(cell)) {
             return;
         }
