Offer a cell only if the store is silent, and only to hosts that are on time

A holder offered its cell with "the store does not answer this host" 1.8 s after the last call that proved its lease was sent. On a host that is late, a call leaves late and its answer is read late, so that 1.8 s pass while the store answers in 4 ms. A holder now offers its cell if for 1.8 s the store has neither proved the lease nor answered anything else, plus twice the recent delay of its process, at most 1.8 s more; the lease lasts 5.4 s. The answer of a peer that is asked whether it reaches the store includes the peer's own delay, so that a late peer is not offered the cell.

--- a/packages/workflow/src/entry/cell-manager.ts
+++ b/packages/workflow/src/entry/cell-manager.ts
@@ -56,6 +56,8 @@
     readonly claims: CellClaims;
     readonly metrics: WorkflowMetrics;
     readonly processDelay: ProcessDelay;
+    /** Monotonic time in ms of the store's last answer. */
+    readonly storeHeardAt: () => number;
     readonly logger: Logger;
     /** Opens a cell that this host has just taken. `takenAt`: monotonic time in ms at which the call was sent. */
     readonly openCell: (
@@ -76,8 +78,13 @@
 const unknownHolderTimeout = 1_200;
 /** Milliseconds of extra delay per rank before a host takes a cell, so that hosts try one after the other. */
 const rankDelay = 350;
-/** Milliseconds without a proof of its lease after which a holder offers the cell to a peer that reaches the store. */
+/**
+ * Milliseconds without a proof of its lease and without an answer from the store after which a holder that is on time
+ * offers the cell to a peer that reaches the store.
+ */
 const maxLeaseProofAge = 1_800;
+/** Milliseconds that a late holder waits longer at most; its peers need the rest of its lease to take the cell. */
+const maxDelayAllowance = 1_800;
 /** Milliseconds since its last answer from the store within which a host counts as reaching it. */
 const maxStoreContactAge = 1_500;
 /** Milliseconds from reading the plan until the first review; other hosts read the plan meanwhile. */
@@ -115,6 +122,7 @@
         claims,
         metrics,
         processDelay,
+        storeHeardAt,
         logger,
         openCell,
         onChange,
@@ -342,6 +350,14 @@
             return cost < ownCost * maxCostShare || isLocal(peer) && !isLocal(self) && cost <= ownCost;
         });
     };
+    /**
+     * Whether the store does not answer this host. An answer is read late by the delay of this process, and the next
+     * call is sent late by it too.
+     */
+    const isStoreSilent = (held: WorkflowCell): boolean => {
+        const allowance = Math.min(2 * processDelay.recent(), maxDelayAllowance);
+        return Math.min(held.provenAgo(), performance.now() - storeHeardAt()) > maxLeaseProofAge + allowance;
+    };
     const reviewHeld = async (held: WorkflowCell): Promise<void> => {
         const claim = claims.fresh(held.cell);
         if (held.isLost() || claim !== undefined && claim.summary.epoch > held.epoch) {
@@ -349,7 +365,7 @@
             return;
         }
         const isDue = performance.now() - (offeredAt.get(held.cell) ?? -Infinity) > offerInterval;
-        if (held.provenAgo() > maxLeaseProofAge && isDue) {
+        if (isDue && isStoreSilent(held)) {
             offeredAt.set(held.cell, performance.now());
             await offer(held, "the store does not answer this host");
             return;
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -152,6 +152,7 @@
         claims,
         metrics,
         processDelay,
+        storeHeardAt,
         logger,
         openCell: (cell, row, takenAt, onLost) =>
             createWorkflowCell({
@@ -259,7 +260,8 @@
                 const key = rowKeys.host(self.id);
                 await store.read(key.table, key.partition, key.key);
             }
-            return performance.now() - storeHeardAt();
+            // A late host would be late with the cell too.
+            return performance.now() - storeHeardAt() + processDelay.recent();
         },
         "configuration-notice": notice => {
             registry.addPeer(notice.host);
--- a/packages/workflow/src/peer/workflow-message.ts
+++ b/packages/workflow/src/peer/workflow-message.ts
@@ -54,7 +54,7 @@
     readonly "take-over": { readonly cell: CellId; readonly epoch: number; };
     /** Asks how long ago the receiver last got a heartbeat of the cell's holder with this epoch or a later one. */
     readonly "holder-heard": { readonly cell: CellId; readonly epoch: number; };
-    /** Asks how long ago the receiver last got an answer from the store. */
+    /** Asks how long ago the receiver last got an answer from the store, plus the recent delay of its process. */
     readonly "store-contact": object;
     /** Sent by relays to the hosts of their region and to the relays of other regions. */
     readonly "configuration-notice": RelayState & { readonly version: number; };
