Do not take a host that accepts connections late for one that has ended

A peer connection that is not established within 1.2 s fails as not-sent, as a refused one does. Only a call that fails within 400 ms counts, and a second one 50 ms later has to fail as not-sent too.

Test: has-process-ended.test.ts; the case "accepts no connection in time" counted as ended before.

--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -31,6 +31,7 @@
 import { readCellPlan } from "./cell-plan.js";
 import { createConfigurationWatch } from "./configuration-watch.js";
 import { createOtherCells } from "./create-other-cells.js";
+import { hasProcessEnded } from "./has-process-ended.js";
 import { neverHeard } from "./holder-probe.js";
 import type { WorkflowRouter } from "./workflow-router.js";
 import { createWorkflowRouter } from "./workflow-router.js";
@@ -83,8 +84,6 @@
 /** Workers that a holder can manage per processor core. */
 const workersPerProcessor = 148;
 
-/** Calls to a holder whose connection has closed, to learn whether it has ended. */
-const closedHolderAttempts = 2;
 /** Milliseconds since the store's last answer within which the store counts as reachable without another call. */
 const recentStoreContact = 500;
 
@@ -196,20 +195,9 @@
         configurationVersion: () => configurationWatch.current()?.version ?? 0,
         processDelay: processDelay.recent,
     });
-    /**
-     * Checks whether a holder whose connection has closed has ended: then its host refuses connections. A late holder
-     * closes its connections too, when its calls time out. A first call may still use a connection of the ended process.
-     */
     const checkClosedHolder = async (holder: EntryHostRecord): Promise<void> => {
-        for (let attempt = 0; attempt < closedHolderAttempts; attempt += 1) {
-            const answer = await network.call(holder, "hello", { host: self });
-            if (answer.isOk) {
-                return;
-            }
-            if (answer.error.kind === "not-sent") {
-                claims.recordEnd(holder);
-                return;
-            }
+        if (await hasProcessEnded({ network, self, host: holder })) {
+            claims.recordEnd(holder);
         }
     };
     /** Incarnations of the peers whose connections have a close callback. */
