Renew the lease of a cell while the cell is loaded

Each holder handed the cell over as soon as it had loaded it, with "the store does not answer this host", and the tasks that had no run were held back until the next holder had loaded the cell, which handed it over in turn.

Cause: a holder offers its cell 1.8 s after the last proof of its lease, and proofs began only after the cell was loaded. On a host of 0.12 core and 2 Mbit/s, loading 200 workflows takes 1.7 to 2.4 s, so that every holder offered every cell of this size, without any disturbance, for ever.

Test: a cluster whose hosts take 3 s to read the workflows of their cell changed the holder 6 times in 15 s, and now never. A proof is a read of the holder row that shows the version of the own takeover, so that a lapsed or lost lease is never renewed.

--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -550,11 +550,12 @@
         return true;
     };
     const run = async (): Promise<void> => {
+        // Loading may take longer than a holder may go without a proof.
+        void runRenewals();
         while (!signal.aborted && !await load()) {
             await sleep(loadRetryDelay, signal);
         }
         void roster.run(signal);
-        void runRenewals();
         void runPasses();
         void sweep.run(signal);
         void incomingTransfers.run(signal);
