Take no further work as a new holder before its first round of placement

Change: a cell also answers `behind` before its first round of placement has ended, if inherited tasks wait. Its heartbeats do not say so, since the first round of a holder that keeps up ends within 30 ms. The log line of a change is written after each pass instead of each round, so that it is seen although a round does not end.

Test, which failed before (accepted): late-holder.test.ts, "takes no further work as a new holder before its first round of placement".

--- a/packages/bench/tests/workflow/late-holder.test.ts
+++ b/packages/bench/tests/workflow/late-holder.test.ts
@@ -1,6 +1,7 @@
 import type { SubmissionAnswer } from "@jayfront/workflow";
 import type { JobId } from "@jayfront/world";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
+import pino from "pino";
 
 import type { FakeTime } from "../../src/util/fake-time.js";
 import { installFakeTime } from "../../src/util/fake-time.js";
@@ -24,9 +25,17 @@
 describe("a holder whose process is late again and again", () => {
     let time: FakeTime;
     let cluster: WorkflowCluster;
+    /** Number of times that a host has loaded the cell. */
+    let loadedCells: number;
     beforeEach(async () => {
         time = installFakeTime();
-        cluster = createWorkflowCluster({ hosts: { "east-a": 2 }, workers: { "east-a": 2 } });
+        loadedCells = 0;
+        const logger = pino({}, {
+            write: (line: string) => {
+                loadedCells += line.includes('"cell loaded"') ? 1 : 0;
+            },
+        });
+        cluster = createWorkflowCluster({ hosts: { "east-a": 2 }, workers: { "east-a": 2 }, logger });
         await time.advance(warmUp);
     });
     afterEach(() => {
@@ -72,6 +81,19 @@
         });
     }
 
+    // Guards against a new holder that accepts a burst of work before it has placed anything of what it inherited.
+    it("takes no further work as a new holder before its first round of placement", async () => {
+        await submit(holder(), acceptedId, 10);
+        const successor = otherHost();
+        loadedCells = 0;
+        cluster.kill(holder());
+        await time.advanceUntil(() => loadedCells > 0, 5_000, 1);
+        const early = await submit(successor, lateId, 1);
+        await time.advance(100);
+        const next = await submit(successor, lateId, 1);
+        expect([early.kind, next.kind]).toEqual(["unavailable", "accepted"]);
+    });
+
     // Guards against a late holder that turns away requests about the work that it has accepted.
     it("still takes repeated submissions, state requests and cancels of accepted work", async () => {
         await submit(otherHost(), acceptedId, 10);
--- a/packages/workflow/src/cell/placement-lag.ts
+++ b/packages/workflow/src/cell/placement-lag.ts
@@ -4,6 +4,8 @@
     readonly expectRound: (milliseconds: number) => void;
     /** Records the end of the expected round. */
     readonly endRound: () => void;
+    /** Whether a round has ended. */
+    readonly hasRun: () => boolean;
     /** Share of the last few seconds in which a round was due and too late. */
     readonly lateShare: () => number;
     /** Whether rounds are late for much of the time; a single late round does not count. */
@@ -30,6 +32,7 @@
 export const createPlacementLag = (): PlacementLag => {
     let lateTimes: readonly LateTime[] = [];
     let expectedAt: number | undefined;
+    let hasRun = false;
     let isBehind = false;
     /** The late time of the expected round until now, if it is too late already. */
     const currentLateTime = (now: number): readonly LateTime[] =>
@@ -48,7 +51,9 @@
             const now = performance.now();
             lateTimes = [...lateTimes.filter(({ to }) => now - to < window), ...currentLateTime(now)];
             expectedAt = undefined;
+            hasRun = true;
         },
+        hasRun: () => hasRun,
         lateShare,
         isBehind: () => {
             isBehind = lateShare() > (isBehind ? behindUntil : behindFrom);
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -482,8 +482,8 @@
                 passMonitor.recordPass(startedAt - dueAt, passDuration, hasFinishedRound);
                 if (hasFinishedRound) {
                     placementLag.endRound();
-                    logLag();
                 }
+                logLag();
                 if (!hasReportedCapacity && isCapacityKnown()) {
                     hasReportedCapacity = true;
                     options.onCapacityKnown();
@@ -587,11 +587,13 @@
         pendingWorkflows: intake.pendingWorkflows,
     });
     const transferOffers = createTransferOffers({ workers, runRegistry, capacity: room.forTransfers });
-    /** Whether placement is late while tasks wait for it, so that further workflows would run late or not at all. */
-    const isBehind = (): boolean =>
-        placementLag.isBehind()
-        && (intake.pendingWorkflows().length > 0
-            || [...ledgers.values(), ...incomingTransfers.ledgers.values()].some(hasWaitingTasks));
+    /** Whether accepted tasks wait for placement. */
+    const hasWaitingWork = (): boolean =>
+        intake.pendingWorkflows().length > 0
+        || [...ledgers.values(), ...incomingTransfers.ledgers.values()].some(hasWaitingTasks);
+    const isBehind = (): boolean => placementLag.isBehind() && hasWaitingWork();
+    /** Whether new workflows would run late or not at all: placement is late, or has yet to visit inherited tasks. */
+    const declinesWork = (): boolean => (!placementLag.hasRun() || placementLag.isBehind()) && hasWaitingWork();
     void writer.run(signal);
     void run();
     const operations = createWorkflowOperations({
@@ -614,7 +616,7 @@
                 return { kind: "not-holder" };
             }
             const isNew = !ledgers.has(workflow.id) && !intake.hasPendingSubmission(workflow.id);
-            if (isNew && isBehind()) {
+            if (isNew && declinesWork()) {
                 metrics.submissions.inc({ outcome: "behind" });
                 return { kind: "behind" };
             }
