Send start orders of a cell eight at a time

A new holder of 0.12 of a core sent 208 starts in one pass in fake time (160 workers, 320 long-running tasks): 6.8 s of its processor in which it sent no poll and no extension, so that the leases of the running tasks expired and it lost its cell, for the next holder to do the same. start-queue.ts sends eight at a time in the order of the placement; a start leaves its place with its answer or after 500 ms, since its worker may be down. Its order time, from which the time for late orders counts, is that of sending.

--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -16,6 +16,7 @@
 import { createRunNumbers } from "./run-numbers.js";
 import type { RunRegistry } from "./run-registry.js";
 import type { Run } from "./run.js";
+import { createStartQueue } from "./start-queue.js";
 import type { UnansweredStarts } from "./unanswered-starts.js";
 import type { SuspectRun, WorkerCrashes } from "./worker-crashes.js";
 import type { WorkerSession } from "./worker-session.js";
@@ -116,6 +117,7 @@
     const runNumbers = createRunNumbers(epoch);
     /** Runs that may have crashed a worker which has restarted, until its next report. */
     const suspects = new Map<Run, SuspectRun>();
+    const startQueue = createStartQueue();
     const endQueues = new Map<WorkerId, { readonly bornAt: number; readonly queue: RunEndQueue; }>();
 
     const endQueueOf = (session: WorkerSession, bornAt: number): RunEndQueue => {
@@ -167,6 +169,20 @@
             await sleep(settleRetryInterval, signal);
         }
     };
+    /** Whether a run whose start has waited for its turn is still to start; if it can't start any more, it is removed. */
+    const isStillDue = (run: Run, session: WorkerSession): boolean => {
+        const isRegistered = runRegistry.find(run.worker, run.task, run.number) === run;
+        if (signal.aborted || !isRegistered || run.phase !== "starting") {
+            return false;
+        }
+        if (session.deadline() === undefined || session.entry().isDraining) {
+            removeRun({ run, outcome: "not-started", error: "not-sent" });
+            return false;
+        }
+        // The time in which it may be carried out late counts from here.
+        run.orderedAt = performance.now();
+        return true;
+    };
     const sendStart = async (run: Run, session: WorkerSession): Promise<void> => {
         const { ledger, position, step } = run;
         const checkpoint = step.isCheckpointing ? run.checkpoint : "";
@@ -242,7 +258,11 @@
             checkpoint: stage.record.checkpoints.get(index) ?? "",
         });
         addRun(run);
-        void sendStart(run, session);
+        startQueue.add(async hasWaited => {
+            if (!hasWaited || isStillDue(run, session)) {
+                await sendStart(run, session);
+            }
+        });
     };
     const stop = (run: Run, reason: string): void => {
         if (run.phase === "unsettled" || run.stopReason !== undefined) {
--- a/packages/workflow/src/cell/run.ts
+++ b/packages/workflow/src/cell/run.ts
@@ -16,7 +16,7 @@
     readonly ledger: WorkflowLedger;
     readonly step: Step;
     /** Monotonic time in ms at which the run was created and its start ordered. */
-    readonly orderedAt: number;
+    orderedAt: number;
     phase: "starting" | "running" | "unsettled" | "stopping";
     /** Monotonic time in ms of the last answer to an order for this run; earlier polls may not reflect that order. */
     answeredAt: number;
--- /dev/null
+++ b/packages/workflow/src/cell/start-queue.ts
@@ -0,0 +1,53 @@
+/**
+ * Sends start orders a few at a time, in the order in which they were added. Hundreds of them at once, as after a change
+ * of the holder, would keep a small processor from all else until the leases of the running tasks have expired.
+ */
+export interface StartQueue {
+    /** Calls `send` once there is a place, at once if possible; it resolves with the worker's answer, and doesn't reject. */
+    readonly add: (send: (hasWaited: boolean) => Promise<void>) => void;
+}
+
+/** Number of orders that are under way at a time. */
+const places = 8;
+/** Milliseconds after which an order without answer leaves its place, since its worker may be down. */
+const placeTime = 500;
+
+/** Creates an empty queue. */
+export const createStartQueue = (): StartQueue => {
+    const waiting: ((hasWaited: boolean) => Promise<void>)[] = [];
+    let underWay = 0;
+    const sendNext = (): void => {
+        while (underWay < places) {
+            const send = waiting.shift();
+            if (send === undefined) {
+                return;
+            }
+            void occupyPlace(send(true));
+        }
+    };
+    const occupyPlace = async (answered: Promise<void>): Promise<void> => {
+        let isOccupied = true;
+        underWay += 1;
+        const leave = (): void => {
+            if (isOccupied) {
+                isOccupied = false;
+                clearTimeout(timer);
+                underWay -= 1;
+                sendNext();
+            }
+        };
+        const timer = setTimeout(leave, placeTime);
+        await answered;
+        leave();
+    };
+    return {
+        add: send => {
+            if (underWay < places) {
+                void occupyPlace(send(false));
+            }
+            else {
+                waiting.push(send);
+            }
+        },
+    };
+};
--- /dev/null
+++ b/packages/workflow/tests/start-queue.test.ts
@@ -0,0 +1,44 @@
+import { sleep } from "@jayfront/world";
+import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
+
+import { createStartQueue } from "../src/cell/start-queue.js";
+
+describe("start orders of a cell", () => {
+    let underWay: { now: number; most: number; };
+    let sent: number[];
+    beforeEach(() => {
+        jest.useFakeTimers();
+        underWay = { now: 0, most: 0 };
+        sent = [];
+    });
+    afterEach(() => {
+        jest.useRealTimers();
+    });
+    const addStarts = (count: number, responseTime: number): void => {
+        const queue = createStartQueue();
+        for (let number = 0; number < count; number += 1) {
+            queue.add(async () => {
+                sent.push(number);
+                underWay = { now: underWay.now + 1, most: Math.max(underWay.most, underWay.now + 1) };
+                await sleep(responseTime);
+                underWay.now -= 1;
+            });
+        }
+    };
+
+    // Guards against a new holder of 0.12 of a core that sends 208 starts at once, and loses its cell by that (issue 38).
+    it("are under way a few at a time", async () => {
+        addStarts(208, 5);
+        expect(sent).toHaveLength(8);
+        await jest.advanceTimersByTimeAsync(208 / 8 * 5);
+        expect([sent.length, underWay.most]).toEqual([208, 8]);
+        expect(sent).toEqual([...sent].sort((first, second) => first - second));
+    });
+
+    // Guards against workers that are down holding up the starts on all others.
+    it("go on although none is answered", async () => {
+        addStarts(32, 1_000);
+        await jest.advanceTimersByTimeAsync(1_500);
+        expect(sent).toHaveLength(32);
+    });
+});
