Let orders of paces and repeated stops wait for a place among the polls

Each first stop still goes at once. A pace order is not sent any more once the session has ended while it waited.

--- a/packages/workflow/src/cell/poll-budget.ts
+++ b/packages/workflow/src/cell/poll-budget.ts
@@ -2,6 +2,8 @@
 export type PollUrgency =
     | "lease" // extends the lease of running tasks
     | "expected-start" // first poll of a worker that an earlier holder sent a start
+    | "pace" // sets the pace of a run, which may harm others
+    | "repeated-stop" // stops a run, after a stop that was not answered
     | "pending-start" // fences a start that may still be carried out
     | "first" // first poll of any other worker
     | "routine" // of a worker in contact that answers at once, such as one without runs
@@ -32,6 +34,8 @@
 const patience: Readonly<Record<PollUrgency, number>> = {
     lease: -Infinity,
     "expected-start": 0,
+    pace: 100,
+    "repeated-stop": 100,
     "pending-start": 100,
     first: 200,
     routine: 500,
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -455,8 +455,10 @@
             return result;
         },
         stop: async (task, run) => {
+            let leavePlace: (() => void) | undefined;
             while (contact !== "lapsed" && endSignal?.aborted !== true) {
                 const result = await tokens.send(token => gateway.stop(entry, { task, run, token }));
+                leavePlace?.();
                 if (result.isOk) {
                     wakeUp.notify();
                     return true;
@@ -466,11 +468,20 @@
                     return false;
                 }
                 await sleep(stopRetryInterval, endSignal);
+                leavePlace = await pollBudget.admit(() => "repeated-stop", endSignal);
             }
+            leavePlace?.();
             return false;
         },
-        throttle: async (task, run, percent) =>
-            (await tokens.send(token => gateway.throttle(entry, { task, run, token, percent }))).isOk,
+        throttle: async (task, run, percent) => {
+            const leavePlace = await pollBudget.admit(() => "pace", endSignal);
+            if (endSignal?.aborted === true) {
+                return false;
+            }
+            const result = await tokens.send(token => gateway.throttle(entry, { task, run, token, percent }));
+            leavePlace();
+            return result.isOk;
+        },
         expectStart: start => {
             pendingStarts.add(start);
             expectedStarts = [...expectedStarts, start.orderedAt];
--- a/packages/workflow/tests/worker-polls.test.ts
+++ b/packages/workflow/tests/worker-polls.test.ts
@@ -29,6 +29,8 @@
     let isBusy: boolean;
     let isSilent: boolean;
     let responseTime: number;
+    /** Number of stop orders. */
+    let stops: number;
     let polls: ReceivedPoll[];
     /** Number of polls without an answer, and the largest such number so far. */
     let underWay: { now: number; most: number; };
@@ -56,9 +58,18 @@
             await sleep(1_000);
             return Result.err({ kind: "unknown", message: "no answer" });
         },
-        stop: () => Promise.resolve(Result.ok(0)),
+        stop: async () => {
+            stops += 1;
+            await sleep(1_000);
+            return Result.err({ kind: "unknown", message: "no answer" });
+        },
         poll: ({ id }, order) => answerPoll(id, order),
-        throttle: () => Promise.resolve(Result.ok(0)),
+        throttle: async () => {
+            underWay = { now: underWay.now + 1, most: Math.max(underWay.most, underWay.now + 1) };
+            await sleep(responseTime);
+            underWay.now -= 1;
+            return Result.ok(0);
+        },
         disconnect: () => undefined,
     };
     /** Creates the sessions of a holder with this many workers, as after loading a cell; they run at once. */
@@ -123,6 +134,7 @@
         isBusy = true;
         isSilent = false;
         responseTime = usualResponseTime;
+        stops = 0;
         polls = [];
         underWay = { now: 0, most: 0 };
         reported = [run];
@@ -239,6 +251,32 @@
         expect(await pollRate()).toBeLessThanOrEqual(80);
     });
 
+    // Guards against repeated stops of hundreds of unanswered starts that saturate a holder which can't read the answers.
+    it("leave processor time while hundreds of stops are repeated", async () => {
+        const sessions = createSessions(160);
+        await jest.advanceTimersByTimeAsync(1_000);
+        sessions.forEach(session => {
+            void session.stop("j.0.0.1" as TaskName, 1);
+            void session.stop("j.0.0.2" as TaskName, 1);
+        });
+        expect(stops).toBe(320);
+        await jest.advanceTimersByTimeAsync(1_000);
+        stops = 0;
+        await jest.advanceTimersByTimeAsync(5_000);
+        expect(stops / 5).toBeLessThanOrEqual(80);
+    });
+
+    // Guards against a pace order for each spare-CPU task at the moment in which a holder has got its first reports.
+    it("leave processor time while the paces of many runs are set", async () => {
+        const sessions = createSessions(160);
+        await jest.advanceTimersByTimeAsync(1_000);
+        underWay.most = 0;
+        const paced = Promise.all(sessions.map(session => session.throttle(run.task, run.run, 100)));
+        await jest.advanceTimersByTimeAsync(100);
+        expect(await paced).toEqual(Array(160).fill(true));
+        expect(underWay.most).toBeLessThanOrEqual(16);
+    });
+
     // Guards against leases that lapse since their extensions queue behind other polls.
     it("that extend leases go before all others, and are bounded too", async () => {
         isSilent = true;
