--- a/packages/workflow/src/cell/start-queue.ts
+++ b/packages/workflow/src/cell/start-queue.ts
@@ -10,7 +10,7 @@
 /** Number of orders that are under way at a time. */
 const places = 8;
 /** Milliseconds after which an order without answer leaves its place, since its worker may be down. */
-const placeTime = 500;
+const placeTime = 100;
 
 /** Creates an empty queue. */
 export const createStartQueue = (): StartQueue => {
--- a/packages/workflow/tests/start-queue.test.ts
+++ b/packages/workflow/tests/start-queue.test.ts
@@ -35,6 +35,21 @@
         expect(sent).toEqual([...sent].sort((first, second) => first - second));
     });
 
+    // Guards against a few workers that leave orders unanswered and hold up the starts on all others.
+    it("are sent within 100 ms although one in 18 of 300 a second is not answered", async () => {
+        const queue = createStartQueue();
+        const waits: number[] = [];
+        for (let number = 0; number < 900; number += 1) {
+            const addedAt = performance.now();
+            queue.add(async () => {
+                waits.push(performance.now() - addedAt);
+                await sleep(number % 18 === 0 ? 1_000 : 5);
+            });
+            await jest.advanceTimersByTimeAsync(number % 3 === 0 ? 4 : 3);
+        }
+        expect(Math.max(...waits)).toBeLessThanOrEqual(100);
+    });
+
     // Guards against workers that are down holding up the starts on all others.
     it("go on although none is answered", async () => {
         addStarts(32, 1_000);
