Give inherited workers and unanswered starts one layout in memory

Passes read all worker entries; starts are compared with the tasks that are placed. The properties are now listed one by one; what is stored and read does not change, and neither do the tests of the codecs.

--- a/packages/workflow/src/cell/roster-codec.ts
+++ b/packages/workflow/src/cell/roster-codec.ts
@@ -31,11 +31,16 @@
             if (!("workers" in group)) {
                 return [group];
             }
-            const { workers, ...common } = group;
+            const { workers, service, failureDomain, rack, labels, capacity, isDraining } = group;
             return workers.map(([id, address, bornAt, remaining]): WorkerEntry => ({
-                ...common,
                 id,
                 address,
+                service,
+                failureDomain,
+                rack,
+                labels,
+                capacity,
+                isDraining,
                 bornAt,
                 ...(remaining === undefined ? {} : { remaining }),
             }));
--- a/packages/workflow/src/cell/unanswered-starts.ts
+++ b/packages/workflow/src/cell/unanswered-starts.ts
@@ -176,12 +176,13 @@
         inherit: stored => {
             const now = performance.now();
             restartedAt = Math.max(restartedAt, now - (stored.restartAge ?? Infinity));
-            const inherited = stored.starts.map(({ age, mayBeDelayed, ...start }) => {
+            const inherited = stored.starts.map((start): UnansweredStart => {
+                const { task, run, worker, isLasting, isIncarnationOver, age, mayBeDelayed } = start;
                 const orderedAt = now - age;
                 if (mayBeDelayed) {
                     lateOrderDetector.recordSign(orderedAt);
                 }
-                return { ...start, orderedAt, isOverdue: false };
+                return { task, run, worker, isLasting, orderedAt, isOverdue: false, isIncarnationOver };
             });
             setStarts([...starts, ...inherited]);
             return inherited;
