Test takeovers with one cell for all workers, and that a former holder ends its work

Since cells are sized by the processors of their hosts, the hosts of takeover-storm.test.ts got four cells of 40 workers, so that the holder was no longer saturated.

New test: after its cell was taken by another host, a former holder makes no more calls to workers, once the calls in flight have ended (within 2.5 s, on 2 cores and on 0.12).

--- a/packages/bench/tests/workflow/takeover-storm.test.ts
+++ b/packages/bench/tests/workflow/takeover-storm.test.ts
@@ -1,4 +1,5 @@
 import { findBreach } from "@jayfront/platform-stand-in";
+import type { CellId } from "@jayfront/world";
 import { sleep } from "@jayfront/world";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 
@@ -43,6 +44,8 @@
 const takeoverBound = 2_500;
 /** Milliseconds within which a lost holder that was late is replaced, so that no lease of a task lapses. */
 const lateTakeoverBound = 4_500;
+/** Milliseconds after a change of holder within which the former holder stops to call workers; calls in flight end then. */
+const formerHolderBound = 2_500;
 /** Milliseconds after the last proof of a cell's lease for which its tasks may run. */
 const leaseDuration = 5_400;
 
@@ -68,6 +71,8 @@
             processors: Object.fromEntries(hostIds.map(id => [id, cores])),
             hostWork,
             regions,
+            // One cell for all, although the hosts are too small for it.
+            largestCell: domains.length * workersPerDomain,
         });
         await time.advance(warmUp);
     };
@@ -219,4 +224,29 @@
             expect(await timeToChange(2 * leaseDuration)).toBeLessThanOrEqual(leaseDuration);
         },
     );
+
+    // Guards against a former holder that goes on to call the workers, which takes its processor time and theirs.
+    it.each([largeCores, smallCores])("gets no calls to its workers from a former holder of %d cores", async cores => {
+        await startCluster(cores);
+        await submitAll();
+        const former = cluster.holder() ?? "";
+        const { network, storeAddress } = cluster.platform;
+        let calls = 0;
+        network.addFault({
+            matches: (from, { address }) => {
+                calls += from === former && address !== storeAddress ? 1 : 0;
+                return false;
+            },
+            action: "cut",
+        });
+        const before = epoch();
+        const successor = cluster.hosts.get(hostIds.find(id => id !== former) ?? "");
+        const body = { cell: "all" as CellId, epoch: before };
+        void successor?.handlePeer({ kind: "take-over", body }, () => undefined);
+        await time.advanceUntil(() => epoch() > before, takeoverBound);
+        await time.advance(formerHolderBound);
+        const callsInBound = calls;
+        await time.advance(formerHolderBound);
+        expect([epoch() - before, calls - callsInBound]).toEqual([1, 0]);
+    });
 });
