Decline new workflows while an accepted one has waited 4 s without a run and most of the room is free

'placement keeps up again' was logged at 60.2 s with 64 workflows: rounds end soon when most steps are excluded by interference, though each workflow then gets its next run only when its turn among the starving ones comes.

Such a wait shows that more is accepted than the holder has time for: with enough time each starving workflow gets a run after 2 s. A workflow that no worker can run does not count, since an attempt restarts its wait. The wait does not count while less than half of the room is free.

starving-workflows.test.ts: with 200 workflows the wait exceeds 4 s, with 10 it does not.

--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -42,6 +42,8 @@
      * `StageSchedulerOptions.passTime` is over; the next pass goes on. Returns whether all tasks have had their turn.
      */
     readonly runPass: () => boolean;
+    /** See `StarvingWorkflows.longestWait`. */
+    readonly longestWait: () => number;
     /** Why a long-running task that has run before did not start in the last pass, with the figures that decide it. */
     readonly explainWait: (ledger: WorkflowLedger, position: TaskNameParts) => WaitExplanation;
 }
@@ -643,6 +645,7 @@
     };
     return {
         explainWait,
+        longestWait: starvingWorkflows.longestWait,
         runPass: () => {
             summaries.clear();
             openWorkers.clear();
--- a/packages/workflow/src/cell/starving-workflows.ts
+++ b/packages/workflow/src/cell/starving-workflows.ts
@@ -15,6 +15,11 @@
      * that have waited longest first.
      */
     readonly select: (candidates: readonly StageCandidate[]) => readonly StageCandidate[];
+    /**
+     * Milliseconds for which a workflow has waited without a run or an attempt to start one, the longest at the last
+     * selection; 0 while less than half of the room is free. If it keeps growing, the holder has accepted too much.
+     */
+    readonly longestWait: () => number;
     /** Records an attempt to start a task of a selected candidate; if none started, others are selected before it. */
     readonly recordAttempt: (candidate: StageCandidate) => void;
 }
@@ -34,6 +39,7 @@
 export const createStarvingWorkflows = ({ workers, runRegistry }: StarvingWorkflowsOptions): StarvingWorkflows => {
     /** Monotonic times in ms since which workflows have waited without a run or an attempt to start one. */
     let waitingSince = new Map<JobId, number>();
+    let longestWait = 0;
     const isRoomAmple = (): boolean => {
         let free = 0;
         let capacity = 0;
@@ -63,11 +69,14 @@
             const waiting = findWaiting(candidates);
             waitingSince = new Map([...waiting.keys()].map(id => [id, waitingSince.get(id) ?? now]));
             const starving = [...waitingSince].filter(([, since]) => now - since >= starvationTime);
+            longestWait = 0;
             if (starving.length === 0 || !isRoomAmple()) {
                 return [];
             }
+            longestWait = now - Math.min(...starving.map(([, since]) => since));
             return starving.sort(([, left], [, right]) => left - right).flatMap(([id]) => waiting.get(id) ?? []);
         },
+        longestWait: () => longestWait,
         recordAttempt: ({ ledger }) => {
             waitingSince.set(ledger.workflow.id, performance.now());
         },
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -139,6 +139,8 @@
 const freshReadTimeout = 400;
 /** Milliseconds for which changes are collected before a placement pass. */
 const passBatchDelay = 15;
+/** Milliseconds without a run, while most of the room is free, from which a workflow shows that too much is accepted. */
+const longestStarvation = 4_000;
 /** Milliseconds after which a placement pass ends and the next one goes on, so that heartbeats are sent in between. */
 const passTime = 30;
 /** Multiple of a pass's duration for which other work comes first, so that passes take at most a third of the time. */
@@ -595,9 +597,11 @@
     const hasWaitingWork = (): boolean =>
         intake.pendingWorkflows().length > 0
         || [...ledgers.values(), ...incomingTransfers.ledgers.values()].some(hasWaitingTasks);
-    const isBehind = (): boolean => placementLag.isBehind() && hasWaitingWork();
+    /** Whether accepted workflows wait without a run for longer than passes need to start a task of each. */
+    const hasStarvingWork = (): boolean => scheduler.longestWait() > longestStarvation;
+    const isBehind = (): boolean => hasStarvingWork() || placementLag.isBehind() && hasWaitingWork();
     /** Whether new workflows would run late or not at all: placement is late, or has yet to visit inherited tasks. */
-    const declinesWork = (): boolean => (!placementLag.hasRun() || placementLag.isBehind()) && hasWaitingWork();
+    const declinesWork = (): boolean => isBehind() || !placementLag.hasRun() && hasWaitingWork();
     void writer.run(signal);
     void run();
     const operations = createWorkflowOperations({
--- a/packages/workflow/tests/starving-workflows.test.ts
+++ b/packages/workflow/tests/starving-workflows.test.ts
@@ -7,6 +7,8 @@
 
 /** Milliseconds without a run within which users expect one while most of the room is free. */
 const longestWait = 3_000;
+/** Milliseconds from which a wait shows that too much is accepted. */
+const longestWaitBound = 4_000;
 /** Milliseconds between two passes. */
 const passInterval = 50;
 const spareStep: Partial<Step> = { count: 4, cpu: 16_000, memory: 1, usesSpareCpu: true, image: "batch" };
@@ -73,6 +75,36 @@
         expect(performance.now() - startedAt).toBeLessThanOrEqual(longestWait);
     });
 
+    // Guards against a holder that accepts more workflows than it has time to start tasks of.
+    it.each([
+        { workflows: 10, isTooMuch: false },
+        { workflows: 200, isTooMuch: true },
+    ])("waits for more than 4 s only if there are too many ($workflows workflows)", ({ workflows, isTooMuch }) => {
+        const cell = createTestCell({
+            workers: 4,
+            cpu: 1_000_000,
+            runTime: 1_000,
+            passTime: 30,
+            onWork: () => {
+                jest.advanceTimersByTime(3);
+            },
+        });
+        for (let number = 0; number < workflows; number += 1) {
+            cell.submit({ priority: 3 }, [{ count: 1_000, cpu: 1, memory: 1 }]);
+        }
+        let longestWait = 0;
+        const startedAt = performance.now();
+        while (performance.now() - startedAt < 5 * longestWaitBound) {
+            cell.scheduler.runPass();
+            jest.advanceTimersByTime(passInterval);
+            longestWait = Math.max(longestWait, cell.scheduler.longestWait());
+            [...cell.runRegistry.all()].forEach(run => {
+                cell.endRun(run, "lost");
+            });
+        }
+        expect(longestWait > longestWaitBound).toBe(isTooMuch);
+    });
+
     // Guards against a workflow that no worker can run and that keeps others from being started.
     it("gets a run although others for which there is no worker have waited longer", () => {
         const cell = createServingCell(2_000);
