Give up starts that were not sent when their worker's incarnation ends

Since starts are sent eight at a time, runs exist before their order is sent. Such runs are now removed as not started at a restart and at the lapse of the worker, before crashes are recorded; their tasks wait again.

--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -118,6 +118,8 @@
     /** Runs that may have crashed a worker which has restarted, until its next report. */
     const suspects = new Map<Run, SuspectRun>();
     const startQueue = createStartQueue();
+    /** Runs whose start orders wait for their turn. */
+    const unsentRuns = new Set<Run>();
     const endQueues = new Map<WorkerId, { readonly bornAt: number; readonly queue: RunEndQueue; }>();
 
     const endQueueOf = (session: WorkerSession, bornAt: number): RunEndQueue => {
@@ -138,6 +140,7 @@
     const removeRun = (end: RunEnd): void => {
         const { run } = end;
         suspects.delete(run);
+        unsentRuns.delete(run);
         runRegistry.remove(run);
         runNumbers.close(run.task, run.number);
         if (runRegistry.ofTask(run.task).length === 0) {
@@ -169,6 +172,12 @@
             await sleep(settleRetryInterval, signal);
         }
     };
+    /** Removes the runs of a worker whose incarnation is over, if their starts were not sent: they were chosen for it. */
+    const removeUnsentRuns = (session: WorkerSession): void => {
+        [...unsentRuns].filter(run => run.worker === session.id).forEach(run => {
+            removeRun({ run, outcome: "not-started", error: "not-sent" });
+        });
+    };
     /** Whether a run whose start has waited for its turn is still to start; if it can't start any more, it is removed. */
     const isStillDue = (run: Run, session: WorkerSession): boolean => {
         const isRegistered = runRegistry.find(run.worker, run.task, run.number) === run;
@@ -258,7 +267,9 @@
             checkpoint: stage.record.checkpoints.get(index) ?? "",
         });
         addRun(run);
+        unsentRuns.add(run);
         startQueue.add(async hasWaited => {
+            unsentRuns.delete(run);
             if (!hasWaited || isStillDue(run, session)) {
                 await sendStart(run, session);
             }
@@ -398,6 +409,7 @@
         addRun(run);
     };
     const recordRestart = (session: WorkerSession): void => {
+        removeUnsentRuns(session);
         workerCrashes.record(session).forEach(suspect => suspects.set(suspect.run, suspect));
     };
     /** Removes a run that has disappeared, for which it is to blame if it may have crashed its worker. */
@@ -462,6 +474,7 @@
     };
     const dropWorkerRuns: RunController["dropWorkerRuns"] = (session, hasCrashed) => {
         unansweredStarts.recordLapse(session.id);
+        removeUnsentRuns(session);
         if (hasCrashed) {
             recordRestart(session);
         }
