Replace a lost holder before the leases of its tasks lapse, also after many changes

The pause before a takeover on suspicion grew up to 8 s. It now grows from 0.4 to 1.6 s, which with the longest announced timeout of 3 s stays below the lease.

takeover-storm.test.ts: 'also after many changes' failed before (9,150 ms, at most 4,500 allowed).

--- a/packages/bench/tests/workflow/takeover-storm.test.ts
+++ b/packages/bench/tests/workflow/takeover-storm.test.ts
@@ -195,6 +195,20 @@
         },
     );
 
+    // Guards against a cell that stays without a holder until its tasks' leases lapse, since it has changed its holder often.
+    it("replaces a holder that has lost power also after many changes", async () => {
+        await startCluster(largeCores);
+        await submitAll();
+        for (let change = 0; change < 5; change += 1) {
+            const heal = cutOffStore(cluster.holder() ?? "");
+            await timeToChange(2 * leaseDuration);
+            heal();
+            await time.advance(2_000);
+        }
+        cluster.isolate(cluster.holder() ?? "");
+        expect(await timeToChange(2 * leaseDuration)).toBeLessThanOrEqual(lateTakeoverBound);
+    });
+
     // Guards against a live holder that counts as down since its calls time out, which closes its connections.
     it("keeps a live holder whose connections close", async () => {
         await startCluster(largeCores);
--- a/packages/workflow/src/entry/holder-changes.ts
+++ b/packages/workflow/src/entry/holder-changes.ts
@@ -16,9 +16,9 @@
 /** Recent changes that cause no pause. */
 const freeChanges = 1;
 /** Milliseconds of the first pause; each further change doubles it. */
-const firstPause = 1_000;
-/** Longest pause in milliseconds: a holder needs less than that to recover from the takeover of a large cell. */
-const maxPause = 8_000;
+const firstPause = 400;
+/** Longest pause in milliseconds: a lost holder has to be replaced before the leases of its tasks lapse. */
+const maxPause = 1_600;
 /** Changes that are remembered of each cell; more do not prolong the pause. */
 const maxChanges = 10;
 
