--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -1,5 +1,6 @@
 import { serialize } from "node:v8";
 
+import type { SendLimits } from "@jayfront/jayfrontd";
 import {
     createPlatformConfiguration,
     createPlatformDirectory,
@@ -92,7 +93,7 @@
     /** Links that carry the traffic between regions. Default: unlimited. */
     readonly link?: RegionLink;
     /** Called for each call from one host to another. */
-    readonly onPeerCall?: (from: string, kind: WorkflowMessageKind, to: string) => void;
+    readonly onPeerCall?: (from: string, kind: WorkflowMessageKind, to: string, limits?: SendLimits) => void;
     /** Number of cores by host. Default 1. */
     readonly processors?: Readonly<Record<string, number>>;
     /** Milliseconds of one core that a run takes of its holder. Default: none, so that no host is ever busy. */
@@ -254,8 +255,8 @@
                 : Result.err({ kind: "unknown", message: `${to.id} gave no reply` });
         };
         return {
-            call: (to, kind, body) => {
-                options.onPeerCall?.(from, kind, to.id);
+            call: (to, kind, body, limits) => {
+                options.onPeerCall?.(from, kind, to.id, limits);
                 const work = (hostWork?.perMessage ?? 0) / 2;
                 return carryOut(processor, work, () => send(to, kind, body), () => work);
             },
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -107,9 +107,12 @@
     const pollBudget = createPollBudget();
     const network: WorkflowNetwork = {
         ...options.network,
-        call: async (host, kind, body) => {
-            const answer = await options.network.call(host, kind, body);
-            registry.recordCall(host.id, answer.isOk);
+        call: async (host, kind, body, limits) => {
+            const answer = await options.network.call(host, kind, body, limits);
+            // A call that was given up early says nothing of the host.
+            if (limits === undefined || answer.isOk) {
+                registry.recordCall(host.id, answer.isOk);
+            }
             return answer;
         },
     };
