Close the connections to the store once for all cells of a host

At most one reconnection a second now; the read of the other cell uses the connections that the first one opened.

adaptive-timeout-store.test.ts failed before (2 reconnections instead of 1).

--- a/packages/workflow/src/store/adaptive-timeout-store.ts
+++ b/packages/workflow/src/store/adaptive-timeout-store.ts
@@ -12,6 +12,8 @@
 
 /** Shortest timeout of a call in milliseconds; pauses of this process must not make answers look lost. */
 const minTimeout = 400;
+/** Least milliseconds between two moments at which all connections are closed. */
+const reconnectInterval = 1_000;
 /** Longest timeout of a call in milliseconds; a cell's lease leaves time for two attempts to prove it. */
 const maxTimeout = 2_400;
 
@@ -21,6 +23,7 @@
  */
 export const createAdaptiveTimeoutStore = ({ store, metrics }: AdaptiveTimeoutStoreOptions): StateStore => {
     const estimate = createResponseTimeEstimate({ minTimeout, maxTimeout });
+    let reconnectedAt = -Infinity;
     const measure = async <Value>(
         operation: string,
         send: (timeout: number) => Promise<Result<Value, StoreError>>,
@@ -47,6 +50,12 @@
                 ? measure("read", adaptive => store.read(table, partition, key, adaptive))
                 : store.read(table, partition, key, timeout),
         follow: store.follow,
-        reconnect: store.reconnect,
+        reconnect: () => {
+            // Cells of one host may ask for it at the same time, and would end each other's calls.
+            if (performance.now() - reconnectedAt >= reconnectInterval) {
+                reconnectedAt = performance.now();
+                store.reconnect();
+            }
+        },
     };
 };
