Send the start orders of long-running tasks before those that wait

Long-running tasks have to run again within seconds.

start-queue.test.ts: 'of long-running tasks are sent before those that wait' failed to compile before, as the queue had one order.

--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -273,7 +273,7 @@
             if (!hasWaited || isStillDue(run, session)) {
                 await sendStart(run, session);
             }
-        });
+        }, stage.step.isLasting);
     };
     const stop = (run: Run, reason: string): void => {
         if (run.phase === "unsettled" || run.stopReason !== undefined) {
--- a/packages/workflow/src/cell/start-queue.ts
+++ b/packages/workflow/src/cell/start-queue.ts
@@ -1,10 +1,11 @@
 /**
- * Sends start orders a few at a time, in the order in which they were added. Hundreds of them at once, as after a change
- * of the holder, would keep a small processor from all else until the leases of the running tasks have expired.
+ * Sends start orders a few at a time: those of long-running tasks first, then in the order in which they were added.
+ * Hundreds of them at once, as after a change of the holder, would keep a small processor from all else until the leases
+ * of the running tasks have expired.
  */
 export interface StartQueue {
     /** Calls `send` once there is a place, at once if possible; it resolves with the worker's answer, and doesn't reject. */
-    readonly add: (send: (hasWaited: boolean) => Promise<void>) => void;
+    readonly add: (send: (hasWaited: boolean) => Promise<void>, isLasting?: boolean) => void;
 }
 
 /** Number of orders that are under way at a time. */
@@ -14,11 +15,12 @@
 
 /** Creates an empty queue. */
 export const createStartQueue = (): StartQueue => {
-    const waiting: ((hasWaited: boolean) => Promise<void>)[] = [];
+    const waitingLasting: ((hasWaited: boolean) => Promise<void>)[] = [];
+    const waiting: typeof waitingLasting = [];
     let underWay = 0;
     const sendNext = (): void => {
         while (underWay < places) {
-            const send = waiting.shift();
+            const send = waitingLasting.shift() ?? waiting.shift();
             if (send === undefined) {
                 return;
             }
@@ -41,12 +43,12 @@
         leave();
     };
     return {
-        add: send => {
+        add: (send, isLasting = false) => {
             if (underWay < places) {
                 void occupyPlace(send(false));
             }
             else {
-                waiting.push(send);
+                (isLasting ? waitingLasting : waiting).push(send);
             }
         },
     };
--- a/packages/workflow/tests/start-queue.test.ts
+++ b/packages/workflow/tests/start-queue.test.ts
@@ -35,6 +35,24 @@
         expect(sent).toEqual([...sent].sort((first, second) => first - second));
     });
 
+    // Guards against long-running tasks that wait without a run behind hundreds of short ones.
+    it("of long-running tasks are sent before those that wait", async () => {
+        const queue = createStartQueue();
+        const order: string[] = [];
+        const add = (name: string, isLasting: boolean): void => {
+            queue.add(async () => {
+                order.push(name);
+                await sleep(5);
+            }, isLasting);
+        };
+        for (let number = 0; number < 100; number += 1) {
+            add("short", false);
+        }
+        add("lasting", true);
+        await jest.advanceTimersByTimeAsync(200);
+        expect([order.length, order.indexOf("lasting")]).toEqual([101, 8]);
+    });
+
     // Guards against a few workers that leave orders unanswered and hold up the starts on all others.
     it("are sent within 100 ms although one in 18 of 300 a second is not answered", async () => {
         const queue = createStartQueue();
