Send as many starts at a time as the host's processors allow, urgent ones first

Suspected cause, by reading: eight starts at a time suit a host of 0.12 core. A host of 1.35 cores orders some 400 a second; when its event loop turns once in 50 ms, eight a turn are 160 a second, and urgent starts waited behind those of batch steps.

Change: 64 places for a core, eight at least; starts of urgent queues and of long-running tasks go before the others that wait.

start-queue.test.ts: 86 starts under way on 1.35 cores, 8 on 0.12; both had 8 before. The effect at full size is not measured yet.

--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -63,6 +63,8 @@
     readonly unansweredStarts: UnansweredStarts;
     readonly runRegistry: RunRegistry;
     readonly writer: Pick<ProgressWriter, "request">;
+    /** Processor cores of this host; may be a fraction. */
+    readonly processors: number;
     /** See `ProcessDelay.recent`. */
     readonly processDelay: () => number;
     readonly logger: Logger;
@@ -101,6 +103,7 @@
         unansweredStarts,
         runRegistry,
         writer,
+        processors,
         processDelay,
         logger,
         ledgerOf,
@@ -117,7 +120,7 @@
     const runNumbers = createRunNumbers(epoch);
     /** Runs that may have crashed a worker which has restarted, until its next report. */
     const suspects = new Map<Run, SuspectRun>();
-    const startQueue = createStartQueue();
+    const startQueue = createStartQueue(processors);
     /** Runs whose start orders wait for their turn. */
     const unsentRuns = new Set<Run>();
     const endQueues = new Map<WorkerId, { readonly bornAt: number; readonly queue: RunEndQueue; }>();
@@ -273,7 +276,7 @@
             if (!hasWaited || isStillDue(run, session)) {
                 await sendStart(run, session);
             }
-        }, stage.step.isLasting);
+        }, stage.step.isLasting || ledger.workflow.queue.priority === 0);
     };
     const stop = (run: Run, reason: string): void => {
         if (run.phase === "unsettled" || run.stopReason !== undefined) {
--- a/packages/workflow/src/cell/start-queue.ts
+++ b/packages/workflow/src/cell/start-queue.ts
@@ -1,26 +1,28 @@
 /**
- * Sends start orders a few at a time: those of long-running tasks first, then in the order in which they were added.
+ * Sends start orders a few at a time: urgent ones first, then in the order in which they were added.
  * Hundreds of them at once, as after a change of the holder, would keep a small processor from all else until the leases
  * of the running tasks have expired.
  */
 export interface StartQueue {
     /** Calls `send` once there is a place, at once if possible; it resolves with the worker's answer, and doesn't reject. */
-    readonly add: (send: (hasWaited: boolean) => Promise<void>, isLasting?: boolean) => void;
+    readonly add: (send: (hasWaited: boolean) => Promise<void>, isUrgent?: boolean) => void;
 }
 
-/** Number of orders that are under way at a time. */
-const places = 8;
+/** Number of orders that are under way at a time on a host with one processor core; at least {@link minPlaces}. */
+const placesPerProcessor = 64;
+const minPlaces = 8;
 /** Milliseconds after which an order without answer leaves its place, since its worker may be down. */
 const placeTime = 100;
 
-/** Creates an empty queue. */
-export const createStartQueue = (): StartQueue => {
-    const waitingLasting: ((hasWaited: boolean) => Promise<void>)[] = [];
-    const waiting: typeof waitingLasting = [];
+/** Creates an empty queue. `processors`: processor cores of the host; may be a fraction. */
+export const createStartQueue = (processors: number): StartQueue => {
+    const places = Math.max(minPlaces, Math.round(processors * placesPerProcessor));
+    const waitingUrgent: ((hasWaited: boolean) => Promise<void>)[] = [];
+    const waiting: typeof waitingUrgent = [];
     let underWay = 0;
     const sendNext = (): void => {
         while (underWay < places) {
-            const send = waitingLasting.shift() ?? waiting.shift();
+            const send = waitingUrgent.shift() ?? waiting.shift();
             if (send === undefined) {
                 return;
             }
@@ -43,12 +45,12 @@
         leave();
     };
     return {
-        add: (send, isLasting = false) => {
+        add: (send, isUrgent = false) => {
             if (underWay < places) {
                 void occupyPlace(send(false));
             }
             else {
-                (isLasting ? waitingLasting : waiting).push(send);
+                (isUrgent ? waitingUrgent : waiting).push(send);
             }
         },
     };
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -117,6 +117,8 @@
     readonly timing: CellTiming;
     readonly logger: Logger;
     readonly metrics: WorkflowMetrics;
+    /** Processor cores of this host; may be a fraction. */
+    readonly processors: number;
     /** See `ProcessDelay.recent`. */
     readonly processDelay: () => number;
     /** Shared by all cells of the host. */
@@ -273,6 +275,7 @@
         unansweredStarts,
         runRegistry,
         writer,
+        processors: options.processors,
         processDelay,
         logger,
         ledgerOf: id => ledgers.get(id) ?? incomingTransfers.ledgers.get(id),
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -169,6 +169,7 @@
                 timing,
                 logger,
                 metrics,
+                processors: self.processors,
                 processDelay: processDelay.recent,
                 pollBudget,
                 onLost,
--- a/packages/workflow/tests/adopted-run.test.ts
+++ b/packages/workflow/tests/adopted-run.test.ts
@@ -45,6 +45,7 @@
             runRegistry,
             writer: { request: () => undefined },
             processDelay: () => 0,
+            processors: 1,
             logger: pino({ level: "silent" }),
             ledgerOf: () => ledger,
             sessionOf: () => undefined,
--- a/packages/workflow/tests/run-controller.test.ts
+++ b/packages/workflow/tests/run-controller.test.ts
@@ -34,6 +34,7 @@
                 runRegistry: createRunRegistry(),
                 writer: { request: () => undefined },
                 processDelay: () => 0,
+                processors: 1,
                 logger: pino({ level: "silent" }),
                 ledgerOf: id => id === job ? ledger : undefined,
                 sessionOf: () => undefined,
--- a/packages/workflow/tests/start-queue.test.ts
+++ b/packages/workflow/tests/start-queue.test.ts
@@ -15,7 +15,7 @@
         jest.useRealTimers();
     });
     const addStarts = (count: number, responseTime: number): void => {
-        const queue = createStartQueue();
+        const queue = createStartQueue(0.12);
         for (let number = 0; number < count; number += 1) {
             queue.add(async () => {
                 sent.push(number);
@@ -35,27 +35,43 @@
         expect(sent).toEqual([...sent].sort((first, second) => first - second));
     });
 
-    // Guards against long-running tasks that wait without a run behind hundreds of short ones.
-    it("of long-running tasks are sent before those that wait", async () => {
-        const queue = createStartQueue();
+    // Guards against a host that has processor time for hundreds of starts a second, and sends fewer.
+    it("are under way in numbers that the host's processors allow", () => {
+        const sentBy = [0.12, 0.324, 0.675, 1.35].map(processors => {
+            const queue = createStartQueue(processors);
+            let started = 0;
+            for (let number = 0; number < 200; number += 1) {
+                queue.add(() => {
+                    started += 1;
+                    return new Promise(() => undefined);
+                });
+            }
+            return started;
+        });
+        expect(sentBy).toEqual([8, 21, 43, 86]);
+    });
+
+    // Guards against urgent and long-running tasks that wait without a run behind hundreds of short ones.
+    it("of urgent and long-running tasks are sent before those that wait", async () => {
+        const queue = createStartQueue(0.12);
         const order: string[] = [];
-        const add = (name: string, isLasting: boolean): void => {
+        const add = (name: string, isUrgent: boolean): void => {
             queue.add(async () => {
                 order.push(name);
                 await sleep(5);
-            }, isLasting);
+            }, isUrgent);
         };
         for (let number = 0; number < 100; number += 1) {
             add("short", false);
         }
-        add("lasting", true);
+        add("urgent", true);
         await jest.advanceTimersByTimeAsync(200);
-        expect([order.length, order.indexOf("lasting")]).toEqual([101, 8]);
+        expect([order.length, order.indexOf("urgent")]).toEqual([101, 8]);
     });
 
     // Guards against a few workers that leave orders unanswered and hold up the starts on all others.
     it("are sent within 100 ms although one in 18 of 300 a second is not answered", async () => {
-        const queue = createStartQueue();
+        const queue = createStartQueue(0.12);
         const waits: number[] = [];
         for (let number = 0; number < 900; number += 1) {
             const addedAt = performance.now();
--- a/packages/workflow/tests/start-without-answer.test.ts
+++ b/packages/workflow/tests/start-without-answer.test.ts
@@ -60,6 +60,7 @@
             runRegistry: createRunRegistry(),
             writer: { request: () => undefined },
             processDelay: () => 0,
+            processors: 1,
             logger: pino({ level: "silent" }),
             ledgerOf: () => ledger,
             sessionOf: () => session,
--- a/packages/workflow/tests/unsent-starts.test.ts
+++ b/packages/workflow/tests/unsent-starts.test.ts
@@ -54,6 +54,7 @@
             runRegistry,
             writer: { request: () => undefined },
             processDelay: () => 0,
+            processors: 0.12,
             logger: pino({ level: "silent" }),
             ledgerOf: () => ledger,
             sessionOf: () => session,
