--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -121,6 +121,8 @@
     readonly processors: number;
     /** See `ProcessDelay.recent`. */
     readonly processDelay: () => number;
+    /** See `ProcessDelay.average`. */
+    readonly averageDelay: () => number;
     /** Shared by all cells of the host. */
     readonly pollBudget: PollBudget;
     readonly onLost: (reason: string) => void;
@@ -416,6 +418,7 @@
         lateOrderDetector,
         inheritedLeasesUntil,
         processDelay,
+        averageDelay: options.averageDelay,
         pollBudget: options.pollBudget,
         onChange: passWakeUp.notify,
     });
--- a/packages/workflow/tests/worker-polls.test.ts
+++ b/packages/workflow/tests/worker-polls.test.ts
@@ -105,6 +105,7 @@
                 lateOrderDetector,
                 inheritedLeasesUntil: 0,
                 processDelay: () => processDelay,
+                averageDelay: () => processDelay,
                 pollBudget,
             });
             void session.run(stop.signal);
--- a/packages/workflow/tests/worker-session.test.ts
+++ b/packages/workflow/tests/worker-session.test.ts
@@ -115,6 +115,7 @@
             lateOrderDetector,
             inheritedLeasesUntil: 0,
             processDelay: () => 0,
+            averageDelay: () => 0,
             pollBudget: createPollBudget(),
         });
         void session.run(stop.signal);
