--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -146,7 +146,7 @@
 /** Milliseconds without a run, while most of the room is free, from which a workflow shows that too much is accepted. */
 const longestStarvation = 4_000;
 /** Milliseconds after which a placement pass ends and the next one goes on, so that heartbeats are sent in between. */
-const passTime = 100;
+const passTime = 30;
 /** Multiple of a pass's duration for which other work comes first, so that passes take at most a third of the time. */
 const passPauseFactor = 2;
 /** Milliseconds after which a placement pass runs even without a change, for work that becomes due with time. */
