--- a/packages/workflow/src/cell/poll-pacing.ts
+++ b/packages/workflow/src/cell/poll-pacing.ts
@@ -15,8 +15,8 @@
 
 /** Options of {@link createPollPacing}. */
 export interface PollPacingOptions {
-    /** See `ProcessDelay.average`. */
-    readonly averageDelay: () => number;
+    /** See `ProcessDelay.recent`. */
+    readonly processDelay: () => number;
     /** Whether tasks on the worker may interfere with each other, which requires frequent reports. */
     readonly mayInterfere: () => boolean;
 }
@@ -39,9 +39,9 @@
 const toleratedDelay = 75;
 
 /** Creates the pacing of the polls of one worker. */
-export const createPollPacing = ({ averageDelay, mayInterfere }: PollPacingOptions): PollPacing => {
+export const createPollPacing = ({ processDelay, mayInterfere }: PollPacingOptions): PollPacing => {
     const stretched = ({ usual, longest }: PollTime): number =>
-        Math.round(Math.min(longest, usual * Math.max(1, averageDelay() / toleratedDelay)));
+        Math.round(Math.min(longest, usual * Math.max(1, processDelay() / toleratedDelay)));
     return {
         wait: () => stretched(mayInterfere() ? interferenceWait : wait),
         endGatherTime: () => stretched(endGatherTime),
--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -55,8 +55,6 @@
     readonly inheritedLeasesUntil: number;
     /** See `ProcessDelay.recent`. */
     readonly processDelay: () => number;
-    /** See `ProcessDelay.average`. */
-    readonly averageDelay: () => number;
     /** Shared by all cells of the host. */
     readonly pollBudget: PollBudget;
     /** Called when waiting tasks may have become able to start. */
@@ -70,16 +68,8 @@
 export const createWorkerRoster = (options: WorkerRosterOptions): WorkerRoster => {
     const { workers, lease, store, directory, gateway, timing, logger, runRegistry, events, signal } = options;
     const list = createWorkerList({ store, directory });
-    const {
-        isOwn,
-        mayInterfere,
-        lateOrderDetector,
-        inheritedLeasesUntil,
-        processDelay,
-        averageDelay,
-        pollBudget,
-        onChange,
-    } = options;
+    const { isOwn, mayInterfere, lateOrderDetector, inheritedLeasesUntil, processDelay, pollBudget, onChange } =
+        options;
     const { cell, epoch } = lease;
     /** The entries of the workers on the roster, as they are stored. */
     const storedEntries = new Map<WorkerId, WorkerEntry>();
@@ -103,7 +93,6 @@
             // A worker that is not on the roster can't have a lease of an earlier holder.
             inheritedLeasesUntil: isNew ? 0 : inheritedLeasesUntil,
             processDelay,
-            averageDelay,
             pollBudget,
         });
         workers.set(entry.id, {
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -95,8 +95,6 @@
     readonly inheritedLeasesUntil: number;
     /** See `ProcessDelay.recent`. */
     readonly processDelay: () => number;
-    /** See `ProcessDelay.average`. */
-    readonly averageDelay: () => number;
     /** Shared by all sessions of the host. */
     readonly pollBudget: PollBudget;
 }
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -121,8 +121,6 @@
     readonly processors: number;
     /** See `ProcessDelay.recent`. */
     readonly processDelay: () => number;
-    /** See `ProcessDelay.average`. */
-    readonly averageDelay: () => number;
     /** Shared by all cells of the host. */
     readonly pollBudget: PollBudget;
     readonly onLost: (reason: string) => void;
@@ -418,7 +416,6 @@
         lateOrderDetector,
         inheritedLeasesUntil,
         processDelay,
-        averageDelay: options.averageDelay,
         pollBudget: options.pollBudget,
         onChange: passWakeUp.notify,
     });
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -170,7 +170,6 @@
                 logger,
                 metrics,
                 processors: self.processors,
-                averageDelay: processDelay.average,
                 processDelay: processDelay.recent,
                 pollBudget,
                 onLost,
--- a/packages/workflow/src/process/process-delay.ts
+++ b/packages/workflow/src/process/process-delay.ts
@@ -4,8 +4,6 @@
 export interface ProcessDelay {
     /** Longest delay of a measured timer in the last few seconds, in milliseconds. */
     readonly recent: () => number;
-    /** Average delay of the measured timers of the last second or two, in milliseconds. */
-    readonly average: () => number;
     /** Milliseconds by which the measured timers were late in all since the start, one that is overdue included. */
     readonly total: () => number;
     /** As `sleep` of the package `world`; the delay of its timer is measured. To be called for one timer at a time. */
@@ -15,9 +13,6 @@
 /** Milliseconds for which a delay counts as recent. */
 const recentTime = 3_000;
 
-/** Weight of a new delay in the average. */
-const averageGain = 0.1;
-
 /** A measured timer. */
 interface DelaySample {
     /** Monotonic time in ms at which the timer ran. */
@@ -31,13 +26,11 @@
     let samples: readonly DelaySample[] = [];
     /** Delays of the timers that have run, in ms. */
     let finishedDelays = 0;
-    let average = 0;
     /** Monotonic time in ms at which the measured timer is due; Infinity if none is set. */
     let nextDueAt = Infinity;
     const record = (delay: number): void => {
         const at = performance.now();
         finishedDelays += delay;
-        average += (delay - average) * averageGain;
         samples = [
             ...samples.filter(sample => at - sample.at < recentTime && sample.delay > delay),
             { at, delay },
@@ -45,7 +38,6 @@
     };
     return {
         recent: () => samples.find(({ at }) => performance.now() - at < recentTime)?.delay ?? 0,
-        average: () => average,
         total: () => finishedDelays + Math.max(0, performance.now() - nextDueAt),
         sleep: async (milliseconds, signal) => {
             const dueAt = performance.now() + milliseconds;
