Show that a task restarts while its reported run is being stopped (review case 3)

Cause looked for: what happens to runs that a holder has settled and a worker reports all the same. They are stopped, but not registered, so the task does not wait for their end.

--- a/review/lib/cluster.ts
+++ b/review/lib/cluster.ts
@@ -11,6 +11,7 @@
 import { callHost } from "./client.js";
 import { findAddresses } from "./find-addresses.js";
 import type { CaseRecord } from "./record.js";
+import type { Answer, Call } from "./serve.js";
 import { serve } from "./serve.js";
 import type { Worker, WorkerEvent } from "./worker.js";
 import { createWorker } from "./worker.js";
@@ -54,6 +55,8 @@
     /** Millicores and megabytes of a worker. */
     readonly capacity: { readonly cpu: number; readonly memory: number; };
     readonly requestOf: (task: string) => { readonly cpu: number; readonly memory: number; };
+    /** Sees each call to a worker before the worker does; an answer that it returns is given in place of the worker's. */
+    readonly interceptCall?: (worker: Worker, call: Call) => Answer | undefined;
     readonly labelsOf?: (worker: number) => readonly string[];
     readonly maxAttempts?: number;
 }
@@ -164,7 +167,7 @@
         const address = `${addresses[1 + index] ?? ""}:${String(ports.service)}`;
         const worker = createWorker({ id, record, events, capacity, requestOf, longestLease, stopTime });
         workers.set(id, worker);
-        const server = await serve(address, worker.handle);
+        const server = await serve(address, call => options.interceptCall?.(worker, call) ?? worker.handle(call));
         servers.push(server);
         let sequence = 0;
         const register = (): void => {
--- a/review/lib/worker.ts
+++ b/review/lib/worker.ts
@@ -80,6 +80,8 @@
 
 /** Ends that a worker returns at a time, as the pages say. */
 const endsAtATime = 500;
+/** Share of the longest time that a stop may take which it takes here. */
+const stopShare = 0.9;
 /** `checkpointIntervalS`, in milliseconds. */
 const checkpointInterval = 2_000;
 
@@ -186,7 +188,7 @@
         if (target?.run === runNumber) {
             setTimeout(() => {
                 end(target, "stopped");
-            }, stopTime / 2);
+            }, stopTime * stopShare);
         }
         else {
             closedRuns.set(task, Math.max(runNumber, closedRuns.get(task) ?? 0));
