--- a/review/lib/cluster.ts
+++ b/review/lib/cluster.ts
@@ -1,7 +1,7 @@
 import type { ChildProcess } from "node:child_process";
 import { spawn } from "node:child_process";
 import { createWriteStream, readFileSync } from "node:fs";
-import { mkdtemp, writeFile } from "node:fs/promises";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import type { Server } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -259,7 +259,7 @@
     for (let index = 0; index < options.hosts; index += 1) {
         hosts.push(await createHost(index));
     }
-    record.add(`logs of the hosts: ${folder}`);
+    record.add(`logs of the hosts: ${folder}, kept with KEEP_LOGS=1`);
     const isReady = async ({ address }: Host): Promise<boolean> => {
         const [ip = ""] = address.split(":");
         const answer = await callHost(`${ip}:${String(ports.ready)}`, "GET", "/api/readiness", undefined, 1_000);
@@ -306,6 +306,9 @@
                 server.close();
                 server.closeAllConnections();
             });
+            if (process.env["KEEP_LOGS"] !== "1") {
+                await rm(folder, { recursive: true, force: true });
+            }
         },
     };
 };
