--- a/review/lib/run-case.ts
+++ b/review/lib/run-case.ts
@@ -33,10 +33,13 @@
     const hasTrouble = process.env["TROUBLE"] !== "0";
     let code = 2;
     const cluster = await startCluster({ ...clusterOptions, record });
-    const timer = setTimeout(() => {
-        record.add("the case took too long");
+    const giveUp = (reason: string): void => {
+        record.add(reason);
         void cluster.close().then(() => process.exit(2));
-    }, longestCase);
+    };
+    const timer = setTimeout(giveUp, longestCase, "the case took too long");
+    process.once("SIGINT", giveUp);
+    process.once("SIGTERM", giveUp);
     try {
         if (await cluster.waitUntilReady(readyTimeout)) {
             const breaches = await play({ cluster, record, hasTrouble });
