--- a/review/lib/run-case.ts
+++ b/review/lib/run-case.ts
@@ -32,15 +32,19 @@
     const record = openRecord(join(folder, "record.txt"));
     const hasTrouble = process.env["TROUBLE"] !== "0";
     let code = 2;
-    const cluster = await startCluster({ ...clusterOptions, record });
-    const giveUp = (reason: string): void => {
-        record.add(reason);
-        void cluster.close().then(() => process.exit(2));
+    let cluster: Cluster | undefined;
+    const giveUp = (reason: unknown): void => {
+        record.add(`given up: ${String(reason)}`);
+        console.log(reason);
+        void Promise.resolve(cluster?.close()).finally(() => process.exit(2));
     };
+    process.once("uncaughtException", giveUp);
+    process.once("unhandledRejection", giveUp);
     const timer = setTimeout(giveUp, longestCase, "the case took too long");
     process.once("SIGINT", giveUp);
     process.once("SIGTERM", giveUp);
     try {
+        cluster = await startCluster({ ...clusterOptions, record });
         if (await cluster.waitUntilReady(readyTimeout)) {
             const breaches = await play({ cluster, record, hasTrouble });
             breaches.forEach(breach => {
@@ -66,7 +70,7 @@
     }
     finally {
         clearTimeout(timer);
-        await cluster.close();
+        await cluster?.close();
         await record.close();
     }
     process.exit(code);
