--- a/packages/bench/src/workflow/planted-faults.ts
+++ b/packages/bench/src/workflow/planted-faults.ts
@@ -75,7 +75,7 @@
                     // From the second failure in a row on, reports that nothing runs on the worker.
                     return count < 2
                         ? result
-                        : Result.ok({ clock: 0, bornAt: Date.now(), running: [], ended: [] });
+                        : Result.ok({ clock: 0, bornAt: Date.now(), running: [], ended: [], hasAllEnds: true });
                 },
             };
         },
--- a/packages/platform-stand-in/src/protocol/protocol-worker.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-worker.ts
@@ -34,7 +34,7 @@
 
 /**
  * A simulated worker that implements the protocol of the platform's workers: it refuses tokens below the highest one
- * seen, has one deadline for all running tasks, and reports ends until they are acknowledged.
+ * seen, has one deadline for all running tasks, and reports ends until they are acknowledged, at most 500 at a time.
  */
 export interface ProtocolWorker {
     readonly id: string;
@@ -86,6 +86,8 @@
 const timeToCrash = 10;
 /** Default run time of a task in milliseconds. */
 const defaultWork = 500;
+/** Ends in one answer to a poll; the next ones are listed once these are acknowledged. */
+const maxListedEnds = 500;
 
 /** Creates a worker that runs nothing. */
 export const createProtocolWorker = (options: ProtocolWorkerOptions): ProtocolWorker => {
@@ -251,7 +253,7 @@
         return answer(200, {
             born: bornAt,
             running: [...running.values()].map(task => [task.task, task.run, "", progressOf(task), 0]),
-            finished,
+            finished: finished.slice(0, maxListedEnds),
         });
     };
     const endAll = (): void => {
--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -461,7 +461,8 @@
         for (const run of [...runRegistry.ofWorker(session.id)]) {
             // A report that was requested before the last answer may not reflect that order.
             const isCovered = run.phase !== "unsettled" && run.answeredAt < sentAt;
-            if (!listed.has(run) && isCovered) {
+            // Without all ends, a run that is not listed may have ended in any way, and its task may be done.
+            if (!listed.has(run) && isCovered && report.hasAllEnds) {
                 const { job } = run.position;
                 const details = { job, task: run.task, run: run.number, worker: session.id, reason: run.stopReason };
                 if (run.stopReason === unansweredStartReason) {
@@ -473,7 +474,9 @@
                 removeLost(run);
             }
         }
-        [...suspects.keys()].filter(run => run.worker === session.id).forEach(run => suspects.delete(run));
+        if (report.hasAllEnds) {
+            [...suspects.keys()].filter(run => run.worker === session.id).forEach(run => suspects.delete(run));
+        }
     };
     const dropWorkerRuns: RunController["dropWorkerRuns"] = (session, hasCrashed) => {
         unansweredStarts.recordLapse(session.id);
--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -26,8 +26,8 @@
 export interface WorkerRoster {
     /** Takes over the stored roster; tasks that earlier holders started may still run on its workers. */
     readonly inherit: (loaded: LoadedCell) => void;
-    /** Whether a worker on the roster, on which tasks of earlier holders may run, has not answered yet. */
-    readonly hasUnknownWorkers: () => boolean;
+    /** Whether tasks of earlier holders may run or have ended on a worker of the roster without this holder knowing. */
+    readonly hasUnknownRuns: () => boolean;
     /** Follows the directory until `signal` aborts. */
     readonly run: (signal: AbortSignal) => Promise<void>;
 }
@@ -196,10 +196,8 @@
             roster.forEach(entry => storedEntries.set(entry.id, entry));
             roster.forEach(addWorker);
         },
-        hasUnknownWorkers: () =>
-            [...workers.values()].some(({ session }) =>
-                storedEntries.has(session.id) && session.contact() === "unknown"
-            ),
+        hasUnknownRuns: () =>
+            [...workers.values()].some(({ session }) => storedEntries.has(session.id) && session.mayHaveUnknownRuns()),
         run: async stopSignal => {
             while (!stopSignal.aborted) {
                 const read = await list.update();
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -33,6 +33,11 @@
     /** Updates the worker's directory entry; undefined if the worker is no longer listed. */
     readonly setEntry: (entry: WorkerEntry | undefined) => void;
     readonly contact: () => ContactState;
+    /**
+     * Whether tasks of earlier holders may run on the worker, or may have ended there, without this holder knowing: it has
+     * not answered in this epoch, or not all of its ends have been listed since.
+     */
+    readonly mayHaveUnknownRuns: () => boolean;
     /** Monotonic time in ms of the first failed poll since the worker's last report; undefined if none has failed. */
     readonly failingSince: () => number | undefined;
     /** Deadline for starts, in ms on the worker's clock; undefined if it may not start anything. */
@@ -156,6 +161,10 @@
     let recordedEnd = 0;
     /** Number of the last end that a report listed. */
     let listedEnd = 0;
+    /** Whether some ends of the current incarnation have not been listed since its first report. */
+    let lacksEnds = false;
+    /** Whether the last report listed all ends. */
+    let hadAllEnds = true;
     /** Number of the last end whose acknowledgement the worker has confirmed. */
     let acknowledgedEnd = 0;
     /** Latest deadline that the worker has confirmed, in ms on its clock. */
@@ -189,6 +198,8 @@
         clock.reset();
         recordedEnd = 0;
         listedEnd = 0;
+        lacksEnds = false;
+        hadAllEnds = true;
         acknowledgedEnd = 0;
         grantedDeadline = 0;
     };
@@ -254,6 +265,18 @@
             markLapsed(error.kind === "closed", { error: error.kind, reason });
         }
     };
+    const updateEndList = ({ ended, hasAllEnds }: WorkerReport, isFirst: boolean): void => {
+        lacksEnds = (isFirst || lacksEnds) && !hasAllEnds;
+        if (hasAllEnds !== hadAllEnds) {
+            hadAllEnds = hasAllEnds;
+            logger.info(
+                { worker: entry.id, epoch, ended: ended.length, isFirst },
+                hasAllEnds
+                    ? "the worker's report lists all of its ends again"
+                    : "the worker has more ends than its report lists; its other runs are kept until they are listed",
+            );
+        }
+    };
     const applyReport = (report: WorkerReport, sentAt: number): void => {
         updateIncarnation(report.bornAt);
         if (report.bornAt < (bornAt ?? 0)) {
@@ -277,6 +300,7 @@
         clock.recordReading(report.clock);
         listedEnd = Math.max(listedEnd, ...report.ended.map(row => row.number));
         const isFirst = contact === "unknown" || contact === "lapsed";
+        updateEndList(report, isFirst);
         // The report has to be applied before the contact is `known`, which allows starts on the worker.
         events.onReport(session, report, sentAt, isFirst);
         setContact("known", { running: report.running.length, ended: report.ended.length });
@@ -404,6 +428,7 @@
         entry: () => entry,
         entryAt: () => entryAt,
         contact: () => contact,
+        mayHaveUnknownRuns: () => contact === "unknown" || lacksEnds,
         failingSince: () => failingSince,
         beginProof: clock.beginProof,
         setEntry: next => {
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -429,9 +429,9 @@
             await sleep(lease.isStoreFailing() ? failingStoreInterval : renewalInterval / 2, signal);
         }
     };
-    /** Releases the inherited workflows once each worker of the roster has reported its runs or can't run anything. */
+    /** Releases the inherited workflows once each worker of the roster has reported its runs and ends, or has lapsed. */
     const releaseInherited = (): void => {
-        if (!roster.hasUnknownWorkers()) {
+        if (!roster.hasUnknownRuns()) {
             inheritedJobs.clear();
             recovery.record("workersKnown");
         }
--- a/packages/workflow/src/port/worker-gateway.ts
+++ b/packages/workflow/src/port/worker-gateway.ts
@@ -81,7 +81,10 @@
     /** Unix time of the worker's start, in ms. */
     readonly bornAt: number;
     readonly running: readonly ReportedRun[];
+    /** Ends that have not been acknowledged, by number; a report lists only so many of them. */
     readonly ended: readonly ReportedEnd[];
+    /** Whether `ended` has all ends that have not been acknowledged; else a run in neither list may have ended. */
+    readonly hasAllEnds: boolean;
 }
 
 /** Sends orders to workers. */
--- a/packages/workflow/tests/adopted-run.test.ts
+++ b/packages/workflow/tests/adopted-run.test.ts
@@ -70,7 +70,12 @@
             },
         };
         const running = [0, 1].map(index => ({ task: nameOf(index), run: 2, checkpoint: "", percent: 0, measure: 0 }));
-        controller.applyReport(session as WorkerSession, { clock: 0, bornAt: 1, running, ended: [] }, 0, true);
+        controller.applyReport(
+            session as WorkerSession,
+            { clock: 0, bornAt: 1, running, ended: [], hasAllEnds: true },
+            0,
+            true,
+        );
         expect([...runRegistry.all()].map(run => run.task)).toEqual([nameOf(0)]);
         expect(stopped).toEqual([nameOf(1)]);
     });
--- a/packages/workflow/tests/run-controller.test.ts
+++ b/packages/workflow/tests/run-controller.test.ts
@@ -49,7 +49,7 @@
             });
             const session = { id: "w-0" as WorkerId, recordEnds: () => undefined } as Partial<WorkerSession>;
             const end = { number: 1, task: taskName(position), run: 3, outcome, checkpoint: "" };
-            const report = { clock: 0, bornAt: 0, running: [], ended: [end] };
+            const report = { clock: 0, bornAt: 0, running: [], ended: [end], hasAllEnds: true };
             controller.applyReport(session as WorkerSession, report, 0, true);
             const record = ledger.stage(position)?.record;
             expect([...record?.started ?? []]).toEqual([1]);
--- a/packages/workflow/tests/start-without-answer.test.ts
+++ b/packages/workflow/tests/start-without-answer.test.ts
@@ -94,7 +94,7 @@
     it("does not count as unanswered if the worker has reported the end of its run", async () => {
         await jest.advanceTimersByTimeAsync(5);
         const ended = [{ number: 1, task, run: 1, outcome: "failed" as const, checkpoint: "" }];
-        controller.applyReport(session, { clock: 0, bornAt: 1, running: [], ended }, 0, false);
+        controller.applyReport(session, { clock: 0, bornAt: 1, running: [], ended, hasAllEnds: true }, 0, false);
         noAnswer();
         await jest.advanceTimersByTimeAsync(10);
         expect(unansweredStarts.constraintOf(task)).toBeUndefined();
@@ -104,7 +104,7 @@
     it("counts as unanswered also while a run that it started late is being stopped", async () => {
         noAnswer();
         await jest.advanceTimersByTimeAsync(10);
-        const report = { clock: 0, bornAt: 1, running: [], ended: [] };
+        const report = { clock: 0, bornAt: 1, running: [], ended: [], hasAllEnds: true };
         controller.applyReport(session, report, performance.now(), false);
         const lateRun = { task, run: 1, checkpoint: "", percent: 0, measure: 0 };
         controller.applyReport(session, { ...report, running: [lateRun] }, performance.now(), false);
--- a/packages/workflow/tests/worker-polls.test.ts
+++ b/packages/workflow/tests/worker-polls.test.ts
@@ -51,7 +51,13 @@
         }
         return isSilent
             ? Result.err({ kind: "unknown", message: "no answer" })
-            : Result.ok({ clock: clockOffset + performance.now(), bornAt: 1, running: reported, ended: [] });
+            : Result.ok({
+                clock: clockOffset + performance.now(),
+                bornAt: 1,
+                running: reported,
+                ended: [],
+                hasAllEnds: true,
+            });
     };
     const gateway: WorkerGateway = {
         start: async () => {
--- a/packages/workflow/tests/worker-session.test.ts
+++ b/packages/workflow/tests/worker-session.test.ts
@@ -48,7 +48,7 @@
     let failingReports: number;
     let session: WorkerSession;
     const report = (bornAt: number): Result<WorkerReport, OrderError> =>
-        Result.ok({ clock: 500_000 + performance.now(), bornAt, running: [], ended: [] });
+        Result.ok({ clock: 500_000 + performance.now(), bornAt, running: [], ended: [], hasAllEnds: true });
 
     const listing = (number: number): Result<WorkerReport, OrderError> =>
         report(1).map(value => ({
