--- a/packages/platform-stand-in/src/protocol/protocol-network.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-network.ts
@@ -33,11 +33,11 @@
     readonly matches: (from: string, call: NetworkCall) => boolean;
     /**
      * `cut`: neither executed nor answered. `lose-answer`: executed, but not answered. `late`: executed after `delay`,
-     * but not answered. `slow`: executed after `delay`, and answered if that is below the call's timeout. `refuse`: not
+     * but not answered; `late-grant`: likewise, and the time until its deadline counts from then. `slow`: executed after `delay`, and answered if that is below the call's timeout. `refuse`: not
      * executed, answered with `status`.
      */
-    readonly action: "cut" | "lose-answer" | "late" | "slow" | "refuse";
-    /** Milliseconds of `late` and `slow`. Default 0. */
+    readonly action: "cut" | "lose-answer" | "late" | "late-grant" | "slow" | "refuse";
+    /** Milliseconds of `late`, `late-grant` and `slow`. Default 0. */
     readonly delay?: number;
     /** HTTP status of `refuse`. Default 503. */
     readonly status?: number;
@@ -69,6 +69,14 @@
         setTimeout(resolve, milliseconds);
     });
 
+/** The call with its deadline, if it has one, `delay` ms later. */
+const postponeDeadline = (call: NetworkCall, delay: number): NetworkCall => {
+    const body = call.body as { readonly deadlineMs?: number; } | undefined;
+    return body?.deadlineMs === undefined
+        ? call
+        : { ...call, body: { ...body, deadlineMs: Math.round(body.deadlineMs + delay) } };
+};
+
 /** Creates a network without servers. */
 export const createProtocolNetwork = (): ProtocolNetwork => {
     const servers = new Map<string, ProtocolHandler>();
@@ -108,6 +116,9 @@
         if (fault.action === "lose-answer") {
             void execute(call);
         }
+        if (fault.action === "late-grant") {
+            setTimeout(() => void execute(postponeDeadline(call, fault.delay ?? 0)), fault.delay ?? 0);
+        }
         if (fault.action === "late" || fault.action === "slow") {
             setTimeout(() => void execute(call), fault.delay ?? 0);
         }
--- a/packages/workflow/src/cell/lease-expiry.ts
+++ b/packages/workflow/src/cell/lease-expiry.ts
@@ -3,8 +3,13 @@
  * worker can't run anything. If the monotonic clock of this process stands still, the expiry only comes later.
  */
 export interface LeaseExpiry {
-    /** Records that a deadline `length` ms from now is being sent; returns a callback for the worker's answer. */
-    readonly recordDeadlineSent: (length: number) => () => void;
+    /**
+     * Records that a deadline `length` ms from now is being sent with this token; returns a callback for the worker's
+     * answer.
+     */
+    readonly recordDeadlineSent: (length: number, token: number) => () => void;
+    /** Records that the worker has carried out an order with this token: it refuses those that come with lower ones. */
+    readonly recordToken: (token: number) => void;
     /** Monotonic time in ms. */
     readonly expiresAt: () => number;
 }
@@ -24,22 +29,40 @@
     readonly initialExpiry: number;
 }
 
+/** A deadline that was sent and has no answer. */
+interface SentDeadline {
+    readonly token: number;
+    /** Milliseconds of the lease, with the drift of the worker's clock. */
+    readonly length: number;
+    /** Monotonic time in ms. */
+    readonly sentAt: number;
+    /** Monotonic time in ms at which the lease ends if the deadline arrives without delay. */
+    readonly until: number;
+}
+
 /** Creates the lease expiry of one worker. */
 export const createLeaseExpiry = (options: LeaseExpiryOptions): LeaseExpiry => {
     const { longestLease, clockDrift, maxDeliveryDelay } = options;
     let until = options.initialExpiry;
-    const unanswered = new Set<{ readonly sentAt: number; readonly until: number; }>();
+    const unanswered = new Set<SentDeadline>();
+    /** Records that a deadline has arrived by now, or never will. */
+    const settle = (sent: SentDeadline): void => {
+        unanswered.delete(sent);
+        until = Math.max(until, performance.now() + sent.length);
+    };
     return {
-        recordDeadlineSent: length => {
+        recordDeadlineSent: (length, token) => {
             const bounded = Math.min(Math.max(0, length), longestLease) / (1 - clockDrift);
             const sentAt = performance.now();
-            const sent = { sentAt, until: sentAt + bounded };
+            const sent = { token, length: bounded, sentAt, until: sentAt + bounded };
             unanswered.add(sent);
             return () => {
-                unanswered.delete(sent);
-                until = Math.max(until, performance.now() + bounded);
+                settle(sent);
             };
         },
+        recordToken: token => {
+            [...unanswered].filter(sent => sent.token < token).forEach(settle);
+        },
         expiresAt: () => Math.max(until, ...[...unanswered].map(sent => sent.until + maxDeliveryDelay(sent.sentAt))),
     };
 };
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -17,6 +17,7 @@
 import type { PollBudget, PollUrgency } from "./poll-budget.js";
 import { createPollPacing } from "./poll-pacing.js";
 import { createWorkerClock } from "./worker-clock.js";
+import { createWorkerListing } from "./worker-listing.js";
 
 /**
  * Contact of the cell's holder with a worker: `unknown` until the worker has answered in this epoch, `known` while all
@@ -139,17 +140,18 @@
     const tokens = createOrderTokens(epoch);
     const pacing = createPollPacing(options);
     const pendingStarts = createPendingStarts({ lateOrderTime: timing.lateOrderTime, lateOrderDetector });
+    const listing = createWorkerListing();
     const newLeaseExpiry = (initial: number): LeaseExpiry =>
         createLeaseExpiry({
             longestLease: timing.longestLease,
             clockDrift: timing.clockDrift,
-            maxDeliveryDelay: sentAt => lateOrderDetector.mayBeDelayed(sentAt) ? timing.lateOrderTime : 0,
+            maxDeliveryDelay: sentAt =>
+                lateOrderDetector.mayBeDelayed(sentAt) && !listing.isGone() ? timing.lateOrderTime : 0,
             initialExpiry: initial,
         });
     let leaseExpiry = newLeaseExpiry(options.inheritedLeasesUntil);
     let entry = options.entry;
     let entryAt = performance.now();
-    let isUnlisted = false;
     let contact: ContactState = "unknown";
     let bornAt: number | undefined;
     /**
@@ -223,7 +225,7 @@
     };
     /** Whether the worker has left after its announced drain, which ends all its runs regardless of its leases. */
     const hasLeftAsAnnounced = (error: OrderError): boolean =>
-        error.kind === "closed" && isUnlisted && entry.isDraining
+        error.kind === "closed" && !listing.isListed() && entry.isDraining
         && performance.now() - entryAt > (entry.remaining ?? Infinity);
     const markLapsed = (hasProcessEnded: boolean, details: object): void => {
         setContact("lapsed", details);
@@ -315,11 +317,11 @@
         || consecutiveFailures === 0 && Math.max(startedUntil, pendingStarts.latestArrival()) < reportSentAt;
     const poll = async (wait: number, deadline?: number): Promise<boolean> => {
         const sentAt = performance.now();
+        const sentToken = tokens.current();
         const confirmDeadline = deadline === undefined
             ? undefined
-            : leaseExpiry.recordDeadlineSent(clock.timeUntil(deadline));
+            : leaseExpiry.recordDeadlineSent(clock.timeUntil(deadline), sentToken);
         const endToAcknowledge = hasUnacknowledgedEnds() && isIncarnationProven() ? recordedEnd : 0;
-        const sentToken = tokens.current();
         const supersedeTimer = endToAcknowledge > 0
             ? setTimeout(tokens.supersede, incarnationProofTime, sentToken)
             : undefined;
@@ -331,13 +333,14 @@
         });
         clearTimeout(supersedeTimer);
         if (report.isErr) {
-            if (report.error.kind === "unknown" && endToAcknowledge > 0) {
+            if (report.error.kind === "unknown" && (endToAcknowledge > 0 || deadline !== undefined)) {
                 tokens.supersede(sentToken);
             }
             handleFailure(report.error, sentAt, sentToken);
             return false;
         }
         confirmDeadline?.();
+        leaseExpiry.recordToken(sentToken);
         acknowledgedEnd = Math.max(acknowledgedEnd, endToAcknowledge);
         if (deadline !== undefined) {
             grantedDeadline = Math.max(grantedDeadline, deadline);
@@ -432,7 +435,7 @@
         failingSince: () => failingSince,
         beginProof: clock.beginProof,
         setEntry: next => {
-            isUnlisted = next === undefined;
+            listing.recordRead(next !== undefined);
             if (next !== undefined) {
                 // An unchanged `remaining` still counts from the time at which it was first read.
                 entryAt = next.remaining === entry.remaining ? entryAt : performance.now();
@@ -452,11 +455,13 @@
         },
         start: async order => {
             const deadline = clock.deadline() ?? 0;
-            const confirmDeadline = leaseExpiry.recordDeadlineSent(clock.timeUntil(deadline));
             startedUntil = performance.now();
             let sentToken = tokens.current();
+            let confirmDeadline = (): void => undefined;
             const result = await tokens.send(token => {
                 sentToken = token;
+                confirmDeadline();
+                confirmDeadline = leaseExpiry.recordDeadlineSent(clock.timeUntil(deadline), token);
                 return gateway.start(entry, { ...order, token, deadline });
             });
             startedUntil = performance.now();
--- a/packages/workflow/tests/worker-clock.test.ts
+++ b/packages/workflow/tests/worker-clock.test.ts
@@ -64,7 +64,7 @@
 
     it("counts an answered deadline from its answer, with the slowest clock", () => {
         const expiry = createExpiry();
-        const confirmDeadline = expiry.recordDeadlineSent(4_900);
+        const confirmDeadline = expiry.recordDeadlineSent(4_900, 1);
         jest.advanceTimersByTime(200);
         const now = performance.now();
         confirmDeadline();
@@ -74,13 +74,24 @@
     it("counts an unanswered deadline from its latest possible arrival if orders may be late", () => {
         const expiry = createExpiry(12_000);
         const now = performance.now();
-        expiry.recordDeadlineSent(4_900);
+        expiry.recordDeadlineSent(4_900, 1);
         expect(expiry.expiresAt() - now).toBeCloseTo(17_000);
     });
 
+    // Guards against a wait for a deadline that comes with a lower token than one that the worker has seen.
+    it("counts an unanswered deadline from an answer to a later order at the latest", () => {
+        const expiry = createExpiry(12_000);
+        expiry.recordDeadlineSent(4_900, 1);
+        jest.advanceTimersByTime(400);
+        expiry.recordToken(1);
+        expect(expiry.expiresAt() - performance.now()).toBeCloseTo(16_600);
+        expiry.recordToken(2);
+        expect(expiry.expiresAt() - performance.now()).toBeCloseTo(5_000);
+    });
+
     it("never counts more than the longest lease", () => {
         const expiry = createExpiry();
-        expiry.recordDeadlineSent(60_000)();
+        expiry.recordDeadlineSent(60_000, 1)();
         expect(expiry.expiresAt() - performance.now()).toBeCloseTo(6_000 / 0.98);
     });
 });
--- a/packages/workflow/tests/worker-session.test.ts
+++ b/packages/workflow/tests/worker-session.test.ts
@@ -153,6 +153,8 @@
         session.setEntry({ ...entry, isDraining: true, remaining: 2_000 });
         await jest.advanceTimersByTimeAsync(2_100);
         answer = Result.err({ kind: "not-sent", message: "no answer" });
+        // The worker answers nothing after this start, so that its deadline may arrive late.
+        await session.start({ task: "j.0.0.0" as never, run: 2, payload: "", checkpoint: "" });
         session.setEntry(undefined);
         await jest.advanceTimersByTimeAsync(10_000);
         expect(session.contact()).toBe("silent");
@@ -160,6 +162,40 @@
         expect(session.contact()).toBe("lapsed");
     });
 
+    // Guards against tasks that wait 12 s longer for a deadline that the worker would refuse: it has answered an order with
+    // a higher token since.
+    it("does not wait for a late deadline that a later order has made void", async () => {
+        await jest.advanceTimersByTimeAsync(1_000);
+        answer = silent;
+        await jest.advanceTimersByTimeAsync(9_000);
+        expect(session.contact()).toBe("lapsed");
+    });
+
+    /** Reads the directory every second, for so many milliseconds. */
+    const readDirectory = async (isListed: boolean, duration: number): Promise<void> => {
+        for (let passed = 0; passed < duration; passed += 1_000) {
+            session.setEntry(isListed ? entry : undefined);
+            await jest.advanceTimersByTimeAsync(1_000);
+        }
+    };
+
+    // Guards against tasks that stay away for 20 s (review case 5), and against two runs of a task if the entry is only
+    // missing since the store was unavailable, or if the worker still registers itself.
+    it.each<[string, string, () => Promise<void>]>([
+        ["not listed any more", "lapsed", () => readDirectory(false, 9_000)],
+        ["listed", "silent", () => readDirectory(true, 9_000)],
+        ["not listed, with the store unavailable until now", "silent", async () => {
+            session.setEntry(undefined);
+            await jest.advanceTimersByTimeAsync(8_000);
+            await readDirectory(false, 1_000);
+        }],
+    ])("counts a late deadline of a worker that is %s: %s", async (...[, contact, pass]) => {
+        answer = silent;
+        await session.start({ task: "j.0.0.0" as never, run: 2, payload: "", checkpoint: "" });
+        await pass();
+        expect(session.contact()).toBe(contact);
+    });
+
     it("uses a higher token for each incarnation, so that late orders to an earlier one have no effect", async () => {
         const first = tokens.at(-1) ?? 0;
         answer = report(2);
