--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -432,6 +432,7 @@
     /** Releases the inherited workflows once each worker of the roster has reported its runs and ends, or has lapsed. */
     const releaseInherited = (): void => {
         if (!roster.hasUnknownRuns()) {
+            inheritedJobs.forEach(id => ledgers.get(id)?.completeTakeover());
             inheritedJobs.clear();
             recovery.record("workersKnown");
         }
--- a/packages/workflow/src/ledger/step-record.ts
+++ b/packages/workflow/src/ledger/step-record.ts
@@ -14,7 +14,7 @@
     readonly transferred: Set<number>;
     /** Numbers of the last runs of tasks that other cells have given back, by task index, as of their return. */
     readonly lastRuns: Map<number, number>;
-    /** Indices of tasks that have run under the present holder of the workflow. */
+    /** Indices of tasks that have run under the present holder of the workflow, or may have under an earlier one. */
     readonly started: Set<number>;
     /** Times at which the last runs of waiting tasks ended under the present holder, by task index, in monotonic ms. */
     readonly lastEnds: Map<number, number>;
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -65,6 +65,11 @@
     readonly clearCrashes: (position: TaskPosition) => void;
     /** Records the newest checkpoint of the task, which is stored with the next change that raises the revision. */
     readonly recordCheckpoint: (position: TaskPosition, checkpoint: string) => void;
+    /**
+     * Records that all runs of earlier holders are known: long-running tasks without one count as having run, which the
+     * rows do not tell, if others of their step have.
+     */
+    readonly completeTakeover: () => void;
     readonly recordCancellation: () => void;
     /** Records that `cell` runs the waiting long-running task from now on; its runs there have higher numbers. */
     readonly recordTransfer: (task: TransferredTask, cell: CellId) => void;
@@ -296,6 +301,13 @@
         recordCheckpoint: (position, checkpoint) => {
             stageOf(position)?.record.checkpoints.set(position.index, checkpoint);
         },
+        completeTakeover: () => {
+            for (const { step, record } of stages.values()) {
+                if (step.isLasting && record.started.size > 0) {
+                    record.waiting.forEach(index => record.started.add(index));
+                }
+            }
+        },
         recordCancellation: () => {
             isCancelled = true;
             raiseRevision();
--- a/packages/workflow/tests/workflow-ledger.test.ts
+++ b/packages/workflow/tests/workflow-ledger.test.ts
@@ -37,6 +37,21 @@
     createWorkflowLedger(ledger.workflow, workflowProgress.parse(JSON.parse(JSON.stringify(ledger.progress()))));
 
 describe("the workflow ledger", () => {
+    // Guards against lost long-running tasks that wait as new ones under the next holder, and against tasks that never ran
+    // and take the room of those that did.
+    it.each([[[0], [0, 1, 2]], [[], []]])(
+        "after a takeover that finds runs of %j, counts %j as having run",
+        (found, ran) => {
+            const ledger = createWorkflowLedger(workflow([createStep({ count: 3, isLasting: true })]));
+            found.forEach(index => {
+                ledger.recordStart(at(0, index));
+            });
+            ledger.openStages(0, 0);
+            ledger.completeTakeover();
+            expect([...ledger.stage(at(0))?.record.started ?? []].sort()).toEqual(ran);
+        },
+    );
+
     it("opens a step once all tasks that it depends on are done and stored", () => {
         const ledger = createWorkflowLedger(workflow([createStep({ count: 2 }), createStep({ after: [0] })]));
         expect(openSteps(ledger)).toEqual(["0.0"]);
