Count deadlines that a worker would refuse again once it has restarted

No caller has seen it. A new case of worker-clock.test.ts uses the new method; before, the expiry was some 5 s from the restart in place of 16 s. Old deadlines without answer were kept for ever before; they are dropped now.

--- a/packages/platform-stand-in/src/protocol/protocol-network.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-network.ts
@@ -33,8 +33,8 @@
     readonly matches: (from: string, call: NetworkCall) => boolean;
     /**
      * `cut`: neither executed nor answered. `lose-answer`: executed, but not answered. `late`: executed after `delay`,
-     * but not answered; `late-grant`: likewise, and the time until its deadline counts from then. `slow`: executed after `delay`, and answered if that is below the call's timeout. `refuse`: not
-     * executed, answered with `status`.
+     * but not answered; `late-grant`: likewise, and the time until its deadline counts from then. `slow`: executed after
+     * `delay`, and answered if that is below the call's timeout. `refuse`: not executed, answered with `status`.
      */
     readonly action: "cut" | "lose-answer" | "late" | "late-grant" | "slow" | "refuse";
     /** Milliseconds of `late`, `late-grant` and `slow`. Default 0. */
--- a/packages/workflow/src/cell/encode-progress.ts
+++ b/packages/workflow/src/cell/encode-progress.ts
@@ -8,8 +8,6 @@
     readonly omittedCheckpoints: number;
 }
 
-const byteLength = (value: string): number => Buffer.byteLength(value);
-
 /** Ranges of consecutive numbers, each with its first and last one; the numbers rise within the result. */
 const rangesOf = (numbers: readonly number[]): [number, number][] => {
     const ranges: [number, number][] = [];
@@ -41,7 +39,11 @@
 /** Leaves out the longest checkpoints, which save at least `excess` bytes if there are enough of them. */
 const omitCheckpoints = (progress: WorkflowProgress, excess: number): readonly [WorkflowProgress, number] => {
     const checkpoints = progress.steps.flatMap((step, row) =>
-        step.checkpoints.map(([index, checkpoint]) => ({ row, index, bytes: byteLength(JSON.stringify(checkpoint)) }))
+        step.checkpoints.map(([index, checkpoint]) => ({
+            row,
+            index,
+            bytes: Buffer.byteLength(JSON.stringify(checkpoint)),
+        }))
     );
     checkpoints.sort((left, right) => right.bytes - left.bytes);
     const omitted = new Set<string>();
@@ -71,11 +73,11 @@
     maxBytes: number,
 ): EncodedProgress => {
     const plain = JSON.stringify(progress);
-    if (byteLength(plain) <= maxBytes) {
+    if (Buffer.byteLength(plain) <= maxBytes) {
         return { value: plain, omittedCheckpoints: 0 };
     }
     const compacted = compact(progress, steps);
-    const excess = byteLength(JSON.stringify(compacted)) - maxBytes;
+    const excess = Buffer.byteLength(JSON.stringify(compacted)) - maxBytes;
     const [shortened, omittedCheckpoints] = omitCheckpoints(compacted, excess);
     return { value: JSON.stringify(shortened), omittedCheckpoints };
 };
--- a/packages/workflow/src/cell/lease-expiry.ts
+++ b/packages/workflow/src/cell/lease-expiry.ts
@@ -10,6 +10,8 @@
     readonly recordDeadlineSent: (length: number, token: number) => () => void;
     /** Records that the worker has carried out an order with this token: it refuses those that come with lower ones. */
     readonly recordToken: (token: number) => void;
+    /** Records that the worker has restarted, so that it has seen no token and its clock counts anew. */
+    readonly recordRestart: () => void;
     /** Monotonic time in ms. */
     readonly expiresAt: () => number;
 }
@@ -32,37 +34,62 @@
 /** A deadline that was sent and has no answer. */
 interface SentDeadline {
     readonly token: number;
-    /** Milliseconds of the lease, with the drift of the worker's clock. */
-    readonly length: number;
+    /** Longest time in milliseconds for which it may extend the lease from its arrival. */
+    length: number;
     /** Monotonic time in ms. */
     readonly sentAt: number;
     /** Monotonic time in ms at which the lease ends if the deadline arrives without delay. */
     readonly until: number;
+    /** Whether the worker would refuse it. */
+    isVoid: boolean;
 }
 
+/** Milliseconds after its end for which a deadline without answer is kept; longer than any order takes. */
+const sentRetention = 30_000;
+
 /** Creates the lease expiry of one worker. */
 export const createLeaseExpiry = (options: LeaseExpiryOptions): LeaseExpiry => {
     const { longestLease, clockDrift, maxDeliveryDelay } = options;
     let until = options.initialExpiry;
+    const longestLength = longestLease / (1 - clockDrift);
     const unanswered = new Set<SentDeadline>();
-    /** Records that a deadline has arrived by now, or never will. */
-    const settle = (sent: SentDeadline): void => {
-        unanswered.delete(sent);
-        until = Math.max(until, performance.now() + sent.length);
+    /** Counts a deadline that may have arrived at any time until now. */
+    const countArrival = ({ length }: SentDeadline): void => {
+        until = Math.max(until, performance.now() + length);
+    };
+    const dropOld = (): void => {
+        const now = performance.now();
+        [...unanswered].filter(sent => now - sent.until > sentRetention).forEach(sent => unanswered.delete(sent));
     };
     return {
         recordDeadlineSent: (length, token) => {
             const bounded = Math.min(Math.max(0, length), longestLease) / (1 - clockDrift);
             const sentAt = performance.now();
-            const sent = { token, length: bounded, sentAt, until: sentAt + bounded };
+            const sent = { token, length: bounded, sentAt, until: sentAt + bounded, isVoid: false };
+            dropOld();
             unanswered.add(sent);
             return () => {
-                settle(sent);
+                unanswered.delete(sent);
+                countArrival(sent);
             };
         },
         recordToken: token => {
-            [...unanswered].filter(sent => sent.token < token).forEach(settle);
+            for (const sent of unanswered) {
+                if (!sent.isVoid && sent.token < token) {
+                    sent.isVoid = true;
+                    countArrival(sent);
+                }
+            }
+        },
+        recordRestart: () => {
+            for (const sent of unanswered) {
+                sent.isVoid = false;
+                sent.length = longestLength;
+            }
+        },
+        expiresAt: () => {
+            const valid = [...unanswered].filter(({ isVoid }) => !isVoid);
+            return Math.max(until, ...valid.map(sent => sent.until + maxDeliveryDelay(sent.sentAt)));
         },
-        expiresAt: () => Math.max(until, ...[...unanswered].map(sent => sent.until + maxDeliveryDelay(sent.sentAt))),
     };
 };
--- a/packages/workflow/src/cell/submission-writer.ts
+++ b/packages/workflow/src/cell/submission-writer.ts
@@ -47,8 +47,6 @@
 /** Share of the largest value above which a row is written alone, since the store may not accept it. */
 const largeRowShare = 0.73;
 
-const byteLength = (value: string): number => Buffer.byteLength(value);
-
 /** Creates a writer without waiting submissions. */
 export const createSubmissionWriter = (
     { store, lease, logger, metrics }: SubmissionWriterOptions,
@@ -61,7 +59,7 @@
         const group: WaitingSubmission[] = [];
         let bytes = 0;
         for (const submission of waiting.slice(0, maxWorkflowsPerTransaction(store.limits))) {
-            bytes += submission.bytes + byteLength(lease.cell);
+            bytes += submission.bytes + Buffer.byteLength(lease.cell);
             if (group.length > 0 && (submission.isAlone || bytes > store.limits.bytes)) {
                 break;
             }
@@ -118,7 +116,7 @@
         store: (workflow, isAwaited) =>
             new Promise(resolve => {
                 const value = JSON.stringify(workflow);
-                const bytes = byteLength(value);
+                const bytes = Buffer.byteLength(value);
                 if (bytes > store.limits.valueBytes) {
                     const { valueBytes } = store.limits;
                     logger.warn(
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -216,6 +216,7 @@
             const age = bornAt === undefined ? Math.max(0, Date.now() - newBornAt) : 0;
             setContact("unknown", { reason: "the worker has restarted", bornAt: latestBirth, newBornAt });
             resetIncarnation();
+            leaseExpiry.recordRestart();
             bornAt = newBornAt;
             latestBirth = newBornAt;
             incarnationSeenAt = performance.now();
--- a/packages/workflow/tests/worker-clock.test.ts
+++ b/packages/workflow/tests/worker-clock.test.ts
@@ -89,6 +89,19 @@
         expect(expiry.expiresAt() - performance.now()).toBeCloseTo(5_000);
     });
 
+    // Guards against two runs of one task: a deadline that the former incarnation would refuse reaches the next one before
+    // any other order, and extends the lease there by what its clock allows.
+    it("counts a deadline again once the worker has restarted", () => {
+        const expiry = createExpiry(12_000);
+        expiry.recordDeadlineSent(4_900, 1);
+        expiry.recordToken(2);
+        jest.advanceTimersByTime(1_000);
+        expiry.recordRestart();
+        expect(expiry.expiresAt() - performance.now()).toBeCloseTo(16_000);
+        expiry.recordToken(3);
+        expect(expiry.expiresAt() - performance.now()).toBeCloseTo(6_000 / 0.98);
+    });
+
     it("never counts more than the longest lease", () => {
         const expiry = createExpiry();
         expiry.recordDeadlineSent(60_000, 1)();
