Find tasks that run again before their end is recorded

RULES.md has it stricter: "a start after a run has ended `done`, if that end is taken note of then or later", unless the lease lapsed in between.

No change of the product.

--- a/packages/platform-stand-in/src/protocol/find-breach.ts
+++ b/packages/platform-stand-in/src/protocol/find-breach.ts
@@ -5,7 +5,8 @@
 
 /**
  * Finds the first violation of a guarantee in the journal: a task that was started while another run of it was
- * active, or after its end as `done` was recorded. Speculative tasks are not checked. Returns a description of the
+ * active, or after it ended as `done`, if that end was recorded then or later and the worker's lease had not expired in
+ * between. Speculative tasks are not checked. Returns a description of the
  * violation, or undefined if there is none.
  */
 export const findBreach = (
@@ -14,6 +15,8 @@
 ): string | undefined => {
     const running = new Map<string, string>();
     const done = new Set<string>();
+    /** Monotonic times in milliseconds of the last starts. */
+    const startedAt = new Map<string, number>();
     for (const event of events) {
         const { task, worker } = event;
         if (isSpeculative(task)) {
@@ -28,11 +31,19 @@
                 return `${task} started on ${worker} at ${String(event.at)} after its end was recorded`;
             }
             running.set(task, worker);
+            startedAt.set(task, event.at);
         }
         else if (event.kind === "ended") {
             running.delete(task);
         }
         else if (event.how === "done") {
+            const lastStart = startedAt.get(task) ?? -Infinity;
+            if (lastStart > event.endedAt && !event.hasLapsed) {
+                return `${task} started at ${String(lastStart)} after it ended on ${worker} at ${
+                    String(event.endedAt)
+                }, `
+                    + "which was recorded later";
+            }
             done.add(task);
         }
     }
--- a/packages/platform-stand-in/src/protocol/protocol-journal.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-journal.ts
@@ -24,6 +24,10 @@
         readonly task: string;
         /** Outcome of the run. */
         readonly how: string;
+        /** Monotonic time in milliseconds at which the run ended. */
+        readonly endedAt: number;
+        /** Whether the worker's lease has expired since the end, so that the task may have started elsewhere. */
+        readonly hasLapsed: boolean;
     };
 
 /** The events on all workers, in order. */
--- a/packages/platform-stand-in/src/protocol/protocol-worker.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-worker.ts
@@ -108,6 +108,10 @@
     const highestClosedRuns = new Map<string, number>();
     /** Unacknowledged ends as in the report: number, task, run, outcome, checkpoint. */
     let finished: [number, string, number, string, string][] = [];
+    /** Monotonic times in ms of the unacknowledged ends, by number. */
+    const endTimes = new Map<number, number>();
+    /** Monotonic time in ms at which the lease last expired. */
+    let lapsedAt = -Infinity;
     let highestToken = 0;
     let deadline = 0;
     let nextEnd = 1;
@@ -133,6 +137,7 @@
     const scheduleLapse = (): void => {
         clearTimeout(lapseTimer);
         lapseTimer = setTimeout(() => {
+            lapsedAt = performance.now();
             [...running.values()].forEach(task => {
                 task.end("lapsed");
             });
@@ -145,6 +150,7 @@
         running.delete(task.task);
         highestClosedRuns.set(task.task, Math.max(task.run, highestClosedRuns.get(task.task) ?? 0));
         finished.push([nextEnd, task.task, task.run, how, task.checkpoint]);
+        endTimes.set(nextEnd, performance.now());
         nextEnd += 1;
         journal.record({ kind: "ended", at: performance.now(), worker: id, task: task.task, run: task.run, how });
         wake?.();
@@ -228,7 +234,18 @@
     const acknowledge = (lastSeen: number): void => {
         for (const [number, task, , how] of finished) {
             if (number <= lastSeen) {
-                journal.record({ kind: "acknowledged", at: performance.now(), worker: id, task, how });
+                const endedAt = endTimes.get(number) ?? -Infinity;
+                const hasLapsed = lapsedAt >= endedAt;
+                journal.record({
+                    kind: "acknowledged",
+                    at: performance.now(),
+                    worker: id,
+                    task,
+                    how,
+                    endedAt,
+                    hasLapsed,
+                });
+                endTimes.delete(number);
             }
         }
         finished = finished.filter(([number]) => number > lastSeen);
@@ -277,6 +294,7 @@
         }
         running.clear();
         finished = [];
+        endTimes.clear();
         highestClosedRuns.clear();
         highestToken = 0;
         deadline = 0;
