Pause before an end state is sent again that the store did not accept

A single rejected write pauses for 200 ms as any other failed one does; members of a rejected group still follow at once. No caller has seen it.

Likewise by reading, without a test of its own: a rejected row of returned transfers no longer counts as a failing store, by which submissions were refused for a moment, but is logged with a remedy.

--- a/packages/workflow/src/cell/incoming-transfers.ts
+++ b/packages/workflow/src/cell/incoming-transfers.ts
@@ -117,6 +117,12 @@
             returns.delete(id);
             applied.set(id, { version: written.value, content });
         }
+        else if (written.error.kind === "rejected") {
+            logger.error(
+                { job: id, cell, epoch, message: written.error.message },
+                "the store does not accept the row that returns transferred tasks; cancel their workflow and submit it again",
+            );
+        }
         else if (written.error.kind !== "conflict") {
             lease.recordStoreFailure();
         }
--- a/packages/workflow/src/cell/progress-writer.ts
+++ b/packages/workflow/src/cell/progress-writer.ts
@@ -181,6 +181,7 @@
                 + "submit it as several workflows",
         );
     };
+    /** Returns whether the next batch may follow at once. */
     const commit = async (entries: readonly BatchEntry[]): Promise<boolean> => {
         const allChanges = entries.flatMap(({ changes, transferChanges }) => [changes, transferChanges]);
         const recordProof = lease.trackCall();
@@ -205,7 +206,7 @@
             }
             else if (written.error.kind === "rejected") {
                 isolate(entries, written.error.message);
-                return true;
+                return entries.length > 1;
             }
             else {
                 lease.recordStoreFailure();
--- a/packages/workflow/tests/progress-writer.test.ts
+++ b/packages/workflow/tests/progress-writer.test.ts
@@ -136,6 +136,15 @@
         expect([...written]).toEqual([idOf(1)]);
     });
 
+    // Guards against a call every few milliseconds for an end state that the store does not accept.
+    it("pauses before it sends an end state again", async () => {
+        unacceptable.add(idOf(1));
+        const ledger = request(1, "");
+        ledger.recordCancellation();
+        await jest.advanceTimersByTimeAsync(2_000);
+        expect(transactions.length).toBeLessThanOrEqual(11);
+    });
+
     // Guards against a workflow whose ends are never stored, since its checkpoints do not fit into a row.
     it("leaves out the longest checkpoints if a row would be too long", async () => {
         const ledger = request(1, "c".repeat(3_000));
