Reuse index ranges, and leave work out of the reviews of transfers and the stand-in's writes

- encode-progress.ts had its own code for ranges of numbers; it calls addIndex of @jayfront/world now.
- A review of transfers encoded the workflow of each stranded step four times a second to learn its length, also if no cell has room to ask for; it does so only if a cell would be asked.
- The stand-in's store went over all of its rows with each transaction to count tables; it keeps their names.
- A test used names of the platform's wire; the stand-in has isDeadlineCall beside isWriteCall for that.

--- a/packages/bench/tests/workflow/lost-after-late-orders.test.ts
+++ b/packages/bench/tests/workflow/lost-after-late-orders.test.ts
@@ -1,4 +1,4 @@
-import { findBreach } from "@jayfront/platform-stand-in";
+import { findBreach, isDeadlineCall } from "@jayfront/platform-stand-in";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 
 import type { FakeTime } from "../../src/util/fake-time.js";
@@ -82,8 +82,7 @@
         let granted = 0;
         const heal = cluster.platform.network.addFault({
             matches: (...[, call]) => {
-                const isGrant = call.address === cluster.platform.addressOf(cut) && call.path === "/api/hold"
-                    && (call.body as { deadlineMs?: number; }).deadlineMs !== undefined;
+                const isGrant = call.address === cluster.platform.addressOf(cut) && isDeadlineCall(call);
                 granted += isGrant ? 1 : 0;
                 return isGrant;
             },
--- a/packages/platform-stand-in/src/protocol/find-breach.ts
+++ b/packages/platform-stand-in/src/protocol/find-breach.ts
@@ -6,8 +6,7 @@
 /**
  * Finds the first violation of a guarantee in the journal: a task that was started while another run of it was
  * active, or after it ended as `done`, if that end was recorded then or later and the worker's lease had not expired in
- * between. Speculative tasks are not checked. Returns a description of the
- * violation, or undefined if there is none.
+ * between. Speculative tasks are not checked. Returns a description of the violation, or undefined if there is none.
  */
 export const findBreach = (
     events: readonly ProtocolEvent[],
@@ -39,10 +38,10 @@
         else if (event.how === "done") {
             const lastStart = startedAt.get(task) ?? -Infinity;
             if (lastStart > event.endedAt && !event.hasLapsed) {
-                return `${task} started at ${String(lastStart)} after it ended on ${worker} at ${
-                    String(event.endedAt)
-                }, `
-                    + "which was recorded later";
+                const endedAt = String(event.endedAt);
+                return `${task} started at ${
+                    String(lastStart)
+                } after it ended on ${worker} at ${endedAt}, recorded later`;
             }
             done.add(task);
         }
--- a/packages/platform-stand-in/src/protocol/protocol-store.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-store.ts
@@ -82,6 +82,8 @@
 /** Creates an empty store. */
 export const createProtocolStore = (): ProtocolStore => {
     const rows = new Map<string, WireRow>();
+    /** Names of all tables that have ever had a row. */
+    const tables = new Set<string>();
     const counts = new Map<string, number>();
     const waiters = new Set<() => void>();
     let history: WireRow[] = [];
@@ -98,6 +100,7 @@
     const write = (row: Omit<WireRow, "schemaVersion">): void => {
         const written = { ...row, schemaVersion: version };
         rows.set(rowKey(row), written);
+        tables.add(row.table);
         history.push(written);
     };
     const remove = (row: Pick<WireRow, "table" | "part" | "key">): void => {
@@ -124,7 +127,7 @@
         if (puts.some(row => Buffer.from(row.value, "base64").length > maxValueBytes)) {
             return { status: 400 };
         }
-        if (new Set([...rows.values(), ...puts].map(row => row.table)).size > maxTables) {
+        if (new Set([...tables, ...puts.map(row => row.table)]).size > maxTables) {
             return { status: 400 };
         }
         if (puts.some(row => row.table === "servers" || row.table === "op")) {
--- a/packages/workflow/src/cell/encode-progress.ts
+++ b/packages/workflow/src/cell/encode-progress.ts
@@ -1,3 +1,6 @@
+import type { IndexRanges } from "@jayfront/world";
+import { addIndex } from "@jayfront/world";
+
 import type { StepProgress, WorkflowProgress } from "../ledger/workflow-progress.js";
 import type { Step } from "../model/step.js";
 
@@ -9,19 +12,9 @@
 }
 
 /** Ranges of consecutive numbers, each with its first and last one; the numbers rise within the result. */
-const rangesOf = (numbers: readonly number[]): [number, number][] => {
-    const ranges: [number, number][] = [];
-    for (const number of [...numbers].sort((left, right) => left - right)) {
-        const last = ranges.at(-1);
-        if (last?.[1] === number - 1) {
-            last[1] = number;
-        }
-        else {
-            ranges.push([number, number]);
-        }
-    }
-    return ranges;
-};
+const rangesOf = (numbers: readonly number[]): [number, number][] =>
+    numbers.reduce<IndexRanges>((ranges, number) => addIndex(ranges, number), [])
+        .map(([from, to]) => [from, to - 1]);
 /** Writes the tasks that are done as ranges, and leaves steps out that are done in a range of occurrences. */
 const compact = (progress: WorkflowProgress, steps: readonly Step[]): WorkflowProgress => {
     const isFinished = ({ step, done }: StepProgress): boolean => done.length === steps[step]?.count;
--- a/packages/workflow/src/cell/outgoing-transfers.ts
+++ b/packages/workflow/src/cell/outgoing-transfers.ts
@@ -113,7 +113,11 @@
             || movable().some(index => record.started.has(index))
             || now - (record.readySince ?? now) >= longWait;
         recordAttempt(stranded, 0);
-        const targets = fitsIntoRow(stranded.ledger) ? selectCells(stranded) : [];
+        const targets = selectCells(stranded);
+        // The length of the workflow is computed only if a cell would be asked.
+        if (targets.length === 0 || !fitsIntoRow(stranded.ledger)) {
+            return;
+        }
         for (const target of targets) {
             const count = movable().length;
             if (count === 0 || signal.aborted) {
