Log omitted checkpoints once they are stored, not at each attempt to write them

Found by reading: the line was logged while a batch was put together, so that each attempt during an outage repeated it every 200 ms, and also for a workflow that then did not fit into the batch. It follows the successful write now, once for each. What is written is unchanged.

Checked: 431 tests of packages/workflow and large-progress, types and lint.

--- a/packages/workflow/src/cell/progress-writer.ts
+++ b/packages/workflow/src/cell/progress-writer.ts
@@ -62,6 +62,8 @@
     readonly isSettled: boolean;
     readonly callbacks: readonly (() => void)[];
     readonly changes: Required<Transaction>;
+    /** See `EncodedProgress`. */
+    readonly omittedCheckpoints: number;
     readonly transferChanges: Required<Transaction>;
 }
 
@@ -100,31 +102,30 @@
     /** Changes that store a workflow's progress; a workflow that has ended keeps only its settled row. */
     const changesOf = (
         { workflow: { id, steps }, latestState, isSettled, progress }: WorkflowLedger,
-    ): Required<Transaction> => {
+    ): Pick<BatchEntry, "changes" | "omittedCheckpoints"> => {
         const key = rowKeys.progress(cell, id);
         const version = versions.get(id) ?? 0;
         const check = { ...key, version };
         if (isSettled()) {
             return {
-                checks: [check],
-                writes: [{
-                    ...rowKeys.settled(cell, id),
-                    value: JSON.stringify({ state: latestState(), settledAt: Date.now() }),
-                }],
-                removals: [rowKeys.workflow(cell, id), key],
+                changes: {
+                    checks: [check],
+                    writes: [{
+                        ...rowKeys.settled(cell, id),
+                        value: JSON.stringify({ state: latestState(), settledAt: Date.now() }),
+                    }],
+                    removals: [rowKeys.workflow(cell, id), key],
+                },
+                omittedCheckpoints: 0,
             };
         }
         // The progress row is absent both before its first write and after the end, when a late first write must fail.
         const endChecks = version === 0 ? [{ ...rowKeys.settled(cell, id), version: 0 }] : [];
-        const { valueBytes } = store.limits;
-        const { value, omittedCheckpoints } = encodeProgress(progress(), steps, valueBytes);
-        if (omittedCheckpoints > 0) {
-            logger.warn(
-                { cell, job: id, omittedCheckpoints, valueBytes },
-                "progress is stored without some checkpoints, since a row of the store can't hold them",
-            );
-        }
-        return { checks: [check, ...endChecks], writes: [{ ...key, value }], removals: [] };
+        const { value, omittedCheckpoints } = encodeProgress(progress(), steps, store.limits.valueBytes);
+        return {
+            changes: { checks: [check, ...endChecks], writes: [{ ...key, value }], removals: [] },
+            omittedCheckpoints,
+        };
     };
     /** Monotonic time in ms from which a workflow may be written; an end state is small, so that it need not wait. */
     const dueAt = (ledger: WorkflowLedger): number =>
@@ -139,7 +140,7 @@
             if (dueAt(ledger) > performance.now() || isAlone && batch.length > 0) {
                 continue;
             }
-            const changes = changesOf(ledger);
+            const { changes, omittedCheckpoints } = changesOf(ledger);
             const transferChanges = transferRows.of(ledger);
             size.add(changes, transferChanges);
             if (batch.length > 0 && !size.isWithin(store.limits)) {
@@ -152,6 +153,7 @@
                 isSettled: ledger.isSettled(),
                 callbacks: callbacks.splice(0),
                 changes,
+                omittedCheckpoints,
                 transferChanges,
             });
             if (isAlone) {
@@ -214,8 +216,14 @@
             return false;
         }
         recordProof();
-        for (const { ledger, revision, isSettled, transferChanges } of entries) {
+        for (const { ledger, revision, isSettled, transferChanges, omittedCheckpoints } of entries) {
             const { id } = ledger.workflow;
+            if (omittedCheckpoints > 0) {
+                logger.warn(
+                    { cell, job: id, omittedCheckpoints, valueBytes: store.limits.valueBytes },
+                    "progress was stored without some checkpoints, since a row of the store can't hold them",
+                );
+            }
             versions.set(id, isSettled ? 0 : written.value);
             transferRows.recordStored(id, transferChanges, written.value);
             ledger.markStored(revision);
