--- a/packages/workflow/tests/adopted-run.test.ts
+++ b/packages/workflow/tests/adopted-run.test.ts
@@ -1,7 +1,5 @@
 import type { CellId, JobId, WorkerId } from "@jayfront/world";
-import { createStopSignal } from "@jayfront/world";
 import { beforeEach, describe, expect, it } from "@jest/globals";
-import pino from "pino";
 
 import { createLateOrderDetector } from "../src/cell/late-order-detector.js";
 import type { RunController } from "../src/cell/run-controller.js";
@@ -15,6 +13,7 @@
 import { createStep } from "../src/model/create-step.js";
 import type { TaskName } from "../src/model/task-name.js";
 import { taskName } from "../src/model/task-name.js";
+import { runControllerOptions } from "./run-controller-options.js";
 import { testQueue } from "./test-queue.js";
 
 const id = "00000000000000aa" as JobId;
@@ -35,29 +34,15 @@
         ledger.markStored(ledger.revision());
         runRegistry = createRunRegistry();
         stopped = [];
-        controller = createRunController({
-            epoch: 1,
+        controller = createRunController(runControllerOptions({
             unansweredStarts: createUnansweredStarts({
                 lateOrderTime: 12_000,
                 lateOrderDetector: createLateOrderDetector(),
                 onChange: () => undefined,
             }),
             runRegistry,
-            writer: { request: () => undefined },
-            processDelay: () => 0,
-            processors: 1,
-            logger: pino({ level: "silent" }),
             ledgerOf: () => ledger,
-            sessionOf: () => undefined,
-            onRunAdded: () => undefined,
-            onRunConfirmed: () => undefined,
-            onRunRemoved: () => undefined,
-            onChange: () => undefined,
-            onCrash: () => undefined,
-            workerCrashes: { record: () => [] },
-            ticketOf: () => undefined,
-            signal: createStopSignal().signal,
-        });
+        }));
     });
 
     // Guards against two runs of one task: a run that an earlier holder started here goes on beside that elsewhere.
--- a/packages/workflow/tests/incomplete-report.test.ts
+++ b/packages/workflow/tests/incomplete-report.test.ts
@@ -1,7 +1,5 @@
 import type { JobId, WorkerId } from "@jayfront/world";
-import { createStopSignal } from "@jayfront/world";
 import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
-import pino from "pino";
 import { Result } from "true-myth";
 
 import type { RunController, RunEnd } from "../src/cell/run-controller.js";
@@ -14,6 +12,7 @@
 import { createWorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { createStep } from "../src/model/create-step.js";
 import type { WorkerReport } from "../src/port/worker-gateway.js";
+import { runControllerOptions } from "./run-controller-options.js";
 import { testQueue } from "./test-queue.js";
 
 const job = "00000000000000a1" as JobId;
@@ -41,27 +40,17 @@
             recordEnds: () => undefined,
         } as unknown as WorkerSession;
         const runRegistry = createRunRegistry();
-        controller = createRunController({
-            epoch: 1,
+        controller = createRunController(runControllerOptions({
             unansweredStarts: { remove: () => undefined } as unknown as UnansweredStarts,
             runRegistry,
-            writer: { request: () => undefined },
-            processDelay: () => 0,
-            processors: 1,
-            logger: pino({ level: "silent" }),
             ledgerOf: () => ledger,
             sessionOf: () => session,
-            onRunAdded: () => undefined,
-            onRunConfirmed: () => undefined,
             onRunRemoved: ({ outcome }) => outcomes.push(outcome),
-            onChange: () => undefined,
             onCrash: () => {
                 crashes += 1;
             },
             workerCrashes: createWorkerCrashes(runRegistry),
-            ticketOf: () => undefined,
-            signal: createStopSignal().signal,
-        });
+        }));
         controller.start(ledger, ledger.stage(position) as Stage, 0, session);
         await jest.advanceTimersByTimeAsync(10);
     });
--- a/packages/workflow/tests/start-without-answer.test.ts
+++ b/packages/workflow/tests/start-without-answer.test.ts
@@ -1,13 +1,10 @@
 import type { JobId, WorkerId } from "@jayfront/world";
-import { createStopSignal } from "@jayfront/world";
 import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
-import pino from "pino";
 import { Result } from "true-myth";
 
 import { createLateOrderDetector } from "../src/cell/late-order-detector.js";
 import type { RunController } from "../src/cell/run-controller.js";
 import { createRunController } from "../src/cell/run-controller.js";
-import { createRunRegistry } from "../src/cell/run-registry.js";
 import type { UnansweredStarts } from "../src/cell/unanswered-starts.js";
 import { createUnansweredStarts } from "../src/cell/unanswered-starts.js";
 import type { WorkerSession } from "../src/cell/worker-session.js";
@@ -16,6 +13,7 @@
 import { createStep } from "../src/model/create-step.js";
 import { taskName } from "../src/model/task-name.js";
 import type { OrderError } from "../src/port/worker-gateway.js";
+import { runControllerOptions } from "./run-controller-options.js";
 import { testQueue } from "./test-queue.js";
 
 const position = { job: "j" as JobId, occurrence: 0, step: 0, index: 0 };
@@ -54,25 +52,11 @@
             recordEnds: () => undefined,
         };
         session = stubs as WorkerSession;
-        controller = createRunController({
-            epoch: 1,
+        controller = createRunController(runControllerOptions({
             unansweredStarts,
-            runRegistry: createRunRegistry(),
-            writer: { request: () => undefined },
-            processDelay: () => 0,
-            processors: 1,
-            logger: pino({ level: "silent" }),
             ledgerOf: () => ledger,
             sessionOf: () => session,
-            onRunAdded: () => undefined,
-            onRunConfirmed: () => undefined,
-            onRunRemoved: () => undefined,
-            onChange: () => undefined,
-            onCrash: () => undefined,
-            workerCrashes: { record: () => [] },
-            ticketOf: () => undefined,
-            signal: createStopSignal().signal,
-        });
+        }));
         controller.start(ledger, ledger.stage(position) as Stage, 0, session);
     });
     afterEach(() => {
--- a/packages/workflow/tests/unsent-starts.test.ts
+++ b/packages/workflow/tests/unsent-starts.test.ts
@@ -1,7 +1,5 @@
 import type { JobId, WorkerId } from "@jayfront/world";
-import { createStopSignal } from "@jayfront/world";
 import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
-import pino from "pino";
 
 import type { RunController, RunEnd } from "../src/cell/run-controller.js";
 import { createRunController } from "../src/cell/run-controller.js";
@@ -12,6 +10,7 @@
 import type { Stage } from "../src/ledger/workflow-ledger.js";
 import { createWorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { createStep } from "../src/model/create-step.js";
+import { runControllerOptions } from "./run-controller-options.js";
 import { testQueue } from "./test-queue.js";
 
 const job = "00000000000000a1" as JobId;
@@ -45,30 +44,21 @@
             recordEnds: () => undefined,
         } as unknown as WorkerSession;
         const runRegistry = createRunRegistry();
-        controller = createRunController({
-            epoch: 1,
+        controller = createRunController(runControllerOptions({
             unansweredStarts: {
                 addOverdue: () => undefined,
                 recordLapse: () => undefined,
             } as unknown as UnansweredStarts,
             runRegistry,
-            writer: { request: () => undefined },
-            processDelay: () => 0,
             processors: 0.12,
-            logger: pino({ level: "silent" }),
             ledgerOf: () => ledger,
             sessionOf: () => session,
-            onRunAdded: () => undefined,
-            onRunConfirmed: () => undefined,
             onRunRemoved: end => ends.push(end),
-            onChange: () => undefined,
             onCrash: () => {
                 crashes += 1;
             },
             workerCrashes: createWorkerCrashes(runRegistry),
-            ticketOf: () => undefined,
-            signal: createStopSignal().signal,
-        });
+        }));
         for (let index = 0; index < count; index += 1) {
             controller.start(ledger, ledger.stage(position) as Stage, index, session);
         }
