Log the free room of the cell and of all cells for steps that wait

'step waits' now has the runs of the workflow and the free shares of the CPU in the cell and in all cells; the latter are taken from the heartbeats of the other cells. Placement does not change.

--- a/packages/workflow/src/cell/other-cells.ts
+++ b/packages/workflow/src/cell/other-cells.ts
@@ -1,11 +1,14 @@
 import type { CellId, JobId } from "@jayfront/world";
 
+import type { CpuRoom } from "./cpu-room.js";
 import type { TransferRoomRequest } from "./transfer-room.js";
 
 /** The other cells, as the holder of a cell can reach their holders. */
 export interface OtherCells {
     /** Cells that have at least `cpu` millicores unused, the one with the most first. */
     readonly withFreeCpu: (cpu: number) => readonly CellId[];
+    /** Processor time of the other cells in total, as of the last heartbeats of their holders. */
+    readonly cpuRoom: () => CpuRoom;
     /** Number of tasks for which the cell has room; 0 if its holder does not answer. */
     readonly roomIn: (cell: CellId, request: TransferRoomRequest) => Promise<number>;
     /** Tells the cell's holder that rows of tasks transferred to it have changed. */
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -16,9 +16,11 @@
 import type { WorkerCandidate } from "../policy/worker-candidate.js";
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
 import { canRunStep, isOpenTo, mayStartOn } from "./cell-workers.js";
+import type { CpuRoom } from "./cpu-room.js";
 import type { EligibleWorkers, WorkerExclusions } from "./eligible-workers.js";
 import { createEligibleWorkers } from "./eligible-workers.js";
 import { createFailedSearches } from "./failed-searches.js";
+import { createFreeRoom } from "./free-room.js";
 import type { InterferenceController, ServingSummary } from "./interference-controller.js";
 import { createLongRunningAdmission } from "./long-running-admission.js";
 import type { CandidateVisit } from "./pass-rounds.js";
@@ -75,6 +77,8 @@
     readonly interference: Pick<InterferenceController, "summarizeServing" | "slackWith" | "compatibleShareLoss">;
     /** Milliseconds of a pass after which the next one goes on; see `PassRounds`. */
     readonly passTime: number;
+    /** See `OtherCells.cpuRoom`. */
+    readonly otherCellsRoom: () => CpuRoom;
 }
 
 /** Properties that tell in the log what excludes the workers with room. */
@@ -146,6 +150,7 @@
         workerCrashes,
         interference,
         passTime,
+        otherCellsRoom,
     } = options;
 
     const admission = createLongRunningAdmission({ workers, runRegistry, constraintOf });
@@ -156,6 +161,7 @@
     });
     const suspectPlacement = createSuspectPlacement(runRegistry, workerCrashes);
     const failedSearches = createFailedSearches();
+    const freeRoom = createFreeRoom({ workers, otherCellsRoom });
     const starvingWorkflows = createStarvingWorkflows({ workers, runRegistry });
     const rounds = createPassRounds(passTime);
     // The following caches are valid for one pass.
@@ -373,6 +379,9 @@
             isKeptForUrgent: fitting.length > 0 && !admission.mayStart(candidate),
             lasting: urgency.lasting,
             withoutRunFor: step.isLasting ? Math.round(longestAbsence(candidate, now)) : undefined,
+            runsOfWorkflow: runRegistry.ofWorkflow(ledger.workflow.id).length,
+            freeShare: Number(freeRoom.ofCell().toFixed(2)),
+            totalFreeShare: Number(freeRoom.ofAllCells().toFixed(2)),
             ...details(),
         }, "step waits");
     };
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -360,6 +360,7 @@
         constraintOf,
         hasFailedOn: (task, worker) => hasFailedOn(task, worker.session.id),
         passTime,
+        otherCellsRoom: otherCells.cpuRoom,
     });
     const runWatchdog = createRunWatchdog({
         runRegistry,
--- a/packages/workflow/tests/test-cell.ts
+++ b/packages/workflow/tests/test-cell.ts
@@ -3,6 +3,7 @@
 import pino from "pino";
 
 import type { CellWorker, CellWorkers } from "../src/cell/cell-workers.js";
+import type { CpuRoom } from "../src/cell/cpu-room.js";
 import { createRun } from "../src/cell/create-run.js";
 import type { InterferenceController } from "../src/cell/interference-controller.js";
 import { createInterferenceController } from "../src/cell/interference-controller.js";
@@ -65,6 +66,8 @@
     readonly constraintOf?: UnansweredStarts["constraintOf"];
     /** Milliseconds of a pass; unlimited by default. */
     readonly passTime?: number;
+    /** Processor time of the other cells; there are none by default. */
+    readonly otherCellsRoom?: CpuRoom;
     /** Called at each start and at each look-up of an expected run time. */
     readonly onWork?: () => void;
 }
@@ -110,6 +113,7 @@
         startLimit = 1_000,
         constraintOf = () => undefined,
         passTime = Infinity,
+        otherCellsRoom = { freeCpu: 0, capacityCpu: 0 },
         onWork = () => undefined,
     }: TestCellOptions,
 ): TestCell => {
@@ -178,6 +182,7 @@
         workerCrashes: { isRecent: () => false },
         interference,
         passTime,
+        otherCellsRoom: () => otherCellsRoom,
     });
     return {
         scheduler,
