--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -162,7 +162,7 @@
     const suspectPlacement = createSuspectPlacement(runRegistry, workerCrashes);
     const failedSearches = createFailedSearches();
     const freeRoom = createFreeRoom({ workers, otherCellsRoom });
-    const starvingWorkflows = createStarvingWorkflows({ workers, runRegistry });
+    const starvingWorkflows = createStarvingWorkflows({ freeRoom, runRegistry });
     const rounds = createPassRounds(passTime);
     // The following caches are valid for one pass.
     /** Summaries of the serving tasks by worker. */
--- a/packages/workflow/src/cell/starving-workflows.ts
+++ b/packages/workflow/src/cell/starving-workflows.ts
@@ -1,13 +1,13 @@
 import type { JobId } from "@jayfront/world";
 
-import type { CellWorkers } from "./cell-workers.js";
-import { isListed } from "./cell-workers.js";
+import type { FreeRoom } from "./free-room.js";
 import type { RunRegistry } from "./run-registry.js";
 import type { StageCandidate } from "./stage-candidate.js";
 
 /**
  * Finds workflows that wait without a run although most of the room is free: since the holder has no time for all tasks,
- * urgent ones go first, or all workers are excluded because of interference.
+ * urgent ones go first, or all workers are excluded because of interference. Spare-CPU work that has expired starves
+ * whatever room is free, since all other work goes before it.
  */
 export interface StarvingWorkflows {
     /**
@@ -26,31 +26,28 @@
 
 /** Options of {@link createStarvingWorkflows}. */
 export interface StarvingWorkflowsOptions {
-    readonly workers: CellWorkers;
+    readonly freeRoom: FreeRoom;
     readonly runRegistry: Pick<RunRegistry, "ofWorkflow">;
 }
 
 /** Milliseconds without a run, while tasks could run, after which a workflow starves; users expect a run within 3 s. */
 const starvationTime = 2_000;
-/** Share of the cell's CPU that has to be free; if less is, tasks wait for room in the order of their urgency. */
+/**
+ * Share of the CPU that has to be free, in the cell or in all cells; if less is, tasks wait for room in the order of their
+ * urgency.
+ */
 const ampleFreeShare = 0.5;
 
+/** Whether the task takes no room from others, and goes after all other work for good. */
+const isExpiredSpareWork = ({ stage: { step }, urgency }: StageCandidate): boolean =>
+    step.usesSpareCpu && urgency.expiryLaxity < 0;
+
 /** Creates the state of a cell without waiting workflows. */
-export const createStarvingWorkflows = ({ workers, runRegistry }: StarvingWorkflowsOptions): StarvingWorkflows => {
+export const createStarvingWorkflows = ({ freeRoom, runRegistry }: StarvingWorkflowsOptions): StarvingWorkflows => {
     /** Monotonic times in ms since which workflows have waited without a run or an attempt to start one. */
     let waitingSince = new Map<JobId, number>();
     let longestWait = 0;
-    const isRoomAmple = (): boolean => {
-        let free = 0;
-        let capacity = 0;
-        for (const worker of workers.values()) {
-            if (isListed(worker) && worker.session.contact() === "known") {
-                free += worker.resources.freeCpu();
-                capacity += worker.resources.capacity().cpu;
-            }
-        }
-        return free > capacity * ampleFreeShare;
-    };
+    const isRoomAmple = (): boolean => freeRoom.ofCell() > ampleFreeShare || freeRoom.ofAllCells() > ampleFreeShare;
     /** The first candidate of each workflow without a run. Long-running tasks go first in any case. */
     const findWaiting = (candidates: readonly StageCandidate[]): ReadonlyMap<JobId, StageCandidate> => {
         const found = new Map<JobId, StageCandidate>();
@@ -69,12 +66,12 @@
             const waiting = findWaiting(candidates);
             waitingSince = new Map([...waiting.keys()].map(id => [id, waitingSince.get(id) ?? now]));
             const starving = [...waitingSince].filter(([, since]) => now - since >= starvationTime);
-            longestWait = 0;
-            if (starving.length === 0 || !isRoomAmple()) {
-                return [];
-            }
-            longestWait = now - Math.min(...starving.map(([, since]) => since));
-            return starving.sort(([, left], [, right]) => left - right).flatMap(([id]) => waiting.get(id) ?? []);
+            const hasAmpleRoom = starving.length > 0 && isRoomAmple();
+            longestWait = hasAmpleRoom ? now - Math.min(...starving.map(([, since]) => since)) : 0;
+            return starving
+                .sort(([, left], [, right]) => left - right)
+                .flatMap(([id]) => waiting.get(id) ?? [])
+                .filter(candidate => hasAmpleRoom || isExpiredSpareWork(candidate));
         },
         longestWait: () => longestWait,
         recordAttempt: ({ ledger }) => {
--- a/packages/workflow/tests/starving-workflows.test.ts
+++ b/packages/workflow/tests/starving-workflows.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
 
+import type { CpuRoom } from "../src/cell/cpu-room.js";
 import type { WorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import type { Step } from "../src/model/step.js";
 import type { TestCell } from "./test-cell.js";
@@ -11,6 +12,8 @@
 const longestWaitBound = 4_000;
 /** Milliseconds between two passes. */
 const passInterval = 50;
+/** Milliseconds after which the result of one of these workflows is useless: three times its objective. */
+const expiry = 7_500;
 const spareStep: Partial<Step> = { count: 4, cpu: 16_000, memory: 1, usesSpareCpu: true, image: "batch" };
 
 describe("a workflow that waits while most of the room is free", () => {
@@ -29,8 +32,13 @@
         }
     };
     /** A cell whose workers all have serving tasks, and as many spare-CPU tasks as they tolerate. */
-    const createServingCell = (servingCpu: number): TestCell => {
-        const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: 1_000 });
+    const createServingCell = (servingCpu: number, otherCellsRoom?: CpuRoom): TestCell => {
+        const cell = createTestCell({
+            workers: 2,
+            cpu: 16_000,
+            runTime: 1_000,
+            ...(otherCellsRoom === undefined ? {} : { otherCellsRoom }),
+        });
         cell.submit({}, [{ count: 4, cpu: servingCpu, memory: 1, isLasting: true, tailTarget: 10, image: "desk" }]);
         cell.submit({ priority: 1 }, [spareStep]);
         cell.scheduler.runPass();
@@ -55,6 +63,28 @@
         expect(countRuns(cell, workflow)).toBe(0);
     });
 
+    // Guards against a spare-CPU workflow without any run in a full cell, while most of the room of the service is free.
+    it.each([
+        { freeCpu: 24_000, runs: 1 },
+        { freeCpu: 2_000, runs: 0 },
+    ])(
+        "gets $runs runs in a full cell if $freeCpu of 32,000 millicores of another one are free",
+        ({ freeCpu, runs }) => {
+            const cell = createServingCell(5_000, { freeCpu, capacityCpu: 32_000 });
+            const workflow = cell.submit({ priority: 2 }, [spareStep]);
+            runPasses(cell, longestWait);
+            expect(countRuns(cell, workflow)).toBe(runs);
+        },
+    );
+
+    // Guards against a spare-CPU workflow that never runs: once it has expired, all others go before it.
+    it("gets a run once it has expired, although less than half of the room is free", () => {
+        const cell = createServingCell(5_000);
+        const workflow = cell.submit({ priority: 2 }, [spareStep]);
+        runPasses(cell, expiry + longestWait);
+        expect(countRuns(cell, workflow)).toBe(1);
+    });
+
     // Guards against a workflow whose turn never comes, since the holder has no time for all tasks of more urgent ones.
     it("gets a run although more urgent work takes all the time of the passes", () => {
         const cell = createTestCell({
