--- a/packages/workflow/src/cell/replacement-places.ts
+++ b/packages/workflow/src/cell/replacement-places.ts
@@ -5,7 +5,7 @@
 import type { TaskName, TaskNameParts } from "../model/task-name.js";
 import type { CellWorker } from "./cell-workers.js";
 
-/** Room that is kept on a worker for a long-running task whose own worker is draining. */
+/** Room that is kept on a worker for a task that leaves its own worker. */
 export interface ReplacementPlace {
     readonly task: TaskName;
     readonly position: TaskNameParts;
@@ -15,8 +15,8 @@
 }
 
 /**
- * Places for long-running tasks of draining workers. A task is stopped only once it has a place, which counts as used
- * until the task starts there.
+ * Places for long-running tasks of draining workers, and for halted tasks. A task is stopped only once it has a place, which
+ * counts as used until the task starts there.
  */
 export interface ReplacementPlaces {
     /** Takes the resources of the place from its worker. */
--- a/packages/workflow/src/cell/run-watchdog.ts
+++ b/packages/workflow/src/cell/run-watchdog.ts
@@ -1,6 +1,7 @@
 import type { WorkerHealth } from "@jayfront/policy";
 
 import type { Queue } from "../model/queue.js";
+import type { RelocationReason } from "../policy/relocation-reason.js";
 import { relocationReason } from "../policy/relocation-reason.js";
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
 import { mayStartOn } from "./cell-workers.js";
@@ -19,17 +20,29 @@
 /** Options of {@link createRunWatchdog}. */
 export interface RunWatchdogOptions {
     readonly runRegistry: RunRegistry;
-    readonly runController: RunController;
+    readonly runController: Pick<RunController, "stop">;
     readonly workers: CellWorkers;
-    readonly health: WorkerHealth;
+    readonly health: Pick<WorkerHealth, "recordEnd">;
     readonly runTime: RunTimePredictor;
     readonly queueOf: (run: Run) => Queue;
     readonly replacementPlaces: Pick<ReplacementPlaces, "has">;
+    /** See `StageScheduler.keepPlaceElsewhere`. */
+    readonly keepPlaceElsewhere: (run: Run) => boolean;
 }
 
 /** Creates the watchdog of a cell. */
 export const createRunWatchdog = (options: RunWatchdogOptions): RunWatchdog => {
     const { runRegistry, runController, workers, health, runTime, queueOf, replacementPlaces } = options;
+    /** Prepares the stop of a run by the reason for it; returns whether the run may be stopped. */
+    const preparations: Readonly<Record<RelocationReason, (run: Run) => boolean>> = {
+        "worker leaves": () => true,
+        "stands still": run => {
+            health.recordEnd(run.worker, run.position.job, true);
+            return true;
+        },
+        // Without a place elsewhere the run goes on once its worker has time for it; its work is kept.
+        halted: options.keepPlaceElsewhere,
+    };
 
     /** The scheduler keeps no places for gangs, since a new run of a gang needs room for all of its members. */
     const hasRoomElsewhere = (run: Run, queue: Queue): boolean =>
@@ -68,13 +81,9 @@
             ...remainingStay(worker, now),
             hasRoomElsewhere: worker.drainingSince !== undefined && step.isLasting && hasRoomElsewhere(run, queue),
         });
-        if (reason === undefined) {
-            return;
-        }
-        if (reason === "stands still") {
-            health.recordEnd(run.worker, run.position.job, true);
+        if (reason !== undefined && preparations[reason](run)) {
+            runController.stop(run, reason);
         }
-        runController.stop(run, reason);
     };
     return {
         review: () => {
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -29,6 +29,7 @@
 import type { RunController } from "./run-controller.js";
 import type { RunRegistry } from "./run-registry.js";
 import type { RunTimePredictor } from "./run-statistics.js";
+import type { Run } from "./run.js";
 import type { StageCandidate } from "./stage-candidate.js";
 import { stageName } from "./stage-name.js";
 import { createStarvingWorkflows } from "./starving-workflows.js";
@@ -46,6 +47,11 @@
     readonly runPass: () => boolean;
     /** See `StarvingWorkflows.longestWait`. */
     readonly longestWait: () => number;
+    /**
+     * Keeps a place for the run's task on another worker that would get the task if it waited; returns whether there is
+     * one. The caller stops the run.
+     */
+    readonly keepPlaceElsewhere: (run: Run) => boolean;
     /** Why a long-running task that has run before did not start in the last pass, with the figures that decide it. */
     readonly explainWait: (ledger: WorkflowLedger, position: TaskNameParts) => WaitExplanation;
 }
@@ -71,7 +77,7 @@
     readonly hasFailedOn: (task: TaskName, worker: CellWorker) => boolean;
     /** See `UnansweredStarts.constraintOf`. */
     readonly constraintOf: UnansweredStarts["constraintOf"];
-    /** Places for long-running tasks of draining workers; the scheduler keeps, uses and releases them. */
+    /** Places for tasks that leave their workers; the scheduler keeps, uses and releases them. */
     readonly replacementPlaces: ReplacementPlaces;
     readonly workerCrashes: Pick<WorkerCrashes, "isRecent">;
     readonly interference: Pick<InterferenceController, "summarizeServing" | "slackWith" | "compatibleShareLoss">;
@@ -225,6 +231,16 @@
             );
         });
     };
+    const candidateOf = (
+        ledger: WorkflowLedger,
+        stage: Stage,
+        indices: readonly number[],
+        lasting: Urgency["lasting"],
+    ): StageCandidate => {
+        const queue = queueOf(ledger);
+        const urgency = urgencyOf(ledger, stage, queue, objectiveOf(ledger, queue));
+        return { ledger, stage, queue, urgency: { ...urgency, lasting }, indices, isSuspect: false };
+    };
     /** Long-running tasks that run on draining workers and have no place on another one, by step. */
     const leavingCandidates = (): StageCandidate[] => {
         const byStage = new Map<Stage, { readonly ledger: WorkflowLedger; readonly indices: number[]; }>();
@@ -241,18 +257,7 @@
                 }
             }
         }
-        return [...byStage].map(([stage, { ledger, indices }]) => {
-            const queue = queueOf(ledger);
-            const objective = objectiveOf(ledger, queue);
-            return {
-                ledger,
-                stage,
-                queue,
-                urgency: { ...urgencyOf(ledger, stage, queue, objective), lasting: "leaving" },
-                indices,
-                isSuspect: false,
-            };
-        });
+        return [...byStage].map(([stage, { ledger, indices }]) => candidateOf(ledger, stage, indices, "leaving"));
     };
     const findCandidates = (): StageCandidate[] => {
         const now = Date.now();
@@ -480,7 +485,9 @@
     /** Whether the place's task still has to leave its worker or has left it, and its new worker accepts tasks. */
     const isPlaceNeeded = ({ task, position, ledger, worker }: ReplacementPlace): boolean => {
         const isWaiting = ledger.stage(position)?.record.waiting.has(position.index) === true;
-        const isLeaving = runRegistry.ofTask(task).some(run => workers.get(run.worker)?.drainingSince !== undefined);
+        const isLeaving = runRegistry.ofTask(task).some(run =>
+            run.phase === "stopping" || workers.get(run.worker)?.drainingSince !== undefined
+        );
         return !ledger.isSettled() && isOpenTo(worker, queueOf(ledger).service) && (isWaiting || isLeaving);
     };
     /** Starts the waiting tasks that have a place; returns the indices of the others. */
@@ -609,7 +616,7 @@
                 reservations.release(taskOf(candidate, index));
             });
         }
-        const indices = step.isLasting && urgency.lasting !== "leaving" ? startOnPlaces(candidate) : open;
+        const indices = urgency.lasting === "leaving" ? open : startOnPlaces(candidate);
         return indices.length === 0 || isSearchInVain(candidate, indices) || placeTasks(candidate, indices, isTimeOver);
     };
     /** Starts a task of each starving workflow, as far as a part of the pass allows; at least one is tried. */
@@ -627,6 +634,22 @@
             }
         }
     };
+    const keepPlaceElsewhere: StageScheduler["keepPlaceElsewhere"] = ({ ledger, position, task, worker: current }) => {
+        const stage = ledger.stage(position);
+        if (stage === undefined) {
+            return false;
+        }
+        // The state may have changed since the last pass.
+        summaries.clear();
+        openWorkers.clear();
+        const candidate = candidateOf(ledger, stage, [position.index], "no");
+        const worker = eligibleWorkersFor(candidate).choose(task);
+        if (worker === undefined || worker.session.id === current) {
+            return false;
+        }
+        keepPlace(candidate, position.index, worker);
+        return true;
+    };
     const explainWait: StageScheduler["explainWait"] = (ledger, position) => {
         const stage = ledger.stage(position);
         if (stage === undefined) {
@@ -653,6 +676,7 @@
         return { ...facts, gate: startGate(facts) };
     };
     return {
+        keepPlaceElsewhere,
         explainWait,
         longestWait: starvingWorkflows.longestWait,
         runPass: () => {
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -370,6 +370,7 @@
         runTime,
         queueOf: run => queueOf(run.ledger),
         replacementPlaces,
+        keepPlaceElsewhere: scheduler.keepPlaceElsewhere,
     });
     const events: SessionEvents = {
         onReport: (session, report, sentAt, isFirst) => {
--- a/packages/workflow/src/policy/relocation-reason.ts
+++ b/packages/workflow/src/policy/relocation-reason.ts
@@ -68,8 +68,11 @@
 const isHaltedForLong = (facts: RelocationFacts): boolean =>
     facts.isCheckpointing && !facts.isGang && facts.haltedFor >= longestHalt;
 
-/** Why a run should be stopped and started on another worker; undefined where it should go on. */
-export const relocationReason = (facts: RelocationFacts): "worker leaves" | "stands still" | "halted" | undefined =>
+/** Why a run should be stopped and started on another worker. */
+export type RelocationReason = "worker leaves" | "stands still" | "halted";
+
+/** The reason for which a run should be stopped and started on another worker; undefined where it should go on. */
+export const relocationReason = (facts: RelocationFacts): RelocationReason | undefined =>
     mustLeaveDrainingWorker(facts)
         ? "worker leaves"
         : isStalled(facts)
--- a/packages/workflow/tests/test-cell.ts
+++ b/packages/workflow/tests/test-cell.ts
@@ -33,6 +33,7 @@
 export interface TestCell {
     readonly scheduler: StageScheduler;
     readonly runRegistry: RunRegistry;
+    readonly workers: CellWorkers;
     /**
      * Number of summaries of workers, and of look-ups of worker deadlines, of interference between images and of
      * expected run times.
@@ -187,6 +188,7 @@
     return {
         scheduler,
         runRegistry,
+        workers,
         counts,
         logged: message => lines.filter(line => line["msg"] === message),
         submit: (queue, steps) => {
