--- a/packages/workflow/src/cell/starving-workflows.ts
+++ b/packages/workflow/src/cell/starving-workflows.ts
@@ -32,6 +32,8 @@
 
 /** Milliseconds without a run, while tasks could run, after which a workflow starves; users expect a run within 3 s. */
 const starvationTime = 2_000;
+/** Milliseconds without a run after which a workflow starves again, if its last run was started for that reason. */
+const repeatedStarvationTime = 300;
 /**
  * Share of the CPU that has to be free, in the cell or in all cells; if less is, tasks wait for room in the order of their
  * urgency.
@@ -46,6 +48,8 @@
 export const createStarvingWorkflows = ({ freeRoom, runRegistry }: StarvingWorkflowsOptions): StarvingWorkflows => {
     /** Monotonic times in ms since which workflows have waited without a run or an attempt to start one. */
     let waitingSince = new Map<JobId, number>();
+    /** Workflows that got their last run since they were starving. */
+    const served = new Set<JobId>();
     let longestWait = 0;
     const isRoomAmple = (): boolean => freeRoom.ofCell() > ampleFreeShare || freeRoom.ofAllCells() > ampleFreeShare;
     /** The first candidate of each workflow without a run. Long-running tasks go first in any case. */
@@ -60,11 +64,23 @@
         }
         return found;
     };
+    /** Forgets workflows that have several runs again, or none and no waiting task. */
+    const forgetServed = (waiting: ReadonlyMap<JobId, StageCandidate>): void => {
+        for (const id of served) {
+            const runs = runRegistry.ofWorkflow(id).length;
+            if (runs > 1 || runs === 0 && !waiting.has(id)) {
+                served.delete(id);
+            }
+        }
+    };
+    const startOfWait = (id: JobId, now: number): number =>
+        served.has(id) ? now - starvationTime + repeatedStarvationTime : now;
     return {
         select: candidates => {
             const now = performance.now();
             const waiting = findWaiting(candidates);
-            waitingSince = new Map([...waiting.keys()].map(id => [id, waitingSince.get(id) ?? now]));
+            forgetServed(waiting);
+            waitingSince = new Map([...waiting.keys()].map(id => [id, waitingSince.get(id) ?? startOfWait(id, now)]));
             const starving = [...waitingSince].filter(([, since]) => now - since >= starvationTime);
             const hasAmpleRoom = starving.length > 0 && isRoomAmple();
             longestWait = hasAmpleRoom ? now - Math.min(...starving.map(([, since]) => since)) : 0;
@@ -76,6 +92,7 @@
         longestWait: () => longestWait,
         recordAttempt: ({ ledger }) => {
             waitingSince.set(ledger.workflow.id, performance.now());
+            served.add(ledger.workflow.id);
         },
     };
 };
--- a/packages/workflow/tests/starving-workflows.test.ts
+++ b/packages/workflow/tests/starving-workflows.test.ts
@@ -10,6 +10,8 @@
 const longestWait = 3_000;
 /** Milliseconds from which a wait shows that too much is accepted. */
 const longestWaitBound = 4_000;
+/** Milliseconds within which a starving workflow gets its next run. */
+const nextRunBound = 500;
 /** Milliseconds between two passes. */
 const passInterval = 50;
 /** Milliseconds after which the result of one of these workflows is useless: three times its objective. */
@@ -85,6 +87,19 @@
         expect(countRuns(cell, workflow)).toBe(1);
     });
 
+    // Guards against a workflow of many tasks that gets one run every few seconds, and breaks the 3 s where one comes late.
+    it("gets the next run soon after the end of the one that it got while starving", () => {
+        const cell = createServingCell(2_000);
+        const workflow = cell.submit({ priority: 2 }, [spareStep]);
+        runPasses(cell, longestWait);
+        const [run] = cell.runRegistry.ofWorkflow(workflow.workflow.id);
+        if (run !== undefined) {
+            cell.endRun(run, "done");
+        }
+        runPasses(cell, nextRunBound);
+        expect([run !== undefined, countRuns(cell, workflow)]).toEqual([true, 1]);
+    });
+
     // Guards against a workflow whose turn never comes, since the holder has no time for all tasks of more urgent ones.
     it("gets a run although more urgent work takes all the time of the passes", () => {
         const cell = createTestCell({
