--- a/packages/workflow/src/cell/interference-controller.ts
+++ b/packages/workflow/src/cell/interference-controller.ts
@@ -19,8 +19,11 @@
     readonly review: (worker: CellWorker, runs: readonly Run[]) => void;
     /** Whether the runs include both serving tasks and spare-CPU tasks. */
     readonly mayInterfere: (runs: readonly Run[]) => boolean;
-    /** Summarizes the serving tasks among the runs of a worker. */
-    readonly summarizeServing: (worker: CellWorker, runs: readonly Run[]) => ServingSummary;
+    /**
+     * Summarizes the serving tasks among the runs of a worker. `expected`: steps of tasks that are to start there; those that
+     * use spare CPU count as present.
+     */
+    readonly summarizeServing: (worker: CellWorker, runs: readonly Run[], expected?: readonly Step[]) => ServingSummary;
     /** Share of the spare-CPU work that the worker can no longer run once a serving task of the step is added. */
     readonly compatibleShareLoss: (summary: ServingSummary, step: Step) => number;
     /**
@@ -188,9 +191,13 @@
         },
         mayInterfere: runs =>
             runs.some(run => run.step.usesSpareCpu) && runs.some(run => run.step.tailTarget !== undefined),
-        summarizeServing: (worker, runs) => {
+        summarizeServing: (worker, runs, expected = []) => {
             const serving = runs.filter(run => run.step.tailTarget !== undefined);
-            const spare = spareRuns(runs).map(run => toSpareTask(worker, run.step));
+            const spareSteps = [
+                ...spareRuns(runs).map(({ step }) => step),
+                ...expected.filter(step => step.usesSpareCpu),
+            ];
+            const spare = spareSteps.map(step => toSpareTask(worker, step));
             const servingImages = new Map<string, number>();
             const losses = new Map<string, number>();
             const slowestTasks = new Map<number, readonly ServingTask[]>();
--- a/packages/workflow/src/cell/replacement-places.ts
+++ b/packages/workflow/src/cell/replacement-places.ts
@@ -26,6 +26,8 @@
     readonly release: (task: TaskName) => CellWorker | undefined;
     /** Releases the places for which `isNeeded` returns false. */
     readonly releaseUnneeded: (isNeeded: (place: ReplacementPlace) => boolean) => void;
+    /** Steps of the tasks that have a place on the worker, once for each. */
+    readonly stepsOn: (worker: WorkerId) => readonly Step[];
     /** Number of places on the worker for tasks of the same step as `position`. */
     readonly countOn: (worker: WorkerId, position: Omit<TaskNameParts, "index">) => number;
 }
@@ -54,6 +56,8 @@
                 }
             }
         },
+        stepsOn: worker =>
+            [...places.values()].filter(({ worker: { session } }) => session.id === worker).map(({ step }) => step),
         countOn: (worker, { job, occurrence, step }) => {
             let count = 0;
             for (const { position, worker: { session } } of places.values()) {
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -284,7 +284,8 @@
     };
     const summaryOf = (worker: CellWorker): ServingSummary => {
         const { id } = worker.session;
-        const cached = summaries.get(id) ?? interference.summarizeServing(worker, [...runRegistry.ofWorker(id)]);
+        const cached = summaries.get(id)
+            ?? interference.summarizeServing(worker, [...runRegistry.ofWorker(id)], replacementPlaces.stepsOn(id));
         summaries.set(id, cached);
         return cached;
     };
@@ -495,6 +496,9 @@
         candidate.indices.filter(index => {
             const task = taskOf(candidate, index);
             const worker = constraintOf(task) === undefined ? replacementPlaces.release(task) : undefined;
+            if (worker !== undefined) {
+                summaries.delete(worker.session.id);
+            }
             if (worker === undefined || !mayStartOn(worker, candidate.queue.service, candidate.stage.step)) {
                 return true;
             }
--- a/packages/workflow/tests/halted-run.test.ts
+++ b/packages/workflow/tests/halted-run.test.ts
@@ -5,6 +5,7 @@
 import type { RunWatchdog } from "../src/cell/run-watchdog.js";
 import { createRunWatchdog } from "../src/cell/run-watchdog.js";
 import type { Run } from "../src/cell/run.js";
+import type { WorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { createStep } from "../src/model/create-step.js";
 import type { Step } from "../src/model/step.js";
 import type { TestCell } from "./test-cell.js";
@@ -106,3 +107,75 @@
         ]);
     });
 });
+
+describe("several checkpointing runs that are halted on one worker", () => {
+    const step: Partial<Step> = { ...spareStep, count: 5, cpu: 500 };
+    const [current, other] = ["w-0" as WorkerId, "w-1" as WorkerId];
+    beforeEach(() => {
+        jest.useFakeTimers();
+    });
+    afterEach(() => {
+        jest.useRealTimers();
+    });
+    /** Runs a pass as if the cell had one worker only. */
+    const runPassWith = (cell: TestCell, id: WorkerId): void => {
+        const all = new Map(cell.workers);
+        [...all.keys()].filter(key => key !== id).forEach(key => cell.workers.delete(key));
+        cell.scheduler.runPass();
+        all.forEach((worker, key) => cell.workers.set(key, worker));
+    };
+    const countRunsOn = (cell: TestCell, worker: WorkerId, ledger: WorkflowLedger): number =>
+        cell.runRegistry.ofWorkflow(ledger.workflow.id).filter(run => run.worker === worker).length;
+    /** A cell with all spare-CPU tasks of a workflow on one worker, and serving tasks on all of them. */
+    const createCell = (workers: number, spareCpu: number): { cell: TestCell; halted: WorkflowLedger; } => {
+        const cell = createTestCell({ workers, cpu: 16_000, runTime: 1_000 });
+        const halted = cell.submit({ priority: 1 }, [{ ...step, cpu: spareCpu }]);
+        runPassWith(cell, current);
+        [...cell.workers.keys()].forEach(id => {
+            cell.submit({}, [{ ...servingStep, count: 1 }]);
+            runPassWith(cell, id);
+        });
+        return { cell, halted };
+    };
+    /** Halts all spare-CPU runs of the cell for long enough, and returns those that are stopped. */
+    const halt = (cell: TestCell): readonly Run[] => {
+        const stopped: Run[] = [];
+        const watchdog = createRunWatchdog({
+            runRegistry: cell.runRegistry,
+            runController: {
+                stop: run => {
+                    run.phase = "stopping";
+                    stopped.push(run);
+                },
+            },
+            workers: cell.workers,
+            health: createWorkerHealth({ initialStartLimit: 1_000 }),
+            runTime: () => 1_000,
+            queueOf: ({ ledger }) => ledger.workflow.queue,
+            replacementPlaces: cell.replacementPlaces,
+            keepPlaceElsewhere: cell.scheduler.keepPlaceElsewhere,
+        });
+        const spareRuns = [...cell.runRegistry.all()].filter(run => run.step.usesSpareCpu);
+        spareRuns.forEach(run => {
+            run.pace = 0;
+            run.haltedSince = performance.now();
+        });
+        jest.advanceTimersByTime(longestHalt);
+        [...cell.runRegistry.all()].forEach(run => {
+            run.reportedAt = performance.now();
+        });
+        watchdog.review();
+        return stopped;
+    };
+
+    // Guards against runs that are stopped for a worker whose serving tasks tolerate fewer of them.
+    it("move only as far as the other worker would get new tasks", () => {
+        const { cell, halted } = createCell(2, 500);
+        expect(countRunsOn(cell, current, halted)).toBe(step.count);
+        const reference = createCell(2, 500).cell;
+        const started = reference.submit({ priority: 1 }, [{ ...step, cpu: 500 }]);
+        runPassWith(reference, other);
+        expect(countRunsOn(reference, other, started)).toBeGreaterThan(0);
+        expect(halt(cell)).toHaveLength(countRunsOn(reference, other, started));
+    });
+});
--- a/packages/workflow/tests/test-cell.ts
+++ b/packages/workflow/tests/test-cell.ts
@@ -145,9 +145,9 @@
     });
     const interference: InterferenceController = {
         ...controller,
-        summarizeServing: (worker, runs) => {
+        summarizeServing: (worker, runs, expected) => {
             counts.summaries += 1;
-            return controller.summarizeServing(worker, runs);
+            return controller.summarizeServing(worker, runs, expected);
         },
     };
     const start: RunController["start"] = (ledger, { occurrence, stepIndex, step }, index, session) => {
