--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -640,14 +640,21 @@
     };
     const keepPlaceElsewhere: StageScheduler["keepPlaceElsewhere"] = ({ ledger, position, task, worker: current }) => {
         const stage = ledger.stage(position);
-        if (stage === undefined) {
+        if (stage === undefined || constraintOf(task) !== undefined) {
+            return false;
+        }
+        const candidate = candidateOf(ledger, stage, [position.index], "no");
+        // Many runs may be halted for the same reason.
+        if (failedSearches.blockerOf(candidate) !== undefined || failedSearches.isTooEarly(candidate)) {
             return false;
         }
         // The state may have changed since the last pass.
         summaries.clear();
         openWorkers.clear();
-        const candidate = candidateOf(ledger, stage, [position.index], "no");
         const worker = eligibleWorkersFor(candidate).choose(task);
+        if (worker === undefined) {
+            failedSearches.record(candidate);
+        }
         if (worker === undefined || worker.session.id === current) {
             return false;
         }
--- a/packages/workflow/tests/halted-run.test.ts
+++ b/packages/workflow/tests/halted-run.test.ts
@@ -178,4 +178,13 @@
         expect(countRunsOn(reference, other, started)).toBeGreaterThan(0);
         expect(halt(cell)).toHaveLength(countRunsOn(reference, other, started));
     });
+
+    // Guards against a review that inspects all workers for each of many halted runs.
+    it("share the search for a worker if there is none", () => {
+        const workers = 40;
+        const { cell } = createCell(workers, 3_000);
+        const before = cell.counts.summaries;
+        expect(halt(cell)).toHaveLength(0);
+        expect(cell.counts.summaries - before).toBeLessThanOrEqual(workers);
+    });
 });
