--- a/packages/workflow/src/cell/replacement-places.ts
+++ b/packages/workflow/src/cell/replacement-places.ts
@@ -22,6 +22,8 @@
     /** Takes the resources of the place from its worker. */
     readonly keep: (place: ReplacementPlace) => void;
     readonly has: (task: TaskName) => boolean;
+    /** Whether any task of the same step as `position` has a place. */
+    readonly hasOfStep: (position: Omit<TaskNameParts, "index">) => boolean;
     /** Gives back the resources of the task's place; returns its worker, or undefined if the task has no place. */
     readonly release: (task: TaskName) => CellWorker | undefined;
     /** Releases the places for which `isNeeded` returns false. */
@@ -32,6 +34,11 @@
     readonly countOn: (worker: WorkerId, position: Omit<TaskNameParts, "index">) => number;
 }
 
+const isSameStep = (
+    { position }: ReplacementPlace,
+    { job, occurrence, step }: Omit<TaskNameParts, "index">,
+): boolean => position.job === job && position.occurrence === occurrence && position.step === step;
+
 /** Creates an empty set of places. */
 export const createReplacementPlaces = (): ReplacementPlaces => {
     const places = new Map<TaskName, ReplacementPlace>();
@@ -48,6 +55,7 @@
             place.worker.resources.add(place.step);
         },
         has: task => places.has(task),
+        hasOfStep: position => [...places.values()].some(place => isSameStep(place, position)),
         release,
         releaseUnneeded: isNeeded => {
             for (const place of [...places.values()]) {
@@ -58,11 +66,10 @@
         },
         stepsOn: worker =>
             [...places.values()].filter(({ worker: { session } }) => session.id === worker).map(({ step }) => step),
-        countOn: (worker, { job, occurrence, step }) => {
+        countOn: (worker, position) => {
             let count = 0;
-            for (const { position, worker: { session } } of places.values()) {
-                const isSameStep = position.job === job && position.occurrence === occurrence && position.step === step;
-                count += session.id === worker && isSameStep ? 1 : 0;
+            for (const place of places.values()) {
+                count += place.worker.session.id === worker && isSameStep(place, position) ? 1 : 0;
             }
             return count;
         },
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -606,7 +606,8 @@
         // A pass may visit a candidate twice, if its first turn ended early.
         const open = collected.indices.filter(index => isStillOpen(collected, index));
         const candidate = { ...collected, indices: open };
-        const { stage: { step }, urgency, isSuspect } = candidate;
+        const { stage, urgency, isSuspect } = candidate;
+        const { step } = stage;
         if (step.isGang) {
             startGang(candidate);
             return true;
@@ -620,7 +621,9 @@
                 reservations.release(taskOf(candidate, index));
             });
         }
-        const indices = urgency.lasting === "leaving" ? open : startOnPlaces(candidate);
+        const position = { job: candidate.ledger.workflow.id, occurrence: stage.occurrence, step: stage.stepIndex };
+        const mayHavePlaces = urgency.lasting !== "leaving" && replacementPlaces.hasOfStep(position);
+        const indices = mayHavePlaces ? startOnPlaces(candidate) : open;
         return indices.length === 0 || isSearchInVain(candidate, indices) || placeTasks(candidate, indices, isTimeOver);
     };
     /** Starts a task of each starving workflow, as far as a part of the pass allows; at least one is tried. */
--- a/packages/workflow/tests/replacement-places.test.ts
+++ b/packages/workflow/tests/replacement-places.test.ts
@@ -76,6 +76,21 @@
         expect([...cell.runRegistry.all()]).toHaveLength(2);
     });
 
+    // Guards against passes that look up each waiting task although no task of its step has a place.
+    it("cost nothing for short-lived steps that wait without a place", () => {
+        let lookUps = 0;
+        const constraintOf = (): undefined => {
+            lookUps += 1;
+            return undefined;
+        };
+        const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: 1_000, constraintOf });
+        cell.submit({}, [{ count: 10_000, cpu: 16_000 }]);
+        cell.scheduler.runPass();
+        lookUps = 0;
+        cell.scheduler.runPass();
+        expect(lookUps).toBeLessThan(10);
+    });
+
     // Guards against starvation of a large task by smaller urgent tasks while its worker drains.
     it("keep smaller urgent tasks off the worker with the soonest room", () => {
         const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: 1_000 });
