--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -634,7 +634,8 @@
                 return;
             }
             starvingWorkflows.recordAttempt(candidate);
-            const [index = 0] = candidate.indices;
+            const { indices } = candidate;
+            const index = indices.find(each => constraintOf(taskOf(candidate, each)) === undefined) ?? indices[0] ?? 0;
             const worker = eligibleWorkersFor(candidate).chooseAlways(taskOf(candidate, index));
             if (worker !== undefined) {
                 startOne(candidate, index, worker);
--- a/packages/workflow/tests/starving-workflows.test.ts
+++ b/packages/workflow/tests/starving-workflows.test.ts
@@ -3,6 +3,7 @@
 import type { CpuRoom } from "../src/cell/cpu-room.js";
 import type { WorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import type { Step } from "../src/model/step.js";
+import { taskName } from "../src/model/task-name.js";
 import type { TestCell } from "./test-cell.js";
 import { createTestCell } from "./test-cell.js";
 
@@ -160,4 +161,13 @@
         runPasses(cell, longestWait);
         expect(countRuns(cell, workflow)).toBe(1);
     });
+
+    // Guards against a workflow without any run since one of its tasks may start nowhere for now.
+    it("gets a run although its first task may have been started by an unanswered order", () => {
+        const cell = createServingCell(2_000);
+        const workflow = cell.submit({ priority: 2 }, [spareStep]);
+        cell.constrainedTasks.add(taskName({ job: workflow.workflow.id, occurrence: 0, step: 0, index: 0 }));
+        runPasses(cell, longestWait);
+        expect(countRuns(cell, workflow)).toBe(1);
+    });
 });
