--- a/packages/workflow/src/cell/starving-workflows.ts
+++ b/packages/workflow/src/cell/starving-workflows.ts
@@ -56,8 +56,8 @@
     const findWaiting = (candidates: readonly StageCandidate[]): ReadonlyMap<JobId, StageCandidate> => {
         const found = new Map<JobId, StageCandidate>();
         for (const candidate of candidates) {
-            const { ledger: { workflow: { id } }, stage: { step }, isSuspect } = candidate;
-            const isSingle = !step.isLasting && !step.isGang && !isSuspect;
+            const { ledger: { workflow: { id } }, stage: { step } } = candidate;
+            const isSingle = !step.isLasting && !step.isGang;
             if (isSingle && !found.has(id) && runRegistry.ofWorkflow(id).length === 0) {
                 found.set(id, candidate);
             }
--- a/packages/workflow/tests/starving-workflows.test.ts
+++ b/packages/workflow/tests/starving-workflows.test.ts
@@ -170,4 +170,17 @@
         runPasses(cell, longestWait);
         expect(countRuns(cell, workflow)).toBe(1);
     });
+
+    // Guards against a spare-CPU task that never runs again, since its worker crashed and all workers have serving tasks.
+    it("gets a run although its only task is suspected to crash workers", () => {
+        const cell = createServingCell(2_000);
+        const workflow = cell.submit({ priority: 2 }, [{ ...spareStep, count: 1 }]);
+        workflow.recordCrash({ occurrence: 0, step: 0, index: 0 }, 1, 1);
+        workflow.markStored(workflow.revision());
+        [...cell.runRegistry.all()].forEach(run => {
+            run.isProven = true;
+        });
+        runPasses(cell, longestWait);
+        expect(countRuns(cell, workflow)).toBe(1);
+    });
 });
