Let a new holder know which long-running tasks wait to run again

Callers saw: a long-running task that was stopped, since its worker drained, waited under the next holder of its cell behind the room that is kept for urgent work, with that room free more than half of the time.

Cause: the next holder knew that a task had run only from a report that lists its run or end, or from another task of the step that it found. The end of a stopped task is acknowledged and not stored, so that no report lists it any more. Where all tasks of a step were stopped, and their next starts were lost, the step looked as if it had never run: its first task started, the others counted as new and left the room to urgent work.

Change: the row of unanswered starts also names the long-running tasks that have run and wait. It is written when they have changed between two reviews of the runs, not each second. The next holder counts them, and the long-running tasks of unanswered starts, as having run. A row of the earlier version names none; an earlier version ignores the names. The names only decide about the order of starts, so that an old row does no harm.

--- a/packages/workflow/src/cell/load-cell.ts
+++ b/packages/workflow/src/cell/load-cell.ts
@@ -10,7 +10,7 @@
 import { rosterCodec } from "./roster-codec.js";
 import { rowKeys } from "./row-keys.js";
 import { startsCodec } from "./starts-codec.js";
-import type { StoredStarts } from "./stored-starts.js";
+import type { StoredAbsences } from "./stored-starts.js";
 
 /** Stored state of a cell, as earlier holders left it. */
 export interface LoadedCell {
@@ -22,8 +22,8 @@
     readonly roster: readonly WorkerEntry[];
     /** Version of the roster row; 0 if there is none. */
     readonly rosterVersion: number;
-    /** Starts of earlier holders that no worker has answered. */
-    readonly unansweredStarts: StoredStarts;
+    /** Starts of earlier holders that no worker has answered, and absent tasks. */
+    readonly unansweredStarts: StoredAbsences;
     /** Version of the row of unanswered starts; 0 if there is none. */
     readonly unansweredStartsVersion: number;
 }
@@ -93,7 +93,7 @@
                 + "the cell runs any more",
         });
     }
-    const noStarts: StoredStarts = { restartAge: undefined, starts: [] };
+    const noStarts: StoredAbsences = { restartAge: undefined, starts: [], absentTasks: [] };
     return Result.ok({
         ledgers,
         transferRows: transfers.value.rows,
--- a/packages/workflow/src/cell/stored-starts.ts
+++ b/packages/workflow/src/cell/stored-starts.ts
@@ -17,10 +17,16 @@
     readonly isIncarnationOver: boolean;
 }
 
-/** The starts of a cell that no worker has answered. */
+/** The starts of a cell that no worker has answered, as far as they may still be carried out. */
 export interface StoredStarts {
     /** Milliseconds since a worker last restarted under its id; undefined if none did recently. */
     readonly restartAge: number | undefined;
     /** In the order in which they were sent. */
     readonly starts: readonly StoredStart[];
 }
+
+/** What the next holder of a cell has to know of tasks that no worker lists. */
+export interface StoredAbsences extends StoredStarts {
+    /** Long-running tasks that have run and wait to run again. */
+    readonly absentTasks: readonly TaskName[];
+}
--- a/packages/workflow/src/cell/unanswered-start-writer.ts
+++ b/packages/workflow/src/cell/unanswered-start-writer.ts
@@ -6,13 +6,16 @@
 import type { CellLease } from "./cell-lease.js";
 import { rowKeys } from "./row-keys.js";
 import { startsCodec } from "./starts-codec.js";
-import type { StoredStarts } from "./stored-starts.js";
+import type { StoredAbsences } from "./stored-starts.js";
 
-/** Stores the unanswered starts of a cell, so that its next holder does not start their tasks elsewhere. */
+/**
+ * Stores the unanswered starts of a cell, so that its next holder does not start their tasks elsewhere, and its absent
+ * tasks, so that it starts them before tasks that have never run.
+ */
 export interface UnansweredStartWriter {
     /** Sets the version that the row has in the store; 0 if there is no row. */
     readonly setVersion: (version: number) => void;
-    /** Has the row written soon, since the unanswered starts have changed. */
+    /** Has the row written soon, since the unanswered starts or the absent tasks have changed. */
     readonly request: () => void;
     /** Writes the row until `signal` aborts: on request, and repeatedly while there are unanswered starts. */
     readonly run: (signal: AbortSignal) => Promise<void>;
@@ -24,8 +27,8 @@
     readonly lease: CellLease;
     readonly store: StateStore;
     readonly logger: Logger;
-    /** See `UnansweredStarts.snapshot`. */
-    readonly snapshot: () => StoredStarts;
+    /** The present contents of the row. */
+    readonly snapshot: () => StoredAbsences;
 }
 
 /** Milliseconds between writes while starts change. */
@@ -41,11 +44,14 @@
     const key = rowKeys.unansweredStarts(cell);
     const wakeUp = createWakeUp();
     let version = 0;
-    /** Whether the stored row may name starts. */
+    /** Whether the stored row may name starts or absent tasks. */
     let mayBeStored = false;
+    /** Whether the stored row may name starts, whose ages it has to tell, or has to be written again. */
+    let isRefreshDue = false;
 
-    const write = async (value: StoredStarts): Promise<void> => {
+    const write = async (value: StoredAbsences): Promise<void> => {
         mayBeStored = true;
+        isRefreshDue = true;
         const recordProof = lease.trackCall();
         const written = await store.commit({
             checks: [lease.check, { ...key, version }],
@@ -54,7 +60,8 @@
         if (written.isOk) {
             recordProof();
             version = written.value;
-            mayBeStored = value.starts.length > 0;
+            isRefreshDue = value.starts.length > 0;
+            mayBeStored = isRefreshDue || value.absentTasks.length > 0;
             return;
         }
         const { error } = written;
@@ -71,13 +78,15 @@
         setVersion: storedVersion => {
             version = storedVersion;
             mayBeStored = storedVersion > 0;
+            isRefreshDue = mayBeStored;
         },
         request: wakeUp.notify,
         run: async signal => {
             while (!signal.aborted) {
-                await wakeUp.wait(mayBeStored ? refreshInterval : idleWait, signal);
+                await wakeUp.wait(isRefreshDue ? refreshInterval : idleWait, signal);
                 const value = snapshot();
-                if (!signal.aborted && (mayBeStored || value.starts.length > 0)) {
+                const isEmpty = value.starts.length === 0 && value.absentTasks.length === 0;
+                if (!signal.aborted && (mayBeStored || !isEmpty)) {
                     await write(value);
                     await sleep(writeInterval, signal);
                 }
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -5,7 +5,9 @@
 import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
 import { createWorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { Configuration } from "../model/configuration.js";
+import { parseTaskName } from "../model/parse-task-name.js";
 import type { Queue } from "../model/queue.js";
+import type { TaskName } from "../model/task-name.js";
 import { taskName } from "../model/task-name.js";
 import type { WorkerEntry } from "../model/worker-entry.js";
 import type { Workflow } from "../model/workflow.js";
@@ -251,12 +253,16 @@
             startWriter.request();
         },
     });
+    const absentTasks = (): readonly TaskName[] =>
+        [...ledgers.values(), ...incomingTransfers.ledgers.values()].flatMap(ledger =>
+            ledger.absentTasks().map(position => taskName({ job: ledger.workflow.id, ...position }))
+        );
     const startWriter = createUnansweredStartWriter({
         cell,
         lease,
         store,
         logger,
-        snapshot: unansweredStarts.snapshot,
+        snapshot: () => ({ ...unansweredStarts.snapshot(), absentTasks: absentTasks() }),
     });
     const workerCrashes = createWorkerCrashes(runRegistry);
     const taskCrashes = createTaskCrashes({
@@ -270,6 +276,7 @@
     const constraintOf: UnansweredStarts["constraintOf"] = task =>
         taskCrashes.isGivenUp(task) ? "nowhere" : unansweredStarts.constraintOf(task);
     const absences = createLongRunningAbsences({ metrics });
+    const ledgerOf = (id: JobId): WorkflowLedger | undefined => ledgers.get(id) ?? incomingTransfers.ledgers.get(id);
     const runController = createRunController({
         epoch,
         unansweredStarts,
@@ -278,7 +285,7 @@
         processors: options.processors,
         processDelay,
         logger,
-        ledgerOf: id => ledgers.get(id) ?? incomingTransfers.ledgers.get(id),
+        ledgerOf,
         sessionOf: id => workers.get(id)?.session,
         onRunAdded: run => {
             workers.get(run.worker)?.resources.add(run.step);
@@ -443,6 +450,24 @@
         const answering = [...workers.values()].filter(({ session }) => session.contact() === "known").length;
         return answering > 0 && answering >= workers.size * answeringShare;
     };
+    let reviewedAbsentTasks = "";
+    /** Has the absent tasks stored if they have changed; most of them run again before the next review. */
+    const reviewAbsentTasks = (): void => {
+        const tasks = absentTasks().join();
+        if (tasks !== reviewedAbsentTasks) {
+            reviewedAbsentTasks = tasks;
+            startWriter.request();
+        }
+    };
+    /** Records that the task has run under an earlier holder, which its workflow's rows don't tell. */
+    const recordEarlierRun = (task: TaskName): void => {
+        const position = parseTaskName(task);
+        const ledger = position === undefined ? undefined : ledgerOf(position.job);
+        if (position !== undefined && ledger !== undefined) {
+            ledger.recordStart(position);
+            ledger.markWaiting(position);
+        }
+    };
     const logOverdueAbsences = (): void => {
         for (const { lost, absentFor } of absences.takeOverdue()) {
             const { task, number: run, worker, position, ledger } = lost;
@@ -505,6 +530,7 @@
                 reviewedAt = performance.now();
                 runWatchdog.review();
                 logOverdueAbsences();
+                reviewAbsentTasks();
                 outgoingTransfers.review();
                 incomingTransfers.review();
             }
@@ -545,6 +571,8 @@
         [...incomingTransfers.ledgers.keys()].forEach(id => inheritedJobs.add(id));
         roster.inherit(loaded.value);
         startWriter.setVersion(loaded.value.unansweredStartsVersion);
+        const { starts, absentTasks: absent } = loaded.value.unansweredStarts;
+        [...starts.filter(({ isLasting }) => isLasting).map(({ task }) => task), ...absent].forEach(recordEarlierRun);
         unansweredStarts.inherit(loaded.value.unansweredStarts).forEach(({ worker, ...start }) => {
             workers.get(worker)?.session.expectStart(start);
         });
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -70,6 +70,8 @@
      * rows do not tell, if others of their step have.
      */
     readonly completeTakeover: () => void;
+    /** The long-running tasks that have run, as far as this holder knows, and wait to run again. */
+    readonly absentTasks: () => readonly TaskPosition[];
     readonly recordCancellation: () => void;
     /** Records that `cell` runs the waiting long-running task from now on; its runs there have higher numbers. */
     readonly recordTransfer: (task: TransferredTask, cell: CellId) => void;
@@ -308,6 +310,14 @@
                 }
             }
         },
+        absentTasks: () =>
+            isSettled()
+                ? []
+                : [...stages.values()].filter(({ step }) => step.isLasting).flatMap((
+                    { occurrence, stepIndex, record },
+                ) => [...record.waiting].filter(index => record.started.has(index))
+                    .map(index => ({ occurrence, step: stepIndex, index }))
+                ),
         recordCancellation: () => {
             isCancelled = true;
             raiseRevision();
--- a/packages/workflow/tests/starts-codec.test.ts
+++ b/packages/workflow/tests/starts-codec.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from "@jest/globals";
 
 import { startsCodec } from "../src/cell/starts-codec.js";
-import type { StoredStart, StoredStarts } from "../src/cell/stored-starts.js";
+import type { StoredAbsences, StoredStart } from "../src/cell/stored-starts.js";
 import type { TaskName } from "../src/model/task-name.js";
 
 /** Largest row in bytes that the platform's store accepts. */
@@ -19,17 +19,39 @@
         isIncarnationOver: number % 5 === 0,
     }));
 
-describe("codec of the row of unanswered starts", () => {
+const absentTasks = (count: number): readonly TaskName[] =>
+    [...Array(count).keys()].map(number => `ffffffffffffffff.999.99.${String(number)}` as TaskName);
+
+describe("codec of the row of unanswered starts and absent tasks", () => {
     // Guards against a holder whose writes all fail, since the store refuses rows over 64 KB.
     it("fits the newest starts into a row, however many there are", () => {
-        const encoded = startsCodec.encode({ restartAge: 59_999, starts: starts(5_000) });
+        const encoded = startsCodec.encode({
+            restartAge: 59_999,
+            starts: starts(5_000),
+            absentTasks: absentTasks(5_000),
+        });
         expect(Buffer.byteLength(encoded)).toBeLessThan(maxRowBytes);
         expect(startsCodec.decode(encoded).starts.at(-1)).toEqual(starts(5_000).at(-1));
     });
 
-    it.each<StoredStarts>([
-        { restartAge: 400, starts: starts(40) },
-        { restartAge: undefined, starts: [] },
+    // Guards against a cell that can't be loaded while its absent tasks alone would fill more than a row.
+    it("fits absent tasks into the rest of a row", () => {
+        const encoded = startsCodec.encode({
+            restartAge: undefined,
+            starts: starts(400),
+            absentTasks: absentTasks(5_000),
+        });
+        expect(Buffer.byteLength(encoded)).toBeLessThan(maxRowBytes);
+        expect(startsCodec.decode(encoded).absentTasks.length).toBeGreaterThan(700);
+    });
+
+    it("decodes a row of an earlier version, which names no absent tasks", () => {
+        expect(startsCodec.decode(JSON.stringify({ starts: [] })).absentTasks).toEqual([]);
+    });
+
+    it.each<StoredAbsences>([
+        { restartAge: 400, starts: starts(40), absentTasks: absentTasks(3) },
+        { restartAge: undefined, starts: [], absentTasks: [] },
     ])("decodes what it encoded", stored => {
         expect(startsCodec.decode(startsCodec.encode(stored))).toEqual(stored);
     });
