--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -181,11 +181,13 @@
             await sleep(settleRetryInterval, signal);
         }
     };
+    /** Removes a run whose start has not been sent, so that its worker can't run it. */
+    const removeUnsent = (run: Run): void => {
+        removeRun({ run, outcome: "not-started", error: "not-sent" });
+    };
     /** Removes the runs of a worker whose incarnation is over, if their starts were not sent: they were chosen for it. */
     const removeUnsentRuns = (session: WorkerSession): void => {
-        [...unsentRuns].filter(run => run.worker === session.id).forEach(run => {
-            removeRun({ run, outcome: "not-started", error: "not-sent" });
-        });
+        [...unsentRuns].filter(run => run.worker === session.id).forEach(removeUnsent);
     };
     /** Whether a run whose start has waited for its turn is still to start; if it can't start any more, it is removed. */
     const isStillDue = (run: Run, session: WorkerSession): boolean => {
@@ -194,7 +196,7 @@
             return false;
         }
         if (session.deadline() === undefined || session.entry().isDraining) {
-            removeRun({ run, outcome: "not-started", error: "not-sent" });
+            removeUnsent(run);
             return false;
         }
         // The time in which it may be carried out late counts from here.
@@ -309,7 +311,13 @@
         run.phase = "stopping";
         run.doubtedAt ??= performance.now();
         const { job } = run.position;
-        logger.info({ job, task: run.task, run: run.number, worker: run.worker, reason }, "stop ordered");
+        const details = { job, task: run.task, run: run.number, worker: run.worker, reason };
+        if (unsentRuns.has(run)) {
+            logger.info(details, "start withdrawn");
+            removeUnsent(run);
+            return;
+        }
+        logger.info(details, "stop ordered");
         void sessionOf(run.worker)?.stop(run.task, run.number).then(wasAnswered => {
             if (wasAnswered) {
                 run.answeredAt = performance.now();
--- a/packages/workflow/tests/unsent-starts.test.ts
+++ b/packages/workflow/tests/unsent-starts.test.ts
@@ -18,15 +18,17 @@
 /** Start orders; eight are sent at once. */
 const count = 10;
 
-describe("starts that wait for their turn while their worker's incarnation ends", () => {
+describe("starts that wait for their turn", () => {
     let controller: RunController;
     let session: WorkerSession;
     let sent: number;
+    let stops: number;
     let ends: RunEnd[];
     let crashes: number;
     beforeEach(() => {
         jest.useFakeTimers();
         sent = 0;
+        stops = 0;
         ends = [];
         crashes = 0;
         const steps = [createStep({ count })];
@@ -40,7 +42,10 @@
                 sent += 1;
                 return new Promise(() => undefined);
             },
-            stop: () => Promise.resolve(true),
+            stop: () => {
+                stops += 1;
+                return Promise.resolve(true);
+            },
             recordEnds: () => undefined,
         } as unknown as WorkerSession;
         const runRegistry = createRunRegistry();
@@ -70,7 +75,7 @@
         ends.map(({ run, outcome }) => `${String(run.position.index)} ${outcome}`);
 
     // Guards against a start that reaches another incarnation, with other labels, than the one it was chosen for.
-    it("are not sent to the next incarnation; their tasks wait again", async () => {
+    it("are not sent to the next incarnation of their worker; their tasks wait again", async () => {
         const sentBefore = sent;
         controller.recordRestart(session);
         await jest.advanceTimersByTimeAsync(5_000);
@@ -78,8 +83,16 @@
     });
 
     // Guards against a task that is given up for crashes of workers to which it was never sent.
-    it("are not blamed for its crash", () => {
+    it("are not blamed for a crash of their worker", () => {
         controller.dropWorkerRuns(session, true);
         expect([crashes, outcomes().slice(0, 2)]).toEqual([8, ["8 not-started", "9 not-started"]]);
     });
+
+    // Guards against starts of a cancelled workflow that keep room until their worker shows that it never ran them.
+    it("are dropped at once with their workflow, without a call to their worker", async () => {
+        controller.stopWorkflow(job, "the workflow was cancelled");
+        const dropped = outcomes();
+        await jest.advanceTimersByTimeAsync(5_000);
+        expect([dropped, sent, stops]).toEqual([["8 not-started", "9 not-started"], 8, 8]);
+    });
 });
