--- a/packages/workflow/src/entry/cell-manager.ts
+++ b/packages/workflow/src/entry/cell-manager.ts
@@ -251,22 +251,6 @@
         const timeout = timeoutOf(cell);
         return await probe.isDown({ cell, epoch, timeout, peers }) && !isHeld(cell);
     };
-    /** Takes the cell if the store names this host as its holder, so that this host need not be compared with others. */
-    const takeAgain = async (cell: CellId): Promise<void> => {
-        if (cellsInReview.has(cell) || isHeld(cell)) {
-            return;
-        }
-        cellsInReview.add(cell);
-        try {
-            const row = await readHolderRow(store, cell);
-            if (row.isOk && row.value.holder?.host === self.id && !isStopping && !isHeld(cell)) {
-                await take(cell, row.value, "held before");
-            }
-        }
-        finally {
-            cellsInReview.delete(cell);
-        }
-    };
     const reviewUnheld = async (cell: CellId, failureDomains: readonly FailureDomainId[]): Promise<void> => {
         if (!isRowReadDue(cell, failureDomains)) {
             return;
@@ -458,7 +442,6 @@
             }
         },
         run: async signal => {
-            plan()?.cells.forEach(({ cell }) => void takeAgain(cell));
             await sleep(firstReviewDelay, signal);
             // A host that does not know the others yet would rank first for all cells.
             while (!signal.aborted && !await registry.refresh()) {
