--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -503,14 +503,19 @@
         );
         return !ledger.isSettled() && isOpenTo(worker, queueOf(ledger).service) && (isWaiting || isLeaving);
     };
+    /** See `ReplacementPlaces.release`. */
+    const releasePlace = (task: TaskName): CellWorker | undefined => {
+        const worker = replacementPlaces.release(task);
+        if (worker !== undefined) {
+            summaries.delete(worker.session.id);
+        }
+        return worker;
+    };
     /** Starts the waiting tasks that have a place; returns the indices of the others. */
     const startOnPlaces = (candidate: StageCandidate): readonly number[] =>
         candidate.indices.filter(index => {
             const task = taskOf(candidate, index);
-            const worker = constraintOf(task) === undefined ? replacementPlaces.release(task) : undefined;
-            if (worker !== undefined) {
-                summaries.delete(worker.session.id);
-            }
+            const worker = constraintOf(task) === undefined ? releasePlace(task) : undefined;
             if (worker === undefined || !mayStartOn(worker, candidate.queue.service, candidate.stage.step)) {
                 return true;
             }
@@ -541,6 +546,8 @@
         if (index === undefined || suspectPlacement.hasTrial(ledger)) {
             return;
         }
+        // The worker of a place that the task got before the crash may run others that are not proven.
+        releasePlace(taskOf(candidate, index));
         const eligible = eligibleWorkersFor(candidate);
         const worker = eligible.choose(taskOf(candidate, index));
         if (worker === undefined) {
--- a/packages/workflow/tests/replacement-places.test.ts
+++ b/packages/workflow/tests/replacement-places.test.ts
@@ -91,6 +91,26 @@
         expect(lookUps).toBeLessThan(10);
     });
 
+    // Guards against a task that finds no room since its own place takes it.
+    it("start on their places although their worker crashed meanwhile", () => {
+        const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: 1_000 });
+        const ledger = cell.submit({}, [{ count: 1, cpu: 16_000, isLasting: true }]);
+        cell.scheduler.runPass();
+        const [run] = [...cell.runRegistry.all()];
+        if (run === undefined) {
+            throw new Error("the workflow should have a run");
+        }
+        cell.drainWorker(run.worker);
+        cell.scheduler.runPass();
+        expect(placesOf(cell, [run])).toEqual([run]);
+        ledger.recordCrash(run.position, run.number, 1);
+        ledger.markStored(ledger.revision());
+        cell.endRun(run, "lost");
+        cell.removeWorker(run.worker);
+        cell.scheduler.runPass();
+        expect([...cell.runRegistry.all()]).toHaveLength(1);
+    });
+
     // Guards against starvation of a large task by smaller urgent tasks while its worker drains.
     it("keep smaller urgent tasks off the worker with the soonest room", () => {
         const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: 1_000 });
