--- a/packages/workflow/src/cell/run-watchdog.ts
+++ b/packages/workflow/src/cell/run-watchdog.ts
@@ -28,6 +28,8 @@
     readonly replacementPlaces: Pick<ReplacementPlaces, "has">;
     /** See `StageScheduler.keepPlaceElsewhere`. */
     readonly keepPlaceElsewhere: (run: Run) => boolean;
+    /** See `StageScheduler.holdsReservedRoom`. */
+    readonly holdsReservedRoom: (run: Run) => boolean;
 }
 
 /** Creates the watchdog of a cell. */
@@ -41,7 +43,7 @@
             return true;
         },
         // Without a place elsewhere the run goes on once its worker has time for it; its work is kept.
-        halted: options.keepPlaceElsewhere,
+        halted: run => options.holdsReservedRoom(run) || options.keepPlaceElsewhere(run),
     };
 
     /** The scheduler keeps no places for gangs, since a new run of a gang needs room for all of its members. */
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -52,6 +52,8 @@
      * one. The caller stops the run.
      */
     readonly keepPlaceElsewhere: (run: Run) => boolean;
+    /** Whether the run holds memory or accelerators that a waiting task needs for which its worker is reserved. */
+    readonly holdsReservedRoom: (run: Run) => boolean;
     /** Why a long-running task that has run before did not start in the last pass, with the figures that decide it. */
     readonly explainWait: (ledger: WorkflowLedger, position: TaskNameParts) => WaitExplanation;
 }
@@ -684,6 +686,18 @@
         keepPlace(candidate, position.index, worker);
         return true;
     };
+    const holdsReservedRoom: StageScheduler["holdsReservedRoom"] = ({ worker: id, step }) => {
+        const resources = workers.get(id)?.resources;
+        const reserved = reservations.reservedFor(id);
+        if (resources === undefined || reserved === undefined) {
+            return false;
+        }
+        const stopping = [...runRegistry.ofWorker(id)].filter(run => run.phase === "stopping");
+        const sum = (resource: "memory" | "accelerators"): number =>
+            stopping.reduce((total, run) => total + run.step[resource], 0);
+        return step.memory > 0 && resources.freeMemory() + sum("memory") < reserved.memory
+            || step.accelerators > 0 && resources.freeAccelerators() + sum("accelerators") < reserved.accelerators;
+    };
     const explainWait: StageScheduler["explainWait"] = (ledger, position) => {
         const stage = ledger.stage(position);
         if (stage === undefined) {
@@ -711,6 +725,7 @@
     };
     return {
         keepPlaceElsewhere,
+        holdsReservedRoom,
         explainWait,
         longestWait: starvingWorkflows.longestWait,
         runPass: () => {
--- a/packages/workflow/src/cell/worker-reservations.ts
+++ b/packages/workflow/src/cell/worker-reservations.ts
@@ -21,6 +21,8 @@
     readonly release: (task: TaskName) => void;
     /** Whether the worker has been reserved in this round. */
     readonly isReserved: (worker: CellWorker) => boolean;
+    /** The step of the task for which the worker has been reserved in this round. */
+    readonly reservedFor: (worker: WorkerId) => Step | undefined;
     /** Whether no more workers may be reserved in this round. */
     readonly isFull: () => boolean;
     /** Has to be called after each start in the pass, since it changes when the worker has room. */
@@ -51,7 +53,7 @@
     /** Reservations of the last round, and of this one as far as they were released since. */
     let previous = new Map<TaskName, WorkerId>();
     let reserved = new Map<TaskName, WorkerId>();
-    let reservedWorkers = new Set<WorkerId>();
+    let reservedWorkers = new Map<WorkerId, Step>();
     /** Descriptions that hold until the pass ends or something starts on the worker. */
     const described = new Map<WorkerId, ReservableWorker>();
 
@@ -87,7 +89,7 @@
             if (!isContinued) {
                 previous = reserved;
                 reserved = new Map();
-                reservedWorkers = new Set();
+                reservedWorkers = new Map();
             }
         },
         reserve: (task, step, candidates) => {
@@ -104,7 +106,7 @@
                 && timeUntilFit(step, previousWorker) <= timeUntilFit(step, soonest) + minSwitchGain;
             const { id } = isKept ? previousWorker : soonest;
             reserved.set(task, id);
-            reservedWorkers.add(id);
+            reservedWorkers.set(id, step);
         },
         release: task => {
             const id = reserved.get(task);
@@ -115,6 +117,7 @@
             }
         },
         isReserved,
+        reservedFor: worker => reservedWorkers.get(worker),
         isFull,
         recordStart: worker => {
             described.delete(worker.session.id);
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -396,6 +396,7 @@
         queueOf: run => queueOf(run.ledger),
         replacementPlaces,
         keepPlaceElsewhere: scheduler.keepPlaceElsewhere,
+        holdsReservedRoom: scheduler.holdsReservedRoom,
     });
     const events: SessionEvents = {
         onReport: (session, report, sentAt, isFirst) => {
--- a/packages/workflow/tests/halted-run.test.ts
+++ b/packages/workflow/tests/halted-run.test.ts
@@ -47,6 +47,7 @@
             queueOf: ({ ledger }) => ledger.workflow.queue,
             replacementPlaces: cell.replacementPlaces,
             keepPlaceElsewhere: cell.scheduler.keepPlaceElsewhere,
+            holdsReservedRoom: cell.scheduler.holdsReservedRoom,
         });
         const workflow = cell.submit({ priority: 1 }, [spareStep]);
         cell.scheduler.runPass();
@@ -154,6 +155,7 @@
             queueOf: ({ ledger }) => ledger.workflow.queue,
             replacementPlaces: cell.replacementPlaces,
             keepPlaceElsewhere: cell.scheduler.keepPlaceElsewhere,
+            holdsReservedRoom: cell.scheduler.holdsReservedRoom,
         });
         const spareRuns = [...cell.runRegistry.all()].filter(run => run.step.usesSpareCpu);
         spareRuns.forEach(run => {
@@ -187,4 +189,14 @@
         expect(halt(cell)).toHaveLength(0);
         expect(cell.counts.summaries - before).toBeLessThanOrEqual(workers);
     });
+
+    // Guards against a long-running task that waits for memory which halted runs hold for as long as they are halted.
+    it("give up the memory for which a long-running task waits", () => {
+        const cell = createTestCell({ workers: 2, cpu: 16_000, runTime: 1_000 });
+        cell.submit({ priority: 1 }, [{ ...spareStep, count: 2, memory: 64_000 }]);
+        cell.scheduler.runPass();
+        cell.submit({}, [{ ...servingStep, count: 1, memory: 1_000 }]);
+        cell.scheduler.runPass();
+        expect(halt(cell)).toHaveLength(1);
+    });
 });
