--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -441,8 +441,12 @@
             stage.record.noRoomSince = undefined;
         }
     };
-    /** Finds workers for all members of a gang; undefined if they can't all start now. */
-    const planGang = (candidate: StageCandidate, rack?: string): CellWorker[] | undefined => {
+    /** Finds workers for all members of a gang by `method`; undefined if they can't all start now. */
+    const planGang = (
+        candidate: StageCandidate,
+        method: "choose" | "chooseAlways",
+        rack?: string,
+    ): CellWorker[] | undefined => {
         const { step, record } = candidate.stage;
         const plan: CellWorker[] = [];
         const eligibleWorkers = eligibleWorkersFor(
@@ -451,7 +455,7 @@
             worker => plan.filter(planned => planned === worker).length,
         );
         for (const index of record.waiting) {
-            const worker = eligibleWorkers.choose(taskOf(candidate, index));
+            const worker = eligibleWorkers[method](taskOf(candidate, index));
             if (worker === undefined) {
                 break;
             }
@@ -465,15 +469,15 @@
         return plan.length === record.waiting.size ? plan : undefined;
     };
     const racks = (): string[] => [...new Set([...workers.values()].map(worker => worker.session.entry().rack))];
-    const startGang = (candidate: StageCandidate): void => {
+    const startGang = (candidate: StageCandidate, method: "choose" | "chooseAlways" = "choose"): void => {
         const { step, record } = candidate.stage;
         if (record.waiting.size < step.count) {
             return;
         }
         const oneRackPlan = step.needsOneRack
-            ? racks().map(rack => planGang(candidate, rack)).find(plan => plan !== undefined)
+            ? racks().map(rack => planGang(candidate, method, rack)).find(plan => plan !== undefined)
             : undefined;
-        const plan = oneRackPlan ?? planGang(candidate);
+        const plan = oneRackPlan ?? planGang(candidate, method);
         if (plan === undefined) {
             const [first = 0] = record.waiting;
             logWait(candidate, () => countExcluded(candidate, first, eligibleWorkersFor(candidate)));
@@ -655,6 +659,10 @@
                 return;
             }
             starvingWorkflows.recordAttempt(candidate);
+            if (candidate.stage.step.isGang) {
+                startGang(candidate, "chooseAlways");
+                continue;
+            }
             const { indices } = candidate;
             const index = indices.find(each => constraintOf(taskOf(candidate, each)) === undefined) ?? indices[0] ?? 0;
             const worker = eligibleWorkersFor(candidate).chooseAlways(taskOf(candidate, index));
--- a/packages/workflow/src/cell/starving-workflows.ts
+++ b/packages/workflow/src/cell/starving-workflows.ts
@@ -52,13 +52,16 @@
     const served = new Set<JobId>();
     let longestWait = 0;
     const isRoomAmple = (): boolean => freeRoom.ofCell() > ampleFreeShare || freeRoom.ofAllCells() > ampleFreeShare;
-    /** The first candidate of each workflow without a run. Long-running tasks go first in any case. */
+    /**
+     * The first candidate of each workflow without a run. Long-running tasks go first in any case, and those and gangs wait
+     * for nothing but room unless they use spare CPU.
+     */
     const findWaiting = (candidates: readonly StageCandidate[]): ReadonlyMap<JobId, StageCandidate> => {
         const found = new Map<JobId, StageCandidate>();
         for (const candidate of candidates) {
             const { ledger: { workflow: { id } }, stage: { step } } = candidate;
-            const isSingle = !step.isLasting && !step.isGang;
-            if (isSingle && !found.has(id) && runRegistry.ofWorkflow(id).length === 0) {
+            const mayStarve = step.usesSpareCpu || !step.isLasting && !step.isGang;
+            if (mayStarve && !found.has(id) && runRegistry.ofWorkflow(id).length === 0) {
                 found.set(id, candidate);
             }
         }
--- a/packages/workflow/tests/starving-workflows.test.ts
+++ b/packages/workflow/tests/starving-workflows.test.ts
@@ -183,4 +183,15 @@
         runPasses(cell, longestWait);
         expect(countRuns(cell, workflow)).toBe(1);
     });
+
+    // Guards against gangs and long-running tasks on spare CPU that never run, since all workers have serving tasks.
+    it.each([
+        { name: "a gang", step: { count: 2, isGang: true } },
+        { name: "a long-running task", step: { count: 1, isLasting: true } },
+    ])("gets a run if it is $name on spare CPU", ({ step }) => {
+        const cell = createServingCell(2_000);
+        const workflow = cell.submit({ priority: 2 }, [{ ...spareStep, ...step }]);
+        runPasses(cell, longestWait);
+        expect(countRuns(cell, workflow)).toBe(step.count);
+    });
 });
