--- a/packages/workflow/src/cell/run-watchdog.ts
+++ b/packages/workflow/src/cell/run-watchdog.ts
@@ -35,6 +35,11 @@
 /** Creates the watchdog of a cell. */
 export const createRunWatchdog = (options: RunWatchdogOptions): RunWatchdog => {
     const { runRegistry, runController, workers, health, runTime, queueOf, replacementPlaces } = options;
+    /** Whether another run of the workflow works, so that the workflow does not depend on the next start of this one. */
+    const hasOtherRun = (run: Run): boolean =>
+        runRegistry.ofWorkflow(run.position.job).some(other =>
+            other !== run && other.phase === "running" && other.pace !== 0
+        );
     /** Prepares the stop of a run by the reason for it; returns whether the run may be stopped. */
     const preparations: Readonly<Record<RelocationReason, (run: Run) => boolean>> = {
         "worker leaves": () => true,
@@ -42,8 +47,8 @@
             health.recordEnd(run.worker, run.position.job, true);
             return true;
         },
-        // Without a place elsewhere the run goes on once its worker has time for it; its work is kept.
-        halted: run => options.holdsReservedRoom(run) || options.keepPlaceElsewhere(run),
+        // The only run of a workflow that works stays halted, unless it has a place elsewhere.
+        halted: run => options.holdsReservedRoom(run) || options.keepPlaceElsewhere(run) || hasOtherRun(run),
     };
 
     /** The scheduler keeps no places for gangs, since a new run of a gang needs room for all of its members. */
--- a/packages/workflow/tests/halted-run.test.ts
+++ b/packages/workflow/tests/halted-run.test.ts
@@ -2,12 +2,14 @@
 import type { JobId, WorkerId } from "@jayfront/world";
 import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
 
+import { createRun } from "../src/cell/create-run.js";
 import type { RunWatchdog } from "../src/cell/run-watchdog.js";
 import { createRunWatchdog } from "../src/cell/run-watchdog.js";
 import type { Run } from "../src/cell/run.js";
 import type { WorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { createStep } from "../src/model/create-step.js";
 import type { Step } from "../src/model/step.js";
+import { taskName } from "../src/model/task-name.js";
 import type { TestCell } from "./test-cell.js";
 import { createTestCell } from "./test-cell.js";
 
@@ -90,6 +92,20 @@
         expect(run?.phase).toBe("running");
     });
 
+    // Guards against work that waits on its worker while others of its urgency start wherever serving tasks leave time.
+    it("waits for its turn if another run of its workflow works", () => {
+        [...cell.workers.keys()].forEach(addServingTasks);
+        const [worker] = [...cell.workers.keys()].filter(id => id !== run?.worker);
+        if (run !== undefined && worker !== undefined) {
+            const origin = { ...run, task: taskName({ ...run.position, index: 1 }), worker };
+            const other = createRun(origin);
+            other.phase = "running";
+            cell.runRegistry.add(other);
+        }
+        halt();
+        expect(run?.phase).toBe("stopping");
+    });
+
     // Guards against a run that is stopped for a worker on which its task is not started afterwards.
     it("moves to a worker that would take it", () => {
         addServingTasks(run?.worker ?? "" as WorkerId);
