--- a/packages/workflow/src/cell/unanswered-starts.ts
+++ b/packages/workflow/src/cell/unanswered-starts.ts
@@ -21,7 +21,11 @@
     readonly addOverdue: (run: Run) => void;
     /** Adds the start of a run that was not answered. */
     readonly add: (run: Run) => void;
-    /** Removes a start that was answered, or that a worker lists as carried out: it won't be carried out again. */
+    /**
+     * Removes a start that was answered, or that a worker lists as carried out: it won't be carried out again. While others
+     * of its task have no answer, the snapshot still names it: the next holder takes the workers that are named for all on
+     * which the task may run.
+     */
     readonly remove: (worker: WorkerId, task: TaskName, run: number) => void;
     /**
      * Records that the worker has restarted, some `age` ms ago, and repeats its stops: the new incarnation doesn't know
@@ -64,6 +68,8 @@
     orderedAt: number;
     /** Whether its answer may still come. */
     isOverdue: boolean;
+    /** Whether it was answered or listed by its worker while others of its task had no answer; see `remove`. */
+    isAnswered: boolean;
     /** Whether the incarnation of the worker that the start was sent to is over. */
     isIncarnationOver: boolean;
 }
@@ -111,6 +117,7 @@
             isLasting: step.isLasting,
             orderedAt,
             isOverdue: true,
+            isAnswered: false,
             isIncarnationOver: false,
         };
         setStarts([...starts.filter(mayArrive), start]);
@@ -135,15 +142,20 @@
         },
         remove: (worker, task, run) => {
             const found = find(worker, task, run);
-            if (found !== undefined) {
-                setStarts(starts.filter(start => start !== found));
-                onChange();
+            if (found === undefined || found.isAnswered) {
+                return;
+            }
+            if (startsOf(task).some(start => start !== found && !start.isAnswered && mayArrive(start))) {
+                found.isAnswered = true;
+                return;
             }
+            setStarts(starts.filter(start => start.task !== task || start !== found && !start.isAnswered));
+            onChange();
         },
         recordRestart: (session, age) => {
             restartedAt = Math.max(restartedAt, performance.now() - age);
             for (const start of endIncarnation(session.id)) {
-                if (mayArrive(start) && !start.isOverdue) {
+                if (mayArrive(start) && !start.isOverdue && !start.isAnswered) {
                     void session.stop(start.task, start.run);
                 }
             }
@@ -152,7 +164,7 @@
         hasAny: task => startsOf(task).length > 0,
         constraintOf: task => {
             const constraining = startsOf(task).filter(start =>
-                mayArrive(start) && lateOrderDetector.mayBeDelayed(start.orderedAt)
+                !start.isAnswered && mayArrive(start) && lateOrderDetector.mayBeDelayed(start.orderedAt)
             );
             const [first] = constraining;
             if (first === undefined) {
@@ -186,7 +198,16 @@
                 if (mayBeDelayed) {
                     lateOrderDetector.recordSign(orderedAt);
                 }
-                return { task, run, worker, isLasting, orderedAt, isOverdue: false, isIncarnationOver };
+                return {
+                    task,
+                    run,
+                    worker,
+                    isLasting,
+                    orderedAt,
+                    isOverdue: false,
+                    isAnswered: false,
+                    isIncarnationOver,
+                };
             });
             setStarts([...starts, ...inherited]);
             return inherited;
--- a/packages/workflow/tests/unanswered-starts.test.ts
+++ b/packages/workflow/tests/unanswered-starts.test.ts
@@ -53,6 +53,22 @@
         jest.useRealTimers();
     });
 
+    // Guards against two runs of a task: the next holder waits only for the workers that the row names, and the run on the
+    // other one was left out once its start had been answered.
+    it("name an answered start to the next holder while an earlier one of the task has no answer", () => {
+        const unanswered = createTaskRun(true);
+        const answered = createTaskRun(true, "w-2" as WorkerId);
+        const named = (): readonly string[] => starts.snapshot().starts.map(start => start.worker);
+        starts.add(unanswered);
+        starts.addOverdue(answered);
+        starts.remove(answered.worker, answered.task, answered.number);
+        expect(named()).toEqual(["w-1", "w-2"]);
+        recordSign();
+        expect(starts.constraintOf(answered.task)).toBe(worker);
+        starts.remove(worker, unanswered.task, unanswered.number);
+        expect([named(), starts.hasAny(answered.task)]).toEqual([[], false]);
+    });
+
     it("restrict their tasks to the worker while they may be carried out late", () => {
         const run = createTaskRun();
         starts.add(run);
