Share the set-up of the watchdog in halted-run.test.ts, and correct a doc comment

Found in the last read of the diff: both describes of the test built the same watchdog, and the comment of UnansweredStarts.hasAny did not allow for answered starts that stay named since. No behaviour and no assertion changes; packages/workflow: 451 tests passed, as before.

--- a/packages/workflow/src/cell/unanswered-starts.ts
+++ b/packages/workflow/src/cell/unanswered-starts.ts
@@ -36,7 +36,7 @@
     readonly recordLapse: (worker: WorkerId) => void;
     /** The only worker on which the task may start, or `nowhere`; undefined if it may start on any. */
     readonly constraintOf: (task: TaskName) => WorkerId | "nowhere" | undefined;
-    /** Whether any start of the task is known that has not been answered. */
+    /** Whether the snapshot may name a start of the task. */
     readonly hasAny: (task: TaskName) => boolean;
     /** The starts that may still be carried out, as a later holder has to know them. */
     readonly snapshot: () => StoredStarts;
--- a/packages/workflow/tests/halted-run.test.ts
+++ b/packages/workflow/tests/halted-run.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
 
 import { createRun } from "../src/cell/create-run.js";
+import type { RunController } from "../src/cell/run-controller.js";
 import type { RunWatchdog } from "../src/cell/run-watchdog.js";
 import { createRunWatchdog } from "../src/cell/run-watchdog.js";
 import type { Run } from "../src/cell/run.js";
@@ -29,6 +30,20 @@
 
 const unknownJob = "" as JobId;
 
+/** The watchdog of a cell whose runs all take as long as those of the cell's scheduler. */
+const createWatchdog = (cell: TestCell, stop: RunController["stop"]): RunWatchdog =>
+    createRunWatchdog({
+        runRegistry: cell.runRegistry,
+        runController: { stop },
+        workers: cell.workers,
+        health: createWorkerHealth({ initialStartLimit: 1_000 }),
+        runTime: () => 1_000,
+        queueOf: ({ ledger }) => ledger.workflow.queue,
+        replacementPlaces: cell.replacementPlaces,
+        keepPlaceElsewhere: cell.scheduler.keepPlaceElsewhere,
+        holdsReservedRoom: cell.scheduler.holdsReservedRoom,
+    });
+
 describe("a checkpointing run that is halted beside serving tasks", () => {
     let cell: TestCell;
     let watchdog: RunWatchdog;
@@ -40,17 +55,7 @@
             stopped.phase = "stopping";
             stopped.stopReason = reason;
         };
-        watchdog = createRunWatchdog({
-            runRegistry: cell.runRegistry,
-            runController: { stop },
-            workers: cell.workers,
-            health: createWorkerHealth({ initialStartLimit: 1_000 }),
-            runTime: () => 1_000,
-            queueOf: ({ ledger }) => ledger.workflow.queue,
-            replacementPlaces: cell.replacementPlaces,
-            keepPlaceElsewhere: cell.scheduler.keepPlaceElsewhere,
-            holdsReservedRoom: cell.scheduler.holdsReservedRoom,
-        });
+        watchdog = createWatchdog(cell, stop);
         const workflow = cell.submit({ priority: 1 }, [spareStep]);
         cell.scheduler.runPass();
         [run] = cell.runRegistry.ofWorkflow(workflow.workflow.id);
@@ -157,21 +162,9 @@
     /** Halts all spare-CPU runs of the cell for long enough, and returns those that are stopped. */
     const halt = (cell: TestCell): readonly Run[] => {
         const stopped: Run[] = [];
-        const watchdog = createRunWatchdog({
-            runRegistry: cell.runRegistry,
-            runController: {
-                stop: run => {
-                    run.phase = "stopping";
-                    stopped.push(run);
-                },
-            },
-            workers: cell.workers,
-            health: createWorkerHealth({ initialStartLimit: 1_000 }),
-            runTime: () => 1_000,
-            queueOf: ({ ledger }) => ledger.workflow.queue,
-            replacementPlaces: cell.replacementPlaces,
-            keepPlaceElsewhere: cell.scheduler.keepPlaceElsewhere,
-            holdsReservedRoom: cell.scheduler.holdsReservedRoom,
+        const watchdog = createWatchdog(cell, run => {
+            run.phase = "stopping";
+            stopped.push(run);
         });
         const spareRuns = [...cell.runRegistry.all()].filter(run => run.step.usesSpareCpu);
         spareRuns.forEach(run => {
