--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -93,6 +93,8 @@
 
 /** Stop reason of a run whose start was not answered. */
 const unansweredStartReason = "start without answer";
+/** Stop reason of a reported run that was given up, or whose task has another run. */
+const unwantedRunReason = "not wanted";
 /** Milliseconds after which a start without answer is stored for the next holder; workers usually answer in 5 ms. */
 const overdueTime = 200;
 /** Milliseconds after its start at which a reported run is proven; a task that crashes its worker does so at once. */
@@ -402,45 +404,57 @@
             writer.request(ledger, onWritten);
         });
     };
-    /** Registers a run that this holder did not start, or stops it if it is not wanted. */
-    const adoptRun = (session: WorkerSession, row: ReportedRun): void => {
+    /** Creates a run from a worker's report; the first report that does not list it shows that it has ended. */
+    const createReportedRun = (session: WorkerSession, row: ReportedRun, ledger: WorkflowLedger, stage: Stage): Run => {
+        const { occurrence, stepIndex: step } = stage;
+        const index = parseTaskName(row.task)?.index ?? 0;
+        const run = createRun({
+            task: row.task,
+            position: { job: ledger.workflow.id, occurrence, step, index },
+            number: row.run,
+            worker: session.id,
+            ledger,
+            step: stage.step,
+            checkpoint: row.checkpoint,
+        });
+        run.answeredAt = -Infinity;
+        run.percent = row.percent;
+        run.measure = row.measure;
+        run.pace = undefined;
+        run.hasFullRunTime = false;
+        run.isProven = true;
+        return run;
+    };
+    /** Registers a run that this holder did not start, and stops it if it is not wanted. */
+    const adoptRun = (session: WorkerSession, row: ReportedRun, mayBeWanted: boolean): void => {
         const position = parseTaskName(row.task);
         const ledger = position === undefined ? undefined : ledgerOf(position.job);
         const stage = position === undefined ? undefined : ledger?.stage(position);
-        const isWanted = position !== undefined
+        const mayStart = position !== undefined
             && ledger !== undefined
             && stage !== undefined
             && !ledger.isSettled()
             && !ledger.isDone(position)
-            && !ledger.isTransferred(position)
+            && !ledger.isTransferred(position);
+        const isWanted = mayStart
+            && mayBeWanted
             && !runNumbers.isClosed(row.task, row.run)
             && (stage.step.isSpeculative || runRegistry.ofTask(row.task).length === 0);
         logger.info(
             { job: position?.job, task: row.task, run: row.run, worker: session.id, isWanted },
             "running task reported by worker",
         );
-        if (!isWanted) {
+        if (!mayStart) {
             void session.stop(row.task, row.run);
             return;
         }
-        const run = createRun({
-            task: row.task,
-            position,
-            number: row.run,
-            worker: session.id,
-            ledger,
-            step: stage.step,
-            checkpoint: row.checkpoint,
-        });
+        const run = createReportedRun(session, row, ledger, stage);
         run.phase = "running";
-        // The first report that does not list the run shows that it has ended.
-        run.answeredAt = -Infinity;
-        run.percent = row.percent;
-        run.measure = row.measure;
-        run.pace = undefined;
-        run.hasFullRunTime = false;
-        run.isProven = true;
         addRun(run);
+        if (!isWanted) {
+            // Its task must not start elsewhere before the run has ended.
+            stop(run, unwantedRunReason);
+        }
     };
     const recordRestart = (session: WorkerSession): void => {
         removeUnsentRuns(session);
@@ -481,12 +495,12 @@
                 unansweredStarts.remove(session.id, row.task, row.run);
                 updateRun(run, row, now);
             }
-            else if (isFirst) {
-                adoptRun(session, row);
-                runRegistry.ofTask(row.task).forEach(adopted => listed.add(adopted));
-            }
             else {
-                void session.stop(row.task, row.run);
+                adoptRun(session, row, isFirst);
+                const adopted = runRegistry.find(session.id, row.task, row.run);
+                if (adopted !== undefined) {
+                    listed.add(adopted);
+                }
             }
         }
         for (const run of [...runRegistry.ofWorker(session.id)]) {
--- a/packages/workflow/tests/adopted-run.test.ts
+++ b/packages/workflow/tests/adopted-run.test.ts
@@ -26,6 +26,7 @@
     let runRegistry: RunRegistry;
     let stopped: TaskName[];
     let controller: RunController;
+    let session: Partial<WorkerSession>;
 
     beforeEach(() => {
         const steps = [createStep({ count: 2, isLasting: true })];
@@ -34,6 +35,13 @@
         ledger.markStored(ledger.revision());
         runRegistry = createRunRegistry();
         stopped = [];
+        session = {
+            id: worker,
+            stop: task => {
+                stopped.push(task);
+                return Promise.resolve(true);
+            },
+        };
         controller = createRunController(runControllerOptions({
             unansweredStarts: createUnansweredStarts({
                 lateOrderTime: 12_000,
@@ -42,18 +50,12 @@
             }),
             runRegistry,
             ledgerOf: () => ledger,
+            sessionOf: () => session as WorkerSession,
         }));
     });
 
     // Guards against two runs of one task: a run that an earlier holder started here goes on beside that elsewhere.
     it("stops a run of that task which a worker reports, and adopts those of its own", () => {
-        const session: Partial<WorkerSession> = {
-            id: worker,
-            stop: task => {
-                stopped.push(task);
-                return Promise.resolve(true);
-            },
-        };
         const running = [0, 1].map(index => ({ task: nameOf(index), run: 2, checkpoint: "", percent: 0, measure: 0 }));
         controller.applyReport(
             session as WorkerSession,
@@ -70,4 +72,17 @@
         controller.reserveNumbers(nameOf(1), 5_000);
         expect(controller.nextNumber(nameOf(1))).toBeGreaterThan(5_000);
     });
+
+    // Guards against two runs of one task: a late start of a run that was given up is carried out by the next life of its
+    // worker, and the task starts elsewhere while that run is still being stopped.
+    it("keeps a task from starting while a run of it that is not wanted still works", () => {
+        const report = (runs: readonly number[], isFirst: boolean): boolean => {
+            const running = runs.map(run => ({ task: nameOf(0), run, checkpoint: "", percent: 0, measure: 0 }));
+            const content = { clock: 0, bornAt: 1, running, ended: [], hasAllEnds: true };
+            controller.applyReport(session as WorkerSession, content, performance.now(), isFirst);
+            return ledger.stage({ occurrence: 0, step: 0, index: 0 })?.record.waiting.has(0) === true;
+        };
+        const isWaiting = [report([2], true), report([1], true), report([1], false), report([], false)];
+        expect({ isWaiting, stopped }).toEqual({ isWaiting: [false, false, false, true], stopped: [nameOf(0)] });
+    });
 });
