--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -115,9 +115,11 @@
 const taskOf = ({ ledger, stage }: StageCandidate, index: number): TaskName =>
     taskName({ job: ledger.workflow.id, occurrence: stage.occurrence, step: stage.stepIndex, index });
 
-/** Groups the indices of a step's waiting tasks by `Urgency.lasting`. */
-const groupWaiting = ({ step, record }: Stage): [Urgency["lasting"], readonly number[]][] => {
-    const waiting = [...record.waiting];
+/** Groups the indices `waiting` of a step's tasks that may start by `Urgency.lasting`. */
+const groupWaiting = (
+    { step, record }: Stage,
+    waiting: readonly number[],
+): [Urgency["lasting"], readonly number[]][] => {
     if (!step.isLasting) {
         return [["no", waiting]];
     }
@@ -218,14 +220,16 @@
     };
     const candidatesFrom = (ledger: WorkflowLedger, now: number, monotonicNow: number): StageCandidate[] => {
         const queue = queueOf(ledger);
-        const waiting = ledger.openStages(now, monotonicNow).filter(({ record }) => record.waiting.size > 0);
+        const waiting = ledger.openStages(now, monotonicNow)
+            .map(stage => ({ stage, indices: ledger.startable(stage) }))
+            .filter(({ indices }) => indices.length > 0);
         if (waiting.length === 0) {
             return [];
         }
         const objective = objectiveOf(ledger, queue);
-        return waiting.flatMap(stage => {
+        return waiting.flatMap(({ stage, indices: startable }) => {
             const urgency = urgencyOf(ledger, stage, queue, objective);
-            return groupWaiting(stage).flatMap(([lasting, indices]) =>
+            return groupWaiting(stage, startable).flatMap(([lasting, indices]) =>
                 groupBySuspicion(ledger, stage, indices).map(group => ({
                     ledger,
                     stage,
--- a/packages/workflow/src/ledger/step-record.ts
+++ b/packages/workflow/src/ledger/step-record.ts
@@ -18,6 +18,13 @@
     readonly started: Set<number>;
     /** Times at which the last runs of waiting tasks ended under the present holder, by task index, in monotonic ms. */
     readonly lastEnds: Map<number, number>;
+    /**
+     * Revision of the ledger with the last failure or crash of a task, by the index under which these are counted; the
+     * task may run again once that revision is stored.
+     */
+    readonly failedAtRevisions: Map<number, number>;
+    /** Revision of the ledger with which the last task was done; 0 where that was read from the store. */
+    doneAtRevision: number;
     /** Time at which the step's tasks could first start, in ms of the monotonic clock; undefined before. */
     readySince: number | undefined;
     /** Time since which the step's waiting tasks have found no room, in ms of the monotonic clock. */
@@ -37,6 +44,8 @@
     lastRuns: new Map(),
     started: new Set(),
     lastEnds: new Map(),
+    failedAtRevisions: new Map(),
+    doneAtRevision: 0,
     readySince: undefined,
     noRoomSince: undefined,
     waitLoggedAt: -Infinity,
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -35,11 +35,13 @@
     /** Whether the latest state is final: completed, failed or cancelled. */
     readonly isSettled: () => boolean;
     /**
-     * Stages whose tasks may run now: due, not done, and with all steps that they depend on done. Empty once the
-     * workflow is settled, and while changes are not stored. `now` in Unix ms, `monotonicNow` in ms of the monotonic
-     * clock.
+     * Stages whose tasks may run now: due, not done, and with all steps that they depend on done and stored. Empty once
+     * the workflow is settled. Long-running steps are left out while any change is not stored. `now` in Unix ms,
+     * `monotonicNow` in ms of the monotonic clock.
      */
     readonly openStages: (now: number, monotonicNow: number) => readonly Stage[];
+    /** Indices of the waiting tasks of an open stage whose failures are stored, so that they may start. */
+    readonly startable: (stage: Stage) => readonly number[];
     /** Stage of a task; undefined where the workflow has no such step or occurrence. */
     readonly stage: (position: TaskPosition) => Stage | undefined;
     readonly isDone: (position: TaskPosition) => boolean;
@@ -156,6 +158,7 @@
         record.checkpoints.delete(index);
         record.failures.delete(index);
         record.crashes.delete(index);
+        record.failedAtRevisions.delete(index);
         if (isNew && record.done.size === step.count) {
             remainingSteps -= 1;
         }
@@ -167,7 +170,7 @@
         transfers.set(cell, [...transfers.get(cell) ?? [], task]);
     };
     /** Index under which failures and crashes are counted. */
-    const countedIndex = ({ step }: Stage, { index }: TaskPosition): number => step.isGang ? 0 : index;
+    const countedIndex = ({ step }: Stage, { index }: Pick<TaskPosition, "index">): number => step.isGang ? 0 : index;
     const crashWeight = (position: TaskPosition): number => {
         const stage = stageOf(position);
         const weights = stage?.record.crashes.get(countedIndex(stage, position));
@@ -177,9 +180,16 @@
         stageOf(position)?.record.transferred.has(position.index) ?? false;
     const isDue = (occurrence: number, now: number): boolean =>
         schedule === undefined || now >= schedule.firstDue + occurrence * schedule.interval;
+    /** Whether the next holder will know that the step is done; if not, it would run the step again. */
+    const isStepStored = (occurrence: number, stepIndex: number): boolean =>
+        isStepDone(occurrence, stepIndex)
+        && (stages.get(stageKey(occurrence, stepIndex))?.record.doneAtRevision ?? 0) <= storedRevision;
+    const isDirty = (): boolean => storedRevision < revision;
     const isOpen = (occurrence: number, stepIndex: number): boolean =>
         !isStepDone(occurrence, stepIndex)
-        && (steps[stepIndex]?.after ?? []).every(earlier => isStepDone(occurrence, earlier));
+        // Which cell runs a long-running task is among the changes to be stored.
+        && !(isDirty() && steps[stepIndex]?.isLasting === true)
+        && (steps[stepIndex]?.after ?? []).every(earlier => isStepStored(occurrence, earlier));
 
     const markRangeDone = (stage: Stage, first: number, last: number): void => {
         for (let index = first; index <= Math.min(last, stage.step.count - 1); index += 1) {
@@ -225,8 +235,7 @@
             return isStored ? latestState() : hasStarted ? "running" : "queued";
         },
         openStages: (now, monotonicNow) => {
-            // A step must not start before the ends that it depends on are stored: a new holder would run those again.
-            if (isSettled() || storedRevision < revision) {
+            if (isSettled()) {
                 return [];
             }
             const open: Stage[] = [];
@@ -241,6 +250,13 @@
             }
             return open;
         },
+        startable: stage => {
+            // Ends of other tasks of the workflow may come without a pause, so that it always has changes to store.
+            const { waiting } = stage.record;
+            return [...waiting].filter(index =>
+                (stage.record.failedAtRevisions.get(countedIndex(stage, { index })) ?? 0) <= storedRevision
+            );
+        },
         isDone: position => stageOf(position)?.record.done.has(position.index) ?? false,
         recordStart: position => {
             const stage = stageOf(position);
@@ -269,6 +285,7 @@
                 markDone(stage, index);
             });
             raiseRevision();
+            stage.record.doneAtRevision = revision;
         },
         recordFailure: (position, run) => {
             const stage = stageOf(position);
@@ -283,6 +300,7 @@
             stage.record.failures.set(index, runs.add(run));
             isFailed ||= runs.size >= queue.maxAttempts;
             raiseRevision();
+            stage.record.failedAtRevisions.set(index, revision);
         },
         recordCrash: (position, run, weight) => {
             const stage = stageOf(position);
@@ -294,6 +312,7 @@
             stage.record.crashes.set(index, weights.set(run, weight));
             isFailed ||= crashWeight(position) >= crashLimit;
             raiseRevision();
+            stage.record.failedAtRevisions.set(index, revision);
         },
         crashWeight,
         clearCrashes: position => {
@@ -363,7 +382,7 @@
         },
         isTransferred,
         transfers: () => transfers,
-        isDirty: () => storedRevision < revision,
+        isDirty,
         revision: () => revision,
         markStored: upTo => {
             storedRevision = Math.max(storedRevision, upTo);
--- a/packages/workflow/tests/workflow-ledger.test.ts
+++ b/packages/workflow/tests/workflow-ledger.test.ts
@@ -64,6 +64,42 @@
         expect(markStored(ledger).state()).toBe("completed");
     });
 
+    // Guards against steps that wait until no end of the whole workflow is being stored (issue 50).
+    it("opens a step whose own dependency is stored although the end of another task is not", () => {
+        const steps = [createStep(), createStep({ count: 2 }), createStep({ after: [0] })];
+        const ledger = createWorkflowLedger(workflow(steps));
+        ledger.recordDone(at(0));
+        const revision = ledger.revision();
+        ledger.recordDone(at(1));
+        expect(openSteps(ledger)).toEqual(["0.1"]);
+        ledger.markStored(revision);
+        expect(openSteps(ledger)).toEqual(["0.1", "0.2"]);
+    });
+
+    // Guards against more runs than the queue allows: a next holder would not know of a failure that is not stored.
+    it.each([[false, [1], [0, 1]], [true, [], [0, 1]]])(
+        "lets a task start again once its own failure or crash is stored, in a gang all together (%j)",
+        (isGang, before, after) => {
+            const ledger = createWorkflowLedger(workflow([createStep({ count: 2, isGang }), createStep({ count: 2 })]));
+            const startable = (): readonly number[][] =>
+                ledger.openStages(0, 0).map(stage => [...ledger.startable(stage)]);
+            ledger.recordFailure(at(0), 1);
+            expect(startable()).toEqual([before, [0, 1]]);
+            const failedAt = ledger.revision();
+            ledger.recordCrash(at(1, 1), 1, 0.1);
+            ledger.markStored(failedAt);
+            expect(startable()).toEqual([after, [0]]);
+        },
+    );
+
+    // Guards against a long-running task that starts here although the change that moves it is being stored.
+    it("opens no long-running step while any change is not stored", () => {
+        const ledger = createWorkflowLedger(workflow([createStep({ isLasting: true }), createStep({ count: 2 })]));
+        ledger.recordDone(at(1));
+        expect(openSteps(ledger)).toEqual(["0.1"]);
+        expect(openSteps(markStored(ledger))).toEqual(["0.0", "0.1"]);
+    });
+
     it("fails when one task reaches the limit of failed runs, not all tasks together", () => {
         const ledger = createWorkflowLedger(workflow([createStep({ count: 3 })]));
         ledger.recordFailure(at(0, 0), 1);
