--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -147,6 +147,12 @@
     const lease = leaseDuration(timing);
     const clock = createWorkerClock(lease, timing.clockDrift);
     const wakeUp = createWakeUp();
+    /** Ends the pause of a worker without runs. */
+    const idleWakeUp = createWakeUp();
+    const wake = (): void => {
+        wakeUp.notify();
+        idleWakeUp.notify();
+    };
     const tokens = createOrderTokens(epoch);
     const pacing = createPollPacing(options);
     const pendingStarts = createPendingStarts({ lateOrderTime: timing.lateOrderTime, lateOrderDetector });
@@ -231,7 +237,7 @@
             latestBirth = newBornAt;
             incarnationSeenAt = performance.now();
             events.onRestarted(session, age);
-            wakeUp.notify();
+            wake();
         }
     };
     /** Whether the worker has left after its announced drain, which ends all its runs regardless of its leases. */
@@ -426,7 +432,7 @@
             await sleep(pacing.endGatherTime(), signal);
         }
         else {
-            await wakeUp.wait(pacing.idleInterval(), signal);
+            await idleWakeUp.wait(pacing.idleInterval(), signal);
         }
     };
     /** The deadline to send if the worker's current one expires soon; else undefined. */
@@ -488,12 +494,13 @@
                 unansweredAt = performance.now();
                 pendingStarts.add({ task: order.task, run: order.run, orderedAt: unansweredAt });
                 tokens.supersede(sentToken);
-                wakeUp.notify();
+                wake();
             }
             if (result.isOk) {
                 clock.recordReading(result.value);
                 grantedDeadline = Math.max(grantedDeadline, deadline);
-                wakeUp.notify();
+                // A poll of a worker whose ends are being stored would only list them again.
+                idleWakeUp.notify();
             }
             else if (result.error.kind === "fenced") {
                 events.onFenced(session);
@@ -506,7 +513,7 @@
                 const result = await tokens.send(token => gateway.stop(entry, { task, run, token }));
                 leavePlace?.();
                 if (result.isOk) {
-                    wakeUp.notify();
+                    wake();
                     return true;
                 }
                 if (result.error.kind === "fenced") {
@@ -531,11 +538,11 @@
         expectStart: start => {
             pendingStarts.add(start);
             expectedStarts = [...expectedStarts, start.orderedAt];
-            wakeUp.notify();
+            wake();
         },
         recordEnds: number => {
             recordedEnd = Math.max(recordedEnd, number);
-            wakeUp.notify();
+            wake();
         },
         extendLease: async () => {
             const isRequested = performance.now() - extendingSince < extensionRetryInterval + processDelay();
