Decode a worker's entry only when more than its heartbeat's numbers have changed

Cause: each heartbeat of a worker changes its row in the directory, so that each holder decoded and validated the entries of all workers of the deployment each second, those of other cells too. Change: the directory compares a row with the one that the known entry was decoded from, but for the numbers of the heartbeat. An entry does not contain them, so that rows which differ in nothing else have the same entry.

--- a/packages/workflow/src/cell/worker-list.ts
+++ b/packages/workflow/src/cell/worker-list.ts
@@ -27,7 +27,7 @@
             const changes = await rows.update(0);
             return changes.map(changed => {
                 for (const row of changed) {
-                    const entry = row.isRemoved ? undefined : decode(row);
+                    const entry = row.isRemoved ? undefined : decode(row, entries.get(row.key));
                     if (entry === undefined) {
                         entries.delete(row.key);
                     }
--- a/packages/workflow/src/port/worker-directory.ts
+++ b/packages/workflow/src/port/worker-directory.ts
@@ -5,6 +5,9 @@
 export interface WorkerDirectory {
     readonly table: string;
     readonly partition: string;
-    /** Decodes a row; undefined if it is invalid. */
-    readonly decode: (row: StoredRow) => WorkerEntry | undefined;
+    /**
+     * Decodes a row; undefined if it is invalid. `known`: the entry that an earlier version of the row was decoded to; it
+     * is returned if the row still contains the same.
+     */
+    readonly decode: (row: StoredRow, known?: WorkerEntry) => WorkerEntry | undefined;
 }
