Let cells decline a submission only in the first quarter of its time

Cause: a submission is offered to all cells, each of which may decline, before one has to accept, however long that takes.

Change: from a quarter of the submission's time on, a cell that declines ends the round, and the best cell has to accept. Holders that answer early are all asked, as before.

Why it works: a round that goes on until a quarter ends within half of the time if each cell takes as long, and an acceptance, which adds a write, has the other half.

--- a/packages/workflow/src/entry/workflow-offer.ts
+++ b/packages/workflow/src/entry/workflow-offer.ts
@@ -32,13 +32,16 @@
     readonly submitTo: (cell: CellId) => Promise<OfferOutcome>;
     /** Monotonic time in ms after which no further cell is tried for a workflow that may be stored. */
     readonly deadline: number;
+    /** Monotonic time in ms from which a round ends with a cell that declines for lack of capacity. */
+    readonly decliningUntil: number;
 }
 
 /** Kinds of outcome after which the workflow may be stored. */
 const uncertainKinds: ReadonlySet<OfferOutcome["kind"]> = new Set(["unknown", "no-answer", "elsewhere"]);
 
 /** Creates an offer that has not been sent to any cell. */
-export const createWorkflowOffer = ({ submitTo, deadline }: WorkflowOfferOptions): WorkflowOffer => {
+export const createWorkflowOffer = (options: WorkflowOfferOptions): WorkflowOffer => {
+    const { submitTo, deadline, decliningUntil } = options;
     const attempts: string[] = [];
     const roomShares = new Map<CellId, number>();
     let mayBeStored = false;
@@ -57,6 +60,9 @@
             if (outcome.kind === "full") {
                 isDeclined = true;
                 roomShares.set(cell, outcome.roomShare);
+                if (performance.now() >= decliningUntil) {
+                    return undefined;
+                }
             }
             hasFoundBehind ||= outcome.kind === "behind";
             // The index row ensures that only one cell stores an id, so others can be tried after an unknown outcome.
--- a/packages/workflow/src/entry/workflow-router.ts
+++ b/packages/workflow/src/entry/workflow-router.ts
@@ -67,6 +67,11 @@
 const openWithin = 400;
 /** Share of the time left within which a submission has to be sent; the rest is left for the reply. */
 const sendingShare = 0.5;
+/**
+ * Share of a submission's time from which no further cell may decline for lack of capacity. A cell that takes just as
+ * long to decline may be asked before, and one that accepts takes up to twice as long, since it has to store the workflow.
+ */
+const decliningShare = 0.25;
 /** Milliseconds between checks for a holder. */
 const holderPollInterval = 50;
 /** Seconds after which submitters should retry if no cell could take their workflow: a takeover's time and a margin. */
@@ -222,7 +227,8 @@
     };
     const submit = async (workflow: Workflow, timeout: number): Promise<SubmissionAnswer> => {
         const deadline = performance.now() + timeout;
-        // Each cell may decline for lack of capacity; after that, cells have to accept the workflow.
+        const decliningUntil = performance.now() + timeout * decliningShare;
+        // Cells may decline for lack of capacity; after that, cells have to accept the workflow.
         let mayDecline = true;
         let loads: RankedCells["loads"] = new Map();
         /** Offers the workflow to a cell; after the deadline, nothing is sent and no reply is waited for. */
@@ -240,7 +246,7 @@
             ended.abort();
             return outcome;
         };
-        const offer = createWorkflowOffer({ submitTo: offerInTime, deadline });
+        const offer = createWorkflowOffer({ submitTo: offerInTime, deadline, decliningUntil });
         /** Offers the workflow again, to the cells that had room for the largest share of it first. */
         const offerByRoom = async (cells: readonly CellId[]): Promise<CellId | undefined> =>
             offer.isDeclined()
@@ -254,7 +260,7 @@
             const ranked = storedIn === undefined ? await rank(workflow) : { cells: [storedIn], loads };
             loads = ranked.loads;
             let cell = await offer.offerTo(ranked.cells);
-            if (cell === undefined && mayDecline && loads.size > 0) {
+            if (cell === undefined && mayDecline && loads.size > 0 && performance.now() < decliningUntil) {
                 // Cells whose loads have changed since they were asked have declined, too.
                 loads = new Map();
                 cell = await offerByRoom(ranked.cells);
--- /dev/null
+++ b/packages/workflow/tests/submission-time.test.ts
@@ -0,0 +1,100 @@
+import type { CellId, FailureDomainId, HostId, JobId } from "@jayfront/world";
+import { sleep } from "@jayfront/world";
+import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
+import pino from "pino";
+import { Registry } from "prom-client";
+import { Result } from "true-myth";
+
+import type { SubmissionReply } from "../src/cell/submission-reply.js";
+import { createCellClaims } from "../src/entry/cell-claims.js";
+import type { SubmissionAnswer, WorkflowRouter } from "../src/entry/workflow-router.js";
+import { createWorkflowRouter } from "../src/entry/workflow-router.js";
+import type { WorkflowMessages } from "../src/peer/workflow-message.js";
+import type { StateStore } from "../src/port/state-store.js";
+import { createWorkflowMetrics } from "../src/workflow-metrics.js";
+import { testQueue } from "./test-queue.js";
+
+const cells = ["a", "b", "c", "d", "e", "f"] as CellId[];
+/** Milliseconds within which the submitter should get an answer. */
+const timeout = 1_350;
+const job = "0000000000000001" as JobId;
+
+describe("submissions to cells without room", () => {
+    let router: WorkflowRouter;
+    /** Milliseconds that a holder takes to decline, and to store a workflow. */
+    let declineTime: number;
+    let storeTime: number;
+    /** Whether each offer that was sent could be declined. */
+    let offers: boolean[];
+
+    beforeEach(() => {
+        jest.useFakeTimers();
+        offers = [];
+        const claims = createCellClaims({ lateTime: () => 0 });
+        cells.forEach(cell => {
+            const host = {
+                id: `h-${cell}` as HostId,
+                failureDomain: cell as string as FailureDomainId,
+                peerAddress: `${cell}:1`,
+                incarnation: cell,
+                storeDelay: 4,
+                processors: 0.1,
+            };
+            claims.recordHeartbeat(host, [{
+                cell,
+                epoch: 1,
+                isActive: true,
+                isBehind: false,
+                provenAgo: 0,
+                pending: {},
+                racks: [],
+                capacityCpu: 16_000,
+                usedCpu: 16_000,
+                freeCpu: 0,
+                backlog: [],
+                accepted: [],
+            }], 10 * timeout);
+        });
+        router = createWorkflowRouter({
+            cells: () => cells,
+            store: { read: () => Promise.resolve(Result.ok({ rows: [], version: 1 })) } as unknown as StateStore,
+            network: {
+                call: async (...[, , body]) => {
+                    const { mayDecline } = body as WorkflowMessages["submit"];
+                    offers.push(mayDecline);
+                    await sleep(mayDecline ? declineTime : storeTime);
+                    const reply: SubmissionReply = mayDecline ? { kind: "full", roomShare: 0 } : { kind: "accepted" };
+                    return Result.ok(reply) as never;
+                },
+                close: () => undefined,
+            },
+            claims,
+            held: () => undefined,
+            isNear: () => true,
+            logger: pino({ level: "silent" }),
+            metrics: createWorkflowMetrics(new Registry()),
+        });
+    });
+    afterEach(() => {
+        jest.useRealTimers();
+    });
+    const submit = async (): Promise<SubmissionAnswer> => {
+        const answered = router.submit({ id: job, queue: testQueue, payload: "", steps: [], acceptedAt: 0 }, timeout);
+        await jest.advanceTimersByTimeAsync(2 * timeout);
+        return await answered;
+    };
+
+    // Guards against a submission whose time is over before saturated holders have declined it one after another.
+    it.each([250, 400])("are accepted in time, though each holder takes %i ms to decline", async time => {
+        declineTime = time;
+        storeTime = 2 * time;
+        expect((await submit()).kind).toBe("accepted");
+    });
+
+    // Guards against a workflow that a cell has to accept although another one has room, where holders answer early.
+    it("are offered to all cells before one has to accept, where holders answer early", async () => {
+        declineTime = 40;
+        storeTime = 100;
+        expect([(await submit()).kind, offers]).toEqual(["accepted", [...cells.map(() => true), false]]);
+    });
+});
