Answer a submission from the index when its time is nearly over

Retries went to other hosts, which offered the workflow to other busy holders.

Cause: an entry host learns that a workflow is stored only from the reply of a holder, which is late when that host's process is busy: the answer of the store, the reply and a retry's offers each wait for a turn there.

Change: 150 ms before a submission's time is over (40% of it, if that is less) the entry host reads the index row, and at once if a heartbeat has named the workflow. A row in the index is proof: it is written in one transaction with the workflow's row under the holder's epoch, and the holder or its successor runs what is stored there. Without a row, or without an answer of the store, the answer is as before; nothing is said to be refused because of a read.

Tests: submission-time.test.ts, "are accepted if the index names their cell" and "are accepted at once, by the index"; both failed before. workflow-router.test.ts had a store without `read`; it now has one that does not answer.

--- a/packages/workflow/src/entry/workflow-router.ts
+++ b/packages/workflow/src/entry/workflow-router.ts
@@ -72,6 +72,10 @@
  * long to decline may be asked before, and one that accepts takes up to twice as long, since it has to store the workflow.
  */
 const decliningShare = 0.25;
+/** Milliseconds, at most, that are left of a submission's time when the index is asked whether it has been stored. */
+const lookUpTime = 150;
+/** The same as a share of the submission's time, for short ones. */
+const longestLookUpShare = 0.4;
 /** Milliseconds between checks for a holder. */
 const holderPollInterval = 50;
 /** Seconds after which submitters should retry if no cell could take their workflow: a takeover's time and a margin. */
@@ -225,7 +229,21 @@
         metrics.refusedSubmissions.inc({ reason: isBehind ? "behind" : attempts === "" ? "no-holder" : "other" });
         return { kind: "unavailable", reason, retryAfter: isBehind ? retryAfterBehind(id) : retryAfterOutage };
     };
+    /**
+     * Waits, and then looks a workflow up in the index; resolves once it is known to be stored, and never if not. The holder
+     * whose cell the index names runs it, whether it has replied or not.
+     */
+    const findStored = async (id: JobId, wait: number, signal: AbortSignal): Promise<SubmissionAnswer> => {
+        await sleep(wait, signal);
+        const stored = signal.aborted ? undefined : await lookUpCell(store, id);
+        if (stored?.kind !== "known") {
+            return new Promise(() => undefined);
+        }
+        claims.rememberCell(id, stored.value);
+        return { kind: "accepted", reason: `${stored.value}: indexed` };
+    };
     const submit = async (workflow: Workflow, timeout: number): Promise<SubmissionAnswer> => {
+        const answered = createStopSignal();
         const deadline = performance.now() + timeout;
         const decliningUntil = performance.now() + timeout * decliningShare;
         // Cells may decline for lack of capacity; after that, cells have to accept the workflow.
@@ -234,7 +252,7 @@
         /** Offers the workflow to a cell; after the deadline, nothing is sent and no reply is waited for. */
         const offerInTime = async (cell: CellId): Promise<OfferOutcome> => {
             const timeLeft = deadline - performance.now();
-            if (timeLeft <= 0) {
+            if (timeLeft <= 0 || answered.signal.aborted) {
                 return { kind: "not-sent" };
             }
             const knownCpu = loads.get(cell)?.longRunningCpu;
@@ -254,31 +272,40 @@
                     [...cells].sort((left, right) => offer.roomShareOf(right) - offer.roomShareOf(left)),
                 )
                 : undefined;
-        await waitForAnyHolder(timeout);
-        do {
-            const storedIn = offer.storedIn();
-            const ranked = storedIn === undefined ? await rank(workflow) : { cells: [storedIn], loads };
-            loads = ranked.loads;
-            let cell = await offer.offerTo(ranked.cells);
-            if (cell === undefined && mayDecline && loads.size > 0 && performance.now() < decliningUntil) {
-                // Cells whose loads have changed since they were asked have declined, too.
-                loads = new Map();
-                cell = await offerByRoom(ranked.cells);
-            }
-            mayDecline = false;
-            cell ??= await offerByRoom(ranked.cells);
-            if (cell !== undefined) {
-                recentlySent.push({ cell, cpu: widestStepCpu(workflow.steps), at: performance.now() });
-                return { kind: "accepted", reason: offer.describeAttempts() };
+        const offerToCells = async (): Promise<SubmissionAnswer | undefined> => {
+            await waitForAnyHolder(timeout);
+            do {
+                const storedIn = offer.storedIn();
+                const ranked = storedIn === undefined ? await rank(workflow) : { cells: [storedIn], loads };
+                loads = ranked.loads;
+                let cell = await offer.offerTo(ranked.cells);
+                if (cell === undefined && mayDecline && loads.size > 0 && performance.now() < decliningUntil) {
+                    // Cells whose loads have changed since they were asked have declined, too.
+                    loads = new Map();
+                    cell = await offerByRoom(ranked.cells);
+                }
+                mayDecline = false;
+                cell ??= await offerByRoom(ranked.cells);
+                if (cell !== undefined) {
+                    recentlySent.push({ cell, cpu: widestStepCpu(workflow.steps), at: performance.now() });
+                    return { kind: "accepted", reason: offer.describeAttempts() };
+                }
+                // A workflow that may be stored must not be reported as refused: it is offered again until that is known.
+                const timeLeft = deadline - performance.now();
+                if (offer.mayBeStored() && timeLeft > 0) {
+                    await sleep(Math.min(resolveInterval, timeLeft));
+                }
             }
-            // A workflow that may be stored must not be reported as refused: it is offered again until that is known.
-            const timeLeft = deadline - performance.now();
-            if (offer.mayBeStored() && timeLeft > 0) {
-                await sleep(Math.min(resolveInterval, timeLeft));
-            }
-        }
-        while (offer.mayBeStored() && performance.now() < deadline);
-        return describeFailure(workflow, offer);
+            while (offer.mayBeStored() && performance.now() < deadline && !answered.signal.aborted);
+            return undefined;
+        };
+        // A workflow that a holder has named in a heartbeat is being submitted again.
+        const lookUpAfter = claims.cellOf(workflow.id) === undefined
+            ? timeout - Math.min(lookUpTime, timeout * longestLookUpShare)
+            : 0;
+        const answer = await Promise.race([offerToCells(), findStored(workflow.id, lookUpAfter, answered.signal)]);
+        answered.abort();
+        return answer ?? describeFailure(workflow, offer);
     };
     /** Finds the cell of a workflow, from memory or from the index. */
     const findCell = async (id: JobId): Promise<WorkflowAnswer<CellId>> => {
--- a/packages/workflow/tests/submission-time.test.ts
+++ b/packages/workflow/tests/submission-time.test.ts
@@ -5,7 +5,9 @@
 import { Registry } from "prom-client";
 import { Result } from "true-myth";
 
+import { rowKeys } from "../src/cell/row-keys.js";
 import type { SubmissionReply } from "../src/cell/submission-reply.js";
+import type { CellClaims } from "../src/entry/cell-claims.js";
 import { createCellClaims } from "../src/entry/cell-claims.js";
 import type { SubmissionAnswer, WorkflowRouter } from "../src/entry/workflow-router.js";
 import { createWorkflowRouter } from "../src/entry/workflow-router.js";
@@ -19,18 +21,26 @@
 const timeout = 1_350;
 const job = "0000000000000001" as JobId;
 
-describe("submissions to cells without room", () => {
+/** Milliseconds that the store takes to answer. */
+const readTime = 20;
+
+describe("submissions to busy holders without room", () => {
+    let claims: CellClaims;
     let router: WorkflowRouter;
     /** Milliseconds that a holder takes to decline, and to store a workflow. */
     let declineTime: number;
     let storeTime: number;
+    /** Milliseconds from the submission until the index names a cell for the workflow. */
+    let indexTime: number;
     /** Whether each offer that was sent could be declined. */
     let offers: boolean[];
 
     beforeEach(() => {
         jest.useFakeTimers();
         offers = [];
-        const claims = createCellClaims({ lateTime: () => 0 });
+        indexTime = Infinity;
+        const startedAt = performance.now();
+        claims = createCellClaims({ lateTime: () => 0 });
         cells.forEach(cell => {
             const host = {
                 id: `h-${cell}` as HostId,
@@ -57,7 +67,13 @@
         });
         router = createWorkflowRouter({
             cells: () => cells,
-            store: { read: () => Promise.resolve(Result.ok({ rows: [], version: 1 })) } as unknown as StateStore,
+            store: {
+                read: async () => {
+                    await sleep(readTime);
+                    const isIndexed = performance.now() - startedAt >= indexTime;
+                    return Result.ok({ rows: isIndexed ? [{ ...rowKeys.index(job), value: "a" }] : [], version: 1 });
+                },
+            } as unknown as StateStore,
             network: {
                 call: async (...[, , body]) => {
                     const { mayDecline } = body as WorkflowMessages["submit"];
@@ -78,8 +94,12 @@
     afterEach(() => {
         jest.useRealTimers();
     });
-    const submit = async (): Promise<SubmissionAnswer> => {
-        const answered = router.submit({ id: job, queue: testQueue, payload: "", steps: [], acceptedAt: 0 }, timeout);
+    /** Submits a workflow; resolves to the answer and the milliseconds until it. */
+    const submit = async (): Promise<SubmissionAnswer & { readonly after: number; }> => {
+        const submittedAt = performance.now();
+        const workflow = { id: job, queue: testQueue, payload: "", steps: [], acceptedAt: 0 };
+        const answered = router.submit(workflow, timeout)
+            .then(answer => ({ ...answer, after: performance.now() - submittedAt }));
         await jest.advanceTimersByTimeAsync(2 * timeout);
         return await answered;
     };
@@ -97,4 +117,30 @@
         storeTime = 100;
         expect([(await submit()).kind, offers]).toEqual(["accepted", [...cells.map(() => true), false]]);
     });
+
+    // Guards against a 504 for a workflow that is stored, whose holder is too busy to say so in time.
+    it("are accepted if the index names their cell, though its holder does not reply", async () => {
+        declineTime = 250;
+        storeTime = 2 * timeout;
+        indexTime = 800;
+        const { kind, after } = await submit();
+        expect([kind, after <= timeout]).toEqual(["accepted", true]);
+    });
+
+    // Guards against a 200 for a workflow that may yet not be stored.
+    it("are answered as unknown if the index does not name a cell either", async () => {
+        declineTime = 250;
+        storeTime = 2 * timeout;
+        const { kind, after } = await submit();
+        expect([kind, after]).toEqual(["unknown", timeout]);
+    });
+
+    // Guards against a retry that waits for a busy holder although its heartbeat has named the workflow.
+    it("are accepted at once, by the index, if a holder has told that it accepted them before", async () => {
+        claims.rememberCell(job, cells[0] as CellId);
+        declineTime = timeout;
+        indexTime = 0;
+        const { kind, after } = await submit();
+        expect([kind, after, offers.length]).toEqual(["accepted", readTime, 1]);
+    });
 });
--- a/packages/workflow/tests/workflow-router.test.ts
+++ b/packages/workflow/tests/workflow-router.test.ts
@@ -63,7 +63,9 @@
         };
         router = createWorkflowRouter({
             cells: () => ["a" as CellId],
-            store: {} as StateStore,
+            store: {
+                read: () => Promise.resolve(Result.err({ kind: "unknown", message: "no answer" })),
+            } as unknown as StateStore,
             network: {
                 call: async (...call) => {
                     calls += 1;
