Accept a submission once a holder replies that the index names another cell

Cause: the entry host offers the workflow to the cell that the index names, to hear again that it is stored.

Change: `elsewhere` is an acceptance. The holder that replies so has read the index row in the answer to its own write, and a row there is written with the workflow's row under the epoch of its cell's holder; that holder repeats its write until the outcome is known, or its successor loads the rows.

Tests: submission-time.test.ts, "are accepted once a holder replies that the index names another cell", `unknown` before. accepted-elsewhere.test.ts (late writes, lost answers, deposed holders) and write-without-answer.test.ts pass unchanged.

--- a/packages/workflow/src/cell/submission-reply.ts
+++ b/packages/workflow/src/cell/submission-reply.ts
@@ -14,5 +14,5 @@
      * tasks for which the cell has room; negative where not even what waits there fits.
      */
     | { readonly kind: "full"; readonly roomShare: number; }
-    /** The index names `cell`, which is another one, for this workflow; only that cell can accept it. */
+    /** The index names `cell`, which is another one, for this workflow: it is stored there. */
     | { readonly kind: "elsewhere"; readonly cell: CellId; };
--- a/packages/workflow/src/entry/workflow-offer.ts
+++ b/packages/workflow/src/entry/workflow-offer.ts
@@ -10,7 +10,10 @@
 
 /** Offers one workflow to cells until one accepts it, and tracks whether a cell may have stored it. */
 export interface WorkflowOffer {
-    /** Offers the workflow to the cells in turn; resolves to the cell that accepted it, if any did. */
+    /**
+     * Offers the workflow to the cells in turn; resolves to the cell that has accepted it, if any: the one that says so,
+     * or the one that the index names, whose holder runs what is stored there.
+     */
     readonly offerTo: (cells: readonly CellId[]) => Promise<CellId | undefined>;
     /** Whether a cell declined in the last round for lack of capacity, and no write may have stored the workflow. */
     readonly isDeclined: () => boolean;
@@ -20,8 +23,6 @@
     readonly mayBeStored: () => boolean;
     /** Whether a cell declined because its holder is late with the placement of accepted workflows. */
     readonly hasFoundBehind: () => boolean;
-    /** The cell that the index names for the workflow, if known; no other cell can accept it. */
-    readonly storedIn: () => CellId | undefined;
     /** Lists the cells that were tried, with the outcomes, for logs. */
     readonly describeAttempts: () => string;
 }
@@ -37,7 +38,7 @@
 }
 
 /** Kinds of outcome after which the workflow may be stored. */
-const uncertainKinds: ReadonlySet<OfferOutcome["kind"]> = new Set(["unknown", "no-answer", "elsewhere"]);
+const uncertainKinds: ReadonlySet<OfferOutcome["kind"]> = new Set(["unknown", "no-answer"]);
 
 /** Creates an offer that has not been sent to any cell. */
 export const createWorkflowOffer = (options: WorkflowOfferOptions): WorkflowOffer => {
@@ -47,7 +48,6 @@
     let mayBeStored = false;
     let isDeclined = false;
     let hasFoundBehind = false;
-    let storedIn: CellId | undefined;
 
     const offerTo = async (cells: readonly CellId[]): Promise<CellId | undefined> => {
         isDeclined = false;
@@ -57,6 +57,9 @@
             if (outcome.kind === "accepted") {
                 return cell;
             }
+            if (outcome.kind === "elsewhere") {
+                return outcome.cell;
+            }
             if (outcome.kind === "full") {
                 isDeclined = true;
                 roomShares.set(cell, outcome.roomShare);
@@ -67,11 +70,6 @@
             hasFoundBehind ||= outcome.kind === "behind";
             // The index row ensures that only one cell stores an id, so others can be tried after an unknown outcome.
             mayBeStored ||= uncertainKinds.has(outcome.kind);
-            if (outcome.kind === "elsewhere") {
-                const isNewCell = storedIn !== outcome.cell;
-                storedIn = outcome.cell;
-                return isNewCell ? offerTo([outcome.cell]) : undefined;
-            }
             if (mayBeStored && performance.now() >= deadline) {
                 return undefined;
             }
@@ -84,7 +82,6 @@
         roomShareOf: cell => roomShares.get(cell) ?? 0,
         mayBeStored: () => mayBeStored,
         hasFoundBehind: () => hasFoundBehind,
-        storedIn: () => storedIn,
         describeAttempts: () => attempts.join(", "),
     };
 };
--- a/packages/workflow/src/entry/workflow-router.ts
+++ b/packages/workflow/src/entry/workflow-router.ts
@@ -222,7 +222,7 @@
         const isBehind = offer.hasFoundBehind() || activeClaims().some(({ summary }) => summary.isBehind);
         const attempts = offer.describeAttempts();
         const reason = attempts || (isBehind ? "every holder is late with placement" : "no cell has a holder");
-        logger.info({ job: id, mayBeStored, storedIn: offer.storedIn(), reason }, "workflow not accepted");
+        logger.info({ job: id, mayBeStored, reason }, "workflow not accepted");
         if (mayBeStored) {
             return { kind: "unknown", reason };
         }
@@ -275,8 +275,7 @@
         const offerToCells = async (): Promise<SubmissionAnswer | undefined> => {
             await waitForAnyHolder(timeout);
             do {
-                const storedIn = offer.storedIn();
-                const ranked = storedIn === undefined ? await rank(workflow) : { cells: [storedIn], loads };
+                const ranked = await rank(workflow);
                 loads = ranked.loads;
                 let cell = await offer.offerTo(ranked.cells);
                 if (cell === undefined && mayDecline && loads.size > 0 && performance.now() < decliningUntil) {
--- a/packages/workflow/tests/submission-time.test.ts
+++ b/packages/workflow/tests/submission-time.test.ts
@@ -32,6 +32,8 @@
     let storeTime: number;
     /** Milliseconds from the submission until the index names a cell for the workflow. */
     let indexTime: number;
+    /** What a holder replies to an offer that it may decline. */
+    let declineReply: SubmissionReply;
     /** Whether each offer that was sent could be declined. */
     let offers: boolean[];
 
@@ -39,6 +41,7 @@
         jest.useFakeTimers();
         offers = [];
         indexTime = Infinity;
+        declineReply = { kind: "full", roomShare: 0 };
         const startedAt = performance.now();
         claims = createCellClaims({ lateTime: () => 0 });
         cells.forEach(cell => {
@@ -79,8 +82,7 @@
                     const { mayDecline } = body as WorkflowMessages["submit"];
                     offers.push(mayDecline);
                     await sleep(mayDecline ? declineTime : storeTime);
-                    const reply: SubmissionReply = mayDecline ? { kind: "full", roomShare: 0 } : { kind: "accepted" };
-                    return Result.ok(reply) as never;
+                    return Result.ok(mayDecline ? declineReply : { kind: "accepted" }) as never;
                 },
                 close: () => undefined,
             },
@@ -143,4 +145,12 @@
         const { kind, after } = await submit();
         expect([kind, after, offers.length]).toEqual(["accepted", readTime, 1]);
     });
+
+    // Guards against a 504 for a workflow that one holder knows to be stored in the cell of another, which is busy.
+    it("are accepted once a holder replies that the index names another cell", async () => {
+        declineTime = 500;
+        declineReply = { kind: "elsewhere", cell: "z" as CellId };
+        const { kind, after } = await submit();
+        expect([kind, after, offers.length]).toEqual(["accepted", declineTime, 1]);
+    });
 });
