Withdraw the early opening of connections to holders

A connection to a saturated holder takes longer than 400 ms to open, also if nobody waits for it, and hosts that open all at once add to the holder's work; a submission that arrives later then finds the time for opening used up, and is refused at once by all cells.

--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -94,8 +94,6 @@
     readonly link?: RegionLink;
     /** Called for each call from one host to another. */
     readonly onPeerCall?: (from: string, kind: WorkflowMessageKind, to: string, limits?: SendLimits) => void;
-    /** Milliseconds that a connection to a host takes to open. Default 0. */
-    readonly openTime?: number;
     /** Number of cores by host. Default 1. */
     readonly processors?: Readonly<Record<string, number>>;
     /** Milliseconds of one core that a run takes of its holder. Default: none, so that no host is ever busy. */
@@ -256,29 +254,11 @@
                 ? Result.ok(structuredClone(reply.value) as never)
                 : Result.err({ kind: "unknown", message: `${to.id} gave no reply` });
         };
-        const { openTime = 0 } = options;
-        /** Monotonic times in ms at which connections began to open, by the receivers' incarnations. */
-        const openedAt = new Map<string, number>();
-        const open: WorkflowNetwork["open"] = ({ incarnation }) => {
-            openedAt.set(incarnation, openedAt.get(incarnation) ?? performance.now());
-        };
-        /** Resolves to whether the connection opens within the limits. */
-        const waitUntilOpen = async (to: EntryHostRecord, limits?: SendLimits): Promise<boolean> => {
-            open(to);
-            const age = performance.now() - (openedAt.get(to.incarnation) ?? 0);
-            const limit = Math.min(limits?.sendWithin ?? Infinity, (limits?.openWithin ?? Infinity) - age);
-            await pause(Math.max(0, Math.min(openTime - age, limit)));
-            return openTime - age <= Math.max(0, limit);
-        };
         return {
-            open,
-            call: async (to, kind, body, limits) => {
+            call: (to, kind, body, limits) => {
                 options.onPeerCall?.(from, kind, to.id, limits);
-                if (openTime > 0 && !await waitUntilOpen(to, limits)) {
-                    return Result.err({ kind: "not-sent", message: `no connection to ${to.id}` });
-                }
                 const work = (hostWork?.perMessage ?? 0) / 2;
-                return await carryOut(processor, work, () => send(to, kind, body), () => work);
+                return carryOut(processor, work, () => send(to, kind, body), () => work);
             },
             close: () => undefined,
         };
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -221,8 +221,6 @@
                 });
             }
             registry.addPeer(host);
-            // A busy holder takes long to accept a connection, so that submissions should not be the first to need it.
-            network.open(host);
             claims.recordHeartbeat(host, cells, interval);
             cellManager.releaseSuperseded(host);
             configurationWatch.recordPeerVersion(host, configurationVersion);
--- a/packages/workflow/src/peer/workflow-network.ts
+++ b/packages/workflow/src/peer/workflow-network.ts
@@ -14,8 +14,6 @@
         body: WorkflowMessages[Kind],
         limits?: SendLimits,
     ) => Promise<Result<WorkflowReplies[Kind], PeerError>>;
-    /** Opens a connection to another entry host, unless there is one, so that later calls need not wait for it. */
-    readonly open: (host: EntryHostRecord) => void;
     /** Closes all connections. */
     readonly close: () => void;
 }
@@ -44,9 +42,6 @@
     return {
         call: async (host, kind, body, limits) =>
             await connectionTo(host.peerAddress).call({ kind, body }, limits) as never,
-        open: ({ peerAddress }) => {
-            connectionTo(peerAddress);
-        },
         close: () => {
             connections.forEach(connection => {
                 connection.close();
--- a/packages/workflow/tests/submission-time.test.ts
+++ b/packages/workflow/tests/submission-time.test.ts
@@ -84,7 +84,6 @@
                     await sleep(mayDecline ? declineTime : storeTime);
                     return Result.ok(mayDecline ? declineReply : { kind: "accepted" }) as never;
                 },
-                open: () => undefined,
                 close: () => undefined,
             },
             claims,
--- a/packages/workflow/tests/workflow-router.test.ts
+++ b/packages/workflow/tests/workflow-router.test.ts
@@ -71,7 +71,6 @@
                     calls += 1;
                     return await answerCall(...call);
                 },
-                open: () => undefined,
                 close: () => undefined,
             },
             claims,
