--- a/packages/bench/src/random-days.ts
+++ b/packages/bench/src/random-days.ts
@@ -7,6 +7,7 @@
 import { replacementFaults } from "./workflow/replacement-faults.js";
 import type { SeveralCellsProfile } from "./workflow/several-cells-profile.js";
 import { shortLivedProfile } from "./workflow/several-cells-profile.js";
+import { simulateDrainedWorkersDay } from "./workflow/simulate-drained-workers-day.js";
 import type { RandomDayOptions } from "./workflow/simulate-random-day.js";
 import { simulateRandomDay } from "./workflow/simulate-random-day.js";
 import { simulateSeveralCellsDay } from "./workflow/simulate-several-cells-day.js";
@@ -14,7 +15,7 @@
 const command = meow(
     `
     Usage
-      $ npm run random-days [-- --from N --days N --cells one|several|full|replaced]
+      $ npm run random-days [-- --from N --days N --cells one|several|full|replaced|drained]
 
     Simulates entry hosts on the platform stand-in under random faults in fake time, one day for each seed, and checks
     what workers did and which answers submitters got. Exits with 1 on a broken promise that KNOWN-RED.txt does not
@@ -28,13 +29,15 @@
       --cells full     as several, but the cells are nearly full of long-running work, which fails and is cancelled, and
                        workers leave or crash
       --cells replaced one cell, and faults that replace workers by others at the same address
+      --cells drained  one cell, of which workers with long-running tasks drain while orders, the holder and other workers
+                       fail
 `,
     {
         importMeta: import.meta,
         flags: {
             from: { type: "number", default: 0 },
             days: { type: "number", default: 60 },
-            cells: { type: "string", choices: ["one", "several", "full", "replaced"], default: "one" },
+            cells: { type: "string", choices: ["one", "several", "full", "replaced", "drained"], default: "one" },
         },
     },
 );
@@ -61,12 +64,23 @@
     });
     return { findings: broken.map(({ promise, detail }) => `${promise}: ${detail}`), faults };
 };
+const simulateDrainedWorkers = async (seed: number, time: FakeTime): Promise<DayResult> => {
+    const { breach, lost, faults } = await simulateDrainedWorkersDay({ seed, time });
+    const findings = [
+        ...breach === undefined ? [] : [breach],
+        ...lost.map(({ task, from, until }) =>
+            `${task} was without a run from ${String(Math.round(from))} to ${String(Math.round(until))} ms`
+        ),
+    ];
+    return { findings, faults };
+};
 /** Simulations by value of `--cells`. */
 const simulations: Record<string, (seed: number, time: FakeTime) => Promise<DayResult>> = {
     one: (seed, time) => simulateOneCell({ seed, time }),
     replaced: (seed, time) => simulateOneCell({ seed, time, injectableFaults: replacementFaults }),
     several: (seed, time) => simulateSeveralCells(seed, time, shortLivedProfile),
     full: (seed, time) => simulateSeveralCells(seed, time, fullCellsProfile),
+    drained: simulateDrainedWorkers,
 };
 /** The name under which KNOWN-RED.txt lists a day. */
 const knownRedName = (seed: number): string =>
