--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -225,9 +225,12 @@
         logger.info({ cell, epoch, workers: storedEntries.size }, "roster written");
         onChange();
     };
-    /** Whether a worker in contact waits for a write of the roster. */
+    /** Whether a worker in contact that may get leases waits for a write of the roster. */
     const hasBoundedContact = (): boolean =>
-        [...boundedWorkers].some(id => workers.get(id)?.session.contact() === "known");
+        [...boundedWorkers].some(id => {
+            const session = workers.get(id)?.session;
+            return session?.contact() === "known" && session.leasedFor() === undefined;
+        });
     return {
         inherit: ({ roster, rosterVersion: version }) => {
             rosterVersion = version;
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -42,8 +42,8 @@
     /** Monotonic time in ms of the first failed poll since the worker's last report; undefined if none has failed. */
     readonly failingSince: () => number | undefined;
     /**
-     * Milliseconds after which nothing can run any more on a worker that does not answer; undefined while it answers, or
-     * before its first poll in this epoch has failed.
+     * Milliseconds after which nothing can run any more on a worker that does not answer or drains: 0 if it has reported
+     * that nothing runs there; undefined while it answers otherwise, or before its first poll in this epoch has failed.
      */
     readonly leasedFor: () => number | undefined;
     /** Deadline for starts, in ms on the worker's clock; undefined if it may not start anything. */
@@ -179,6 +179,8 @@
     let recordedEnd = 0;
     /** Number of the last end that a report listed. */
     let listedEnd = 0;
+    /** Number of runs that the last report listed. */
+    let listedRuns = 0;
     /** Whether some ends of the current incarnation have not been listed since its first report. */
     let lacksEnds = false;
     /** Whether the last report listed all ends. */
@@ -318,6 +320,7 @@
         }
         clock.recordReading(report.clock);
         listedEnd = Math.max(listedEnd, ...report.ended.map(row => row.number));
+        listedRuns = report.running.length;
         const isFirst = contact === "unknown" || contact === "lapsed";
         updateEndList(report, isFirst);
         // The report has to be applied before the contact is `known`, which allows starts on the worker.
@@ -444,6 +447,13 @@
             ? deadline
             : undefined;
     };
+    /**
+     * Whether nothing runs on the worker and all ends there are stored, according to its last report: no start was sent
+     * since, and none without an answer can still be carried out.
+     */
+    const isProvenIdle = (): boolean =>
+        (contact === "known" || contact === "silent") && !isBusy() && listedRuns === 0 && !lacksEnds && hadAllEnds
+        && listedEnd <= recordedEnd && !pendingStarts.hasAny();
     const session: WorkerSession = {
         id: entry.id,
         entry: () => entry,
@@ -451,10 +461,14 @@
         contact: () => contact,
         mayHaveUnknownRuns: () => contact === "unknown" || lacksEnds,
         failingSince: () => failingSince,
-        leasedFor: () =>
-            contact === "known" || contact === "unknown" && failingSince === undefined
+        leasedFor: () => {
+            if (isProvenIdle() && (contact === "silent" || entry.isDraining)) {
+                return 0;
+            }
+            return contact === "known" || contact === "unknown" && failingSince === undefined
                 ? undefined
-                : Math.max(0, leaseExpiry.expiresAt() + lapseMargin - performance.now()),
+                : Math.max(0, leaseExpiry.expiresAt() + lapseMargin - performance.now());
+        },
         beginProof: clock.beginProof,
         setEntry: next => {
             listing.recordRead(next !== undefined);
