--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -252,12 +252,18 @@
     };
     /** Long-running tasks that run on draining workers and have no place on another one, by step. */
     const leavingCandidates = (): StageCandidate[] => {
+        const accounted = new Map<WorkflowLedger, ReadonlySet<TaskName>>();
+        const isAccounted = (ledger: WorkflowLedger, task: TaskName): boolean => {
+            const tasks = accounted.get(ledger) ?? accountedTasks(ledger);
+            accounted.set(ledger, tasks);
+            return tasks.has(task);
+        };
         const byStage = new Map<Stage, { readonly ledger: WorkflowLedger; readonly indices: number[]; }>();
         for (const worker of workers.values()) {
             const runs = worker.drainingSince === undefined ? [] : runRegistry.ofWorker(worker.session.id);
             for (const { ledger, phase, position, step, task } of runs) {
                 const isLeaving = step.isLasting && !step.isGang && phase === "running" && !replacementPlaces.has(task)
-                    && !ledger.isSettled() && !isHeldBack(ledger);
+                    && !ledger.isSettled() && (!isHeldBack(ledger) || isAccounted(ledger, task));
                 const stage = isLeaving ? ledger.stage(position) : undefined;
                 if (stage !== undefined) {
                     const group = byStage.get(stage) ?? { ledger, indices: [] };
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -14,7 +14,7 @@
 import { createInterferenceModel } from "../policy/interference-model.js";
 import type { StateStore } from "../port/state-store.js";
 import type { WorkerDirectory } from "../port/worker-directory.js";
-import type { WorkerGateway } from "../port/worker-gateway.js";
+import type { WorkerGateway, WorkerReport } from "../port/worker-gateway.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { CellLease } from "./cell-lease.js";
 import { createCellLease } from "./cell-lease.js";
@@ -60,7 +60,7 @@
 import { createUnansweredStarts } from "./unanswered-starts.js";
 import { createWorkerCrashes } from "./worker-crashes.js";
 import { createWorkerRoster } from "./worker-roster.js";
-import type { SessionEvents } from "./worker-session.js";
+import type { SessionEvents, WorkerSession } from "./worker-session.js";
 import { createWorkflowIntake } from "./workflow-intake.js";
 import type { CancelReply, StateReply } from "./workflow-operations.js";
 import { createWorkflowOperations } from "./workflow-operations.js";
@@ -183,7 +183,10 @@
     const settledAt = new Map<JobId, number>();
     /** Workflows of earlier holders, held back while their tasks may run on a worker that has not answered yet. */
     const inheritedJobs = new Set<JobId>();
-    /** Workers of the inherited unanswered starts of long-running tasks: they run nowhere else. */
+    /**
+     * Inherited long-running tasks which run nowhere but on these workers: those of their inherited unanswered starts, and
+     * those that have reported a run of them to this holder.
+     */
     const recordedWorkers = new Map<JobId, Map<TaskName, Set<WorkerId>>>();
     const workers: CellWorkers = new Map();
     const runRegistry = createRunRegistry();
@@ -398,9 +401,21 @@
         keepPlaceElsewhere: scheduler.keepPlaceElsewhere,
         holdsReservedRoom: scheduler.holdsReservedRoom,
     });
+    /** Records the runs that were adopted from a first report: a task has no other run, except unanswered starts. */
+    const recordAdoptedRuns = (session: WorkerSession, report: WorkerReport): void => {
+        for (const { task, run: number } of report.running) {
+            const run = runRegistry.find(session.id, task, number);
+            if (run?.step.isLasting === true && !run.step.isSpeculative && isHeldBack(run.ledger)) {
+                recordWorker(task, session.id);
+            }
+        }
+    };
     const events: SessionEvents = {
         onReport: (session, report, sentAt, isFirst) => {
             runController.applyReport(session, report, sentAt, isFirst);
+            if (isFirst) {
+                recordAdoptedRuns(session, report);
+            }
             const worker = workers.get(session.id);
             if (worker !== undefined) {
                 interferenceController.review(worker, [...runRegistry.ofWorker(session.id)]);
