--- a/packages/workflow/src/cell/load-cell.ts
+++ b/packages/workflow/src/cell/load-cell.ts
@@ -93,7 +93,13 @@
                 + "the cell runs any more",
         });
     }
-    const noStarts: StoredAbsences = { restartAge: undefined, starts: [], absentTasks: [] };
+    const noStarts: StoredAbsences = {
+        restartAge: undefined,
+        starts: [],
+        hasAllStarts: true,
+        absentTasks: [],
+        locatedTasks: [],
+    };
     return Result.ok({
         ledgers,
         transferRows: transfers.value.rows,
@@ -101,7 +107,11 @@
         rosterVersion: rosterRow?.version ?? 0,
         unansweredStarts: startsRow === undefined
             ? noStarts
-            : decodeOr(() => startsCodec.decode(startsRow.value), noStarts, logInvalid(startsKey)),
+            : decodeOr(
+                () => startsCodec.decode(startsRow.value),
+                { ...noStarts, hasAllStarts: false },
+                logInvalid(startsKey),
+            ),
         unansweredStartsVersion: startsRow?.version ?? 0,
     });
 };
--- a/packages/workflow/src/cell/starts-codec.ts
+++ b/packages/workflow/src/cell/starts-codec.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 
 import type { TaskName } from "../model/task-name.js";
-import type { StoredAbsences } from "./stored-starts.js";
+import type { LocatedTask, StoredAbsences } from "./stored-starts.js";
 
 const storedRow = z.object({
     restartAge: z.number().optional(),
@@ -16,7 +16,10 @@
         z.boolean(),
         z.boolean(),
     ])),
+    hasAllStarts: z.boolean().default(true),
     absentTasks: z.array(z.string()).default([]),
+    /** Task, then its workers. */
+    locatedTasks: z.array(z.tuple([z.string()]).rest(z.string())).default([]),
 });
 
 /** Starts in a row, which holds at most 64 KB; one takes up to 80 bytes. */
@@ -25,12 +28,31 @@
 const maxBytes = 64_000;
 const bytesPerStart = 80;
 const bytesPerTask = 40;
+const bytesPerWorker = 24;
+
+/** The first located tasks that fit into `bytes`. */
+const fitLocated = (tasks: readonly LocatedTask[], bytes: number): readonly LocatedTask[] => {
+    let free = bytes;
+    return tasks.filter(({ workers }) => {
+        free -= bytesPerTask + workers.length * bytesPerWorker;
+        return free >= 0;
+    });
+};
 
 /** Codec of the row of a cell's unanswered starts and absent tasks. */
 export const startsCodec = {
-    /** Leaves out the oldest starts if there are too many for a row, and absent tasks for which there is no room left. */
-    encode: ({ restartAge, starts, absentTasks }: StoredAbsences): string =>
-        JSON.stringify(
+    /**
+     * Leaves out the oldest starts if there are too many for a row, and located and absent tasks for which there is no room
+     * left.
+     */
+    encode: ({ restartAge, starts, hasAllStarts, absentTasks, locatedTasks }: StoredAbsences): string => {
+        const bytesForTasks = maxBytes - Math.min(starts.length, maxStarts) * bytesPerStart;
+        const located = fitLocated(locatedTasks, bytesForTasks);
+        const bytesForLocated = located.reduce(
+            (sum, { workers }) => sum + bytesPerTask + workers.length * bytesPerWorker,
+            0,
+        );
+        return JSON.stringify(
             {
                 ...(restartAge === undefined ? {} : { restartAge: Math.round(restartAge) }),
                 starts: starts.slice(-maxStarts).map(start => [
@@ -42,17 +64,18 @@
                     start.mayBeDelayed,
                     start.isIncarnationOver,
                 ]),
-                absentTasks: absentTasks.slice(
-                    0,
-                    Math.floor((maxBytes - Math.min(starts.length, maxStarts) * bytesPerStart) / bytesPerTask),
-                ),
+                hasAllStarts: hasAllStarts && starts.length <= maxStarts,
+                absentTasks: absentTasks.slice(0, Math.floor((bytesForTasks - bytesForLocated) / bytesPerTask)),
+                locatedTasks: located.map(({ task, workers }): [string, ...string[]] => [task, ...workers]),
             } satisfies z.input<typeof storedRow>,
-        ),
+        );
+    },
     /** Throws if the row is not valid. */
     decode: (value: string): StoredAbsences => {
-        const { restartAge, starts, absentTasks } = storedRow.parse(JSON.parse(value));
+        const { restartAge, starts, hasAllStarts, absentTasks, locatedTasks } = storedRow.parse(JSON.parse(value));
         return {
             restartAge,
+            hasAllStarts,
             starts: starts.map(([task, run, worker, age, isLasting, mayBeDelayed, isIncarnationOver]) => ({
                 task: task as TaskName,
                 run,
@@ -63,6 +86,10 @@
                 isIncarnationOver,
             })),
             absentTasks: absentTasks as TaskName[],
+            locatedTasks: locatedTasks.map(([task, ...workers]) => ({
+                task: task as TaskName,
+                workers: workers as WorkerId[],
+            })),
         };
     },
 };
--- a/packages/workflow/src/cell/stored-starts.ts
+++ b/packages/workflow/src/cell/stored-starts.ts
@@ -25,8 +25,21 @@
     readonly starts: readonly StoredStart[];
 }
 
+/** A long-running task that has run and runs nowhere but on these workers, which may be none. */
+export interface LocatedTask {
+    readonly task: TaskName;
+    readonly workers: readonly WorkerId[];
+}
+
 /** What the next holder of a cell has to know of tasks that no worker lists. */
 export interface StoredAbsences extends StoredStarts {
-    /** Long-running tasks that have run and wait to run again. */
+    /** Whether all starts are named. */
+    readonly hasAllStarts: boolean;
+    /** Long-running tasks that have run and wait to run again, other than the located ones. */
     readonly absentTasks: readonly TaskName[];
+    /**
+     * Long-running tasks that wait to run again, or run on workers that don't answer. Their unanswered starts may also be
+     * carried out; any other start is stored before it is sent.
+     */
+    readonly locatedTasks: readonly LocatedTask[];
 }
--- a/packages/workflow/src/cell/unanswered-start-writer.ts
+++ b/packages/workflow/src/cell/unanswered-start-writer.ts
@@ -14,9 +14,9 @@
  * tasks, so that it starts them before tasks that have never run.
  */
 export interface UnansweredStartWriter {
-    /** Sets the version that the row has in the store, or 0 if there is no row, and the tasks whose starts it names. */
-    readonly setStored: (version: number, tasks: readonly TaskName[]) => void;
-    /** Whether the stored row may name a start of the task. */
+    /** Sets the version that the row has in the store, or 0 if there is no row, and its contents. */
+    readonly setStored: (version: number, stored: StoredAbsences) => void;
+    /** Whether the stored row may name a start of the task, or the workers on which it may run. */
     readonly mayName: (task: TaskName) => boolean;
     /** Resolves to true once the contents of the row, as of this call, are stored; to false if `signal` aborts first. */
     readonly store: (signal: AbortSignal) => Promise<boolean>;
@@ -55,16 +55,20 @@
     let mayBeStored = false;
     /** Whether the stored row may name starts, whose ages it has to tell, or has to be written again. */
     let isRefreshDue = false;
-    /** Tasks whose starts the stored row may name. */
+    /** Tasks whose starts or workers the stored row may name. */
     let storedTasks: ReadonlySet<TaskName> = new Set();
     /** Number of the last snapshot, and of the last one that was stored. */
     let snapshots = 0;
     let storedSnapshot = 0;
 
+    const namedTasks = ({ starts, locatedTasks }: StoredAbsences): readonly TaskName[] =>
+        [...starts, ...locatedTasks].map(({ task }) => task);
+    const hasAbsences = ({ absentTasks, locatedTasks }: StoredAbsences): boolean =>
+        absentTasks.length > 0 || locatedTasks.length > 0;
     const write = async (value: StoredAbsences): Promise<void> => {
         mayBeStored = true;
         isRefreshDue = true;
-        const tasks = value.starts.map(({ task }) => task);
+        const tasks = namedTasks(value);
         storedTasks = new Set([...storedTasks, ...tasks]);
         const number = snapshots;
         const recordProof = lease.trackCall();
@@ -78,7 +82,7 @@
             storedTasks = new Set(tasks);
             storedSnapshot = number;
             isRefreshDue = value.starts.length > 0;
-            mayBeStored = isRefreshDue || value.absentTasks.length > 0;
+            mayBeStored = isRefreshDue || hasAbsences(value);
             return;
         }
         const { error } = written;
@@ -101,9 +105,9 @@
             }
             return !signal.aborted;
         },
-        setStored: (storedVersion, tasks) => {
+        setStored: (storedVersion, stored) => {
             version = storedVersion;
-            storedTasks = new Set(tasks);
+            storedTasks = new Set(namedTasks(stored));
             mayBeStored = storedVersion > 0;
             isRefreshDue = mayBeStored;
         },
@@ -113,7 +117,7 @@
                 await wakeUp.wait(isRefreshDue ? refreshInterval : idleWait, signal);
                 snapshots += 1;
                 const value = snapshot();
-                const isEmpty = value.starts.length === 0 && value.absentTasks.length === 0;
+                const isEmpty = value.starts.length === 0 && !hasAbsences(value);
                 if (!signal.aborted && (mayBeStored || !isEmpty)) {
                     await write(value);
                     await sleep(writeInterval, signal);
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -2,7 +2,7 @@
 import { createStopSignal, createWakeUp, sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 
-import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
+import type { TaskPosition, WorkflowLedger } from "../ledger/workflow-ledger.js";
 import { createWorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { Configuration } from "../model/configuration.js";
 import { parseTaskName } from "../model/parse-task-name.js";
@@ -47,6 +47,7 @@
 import type { Run } from "./run.js";
 import { createSettledSweep } from "./settled-sweep.js";
 import { createStageScheduler } from "./stage-scheduler.js";
+import type { LocatedTask, StoredAbsences } from "./stored-starts.js";
 import type { StrandedTasks } from "./stranded-tasks.js";
 import { findStrandedTasks } from "./stranded-tasks.js";
 import type { SubmissionReply } from "./submission-reply.js";
@@ -184,10 +185,12 @@
     /** Workflows of earlier holders, held back while their tasks may run on a worker that has not answered yet. */
     const inheritedJobs = new Set<JobId>();
     /**
-     * Inherited long-running tasks which run nowhere but on these workers: those of their inherited unanswered starts, and
-     * those that have reported a run of them to this holder.
+     * Inherited long-running tasks which run nowhere but on these workers: those that the stored row names, those of their
+     * inherited unanswered starts, and those that have reported a run of them to this holder.
      */
     const recordedWorkers = new Map<JobId, Map<TaskName, Set<WorkerId>>>();
+    /** Whether the stored row named all unanswered starts of earlier holders. */
+    let areStartsKnown = true;
     const workers: CellWorkers = new Map();
     const runRegistry = createRunRegistry();
     const passWakeUp = createWakeUp();
@@ -258,16 +261,53 @@
             startWriter.request();
         },
     });
-    const absentTasks = (): readonly TaskName[] =>
-        [...ledgers.values(), ...incomingTransfers.ledgers.values()].flatMap(ledger =>
-            ledger.absentTasks().map(position => taskName({ job: ledger.workflow.id, ...position }))
-        );
+    const isHeldBack = (ledger: WorkflowLedger): boolean => inheritedJobs.has(ledger.workflow.id);
+    const mayHaveUnknownRuns = (id: WorkerId): boolean => workers.get(id)?.session.mayHaveUnknownRuns() === true;
+    /** Workers on which earlier holders may have left a run of the task; undefined if it may be any. */
+    const inheritedWorkers = (ledger: WorkflowLedger, task: TaskName): readonly WorkerId[] | undefined => {
+        const recorded = recordedWorkers.get(ledger.workflow.id)?.get(task);
+        return isHeldBack(ledger) ? recorded && [...recorded].filter(mayHaveUnknownRuns) : [];
+    };
+    /** The long-running tasks that wait to run again or run on workers that don't answer. */
+    const findAbsences = (): Pick<StoredAbsences, "absentTasks" | "locatedTasks"> => {
+        const absentTasks: TaskName[] = [];
+        const locatedTasks: LocatedTask[] = [];
+        const add = (ledger: WorkflowLedger, position: TaskPosition, worker?: WorkerId): void => {
+            const task = taskName({ job: ledger.workflow.id, ...position });
+            const inherited = ledger.stage(position)?.step.isSpeculative === true
+                ? undefined
+                : inheritedWorkers(ledger, task);
+            if (inherited !== undefined) {
+                locatedTasks.push({
+                    task,
+                    workers: worker === undefined ? inherited : [...new Set([...inherited, worker])],
+                });
+            }
+            else if (worker === undefined) {
+                absentTasks.push(task);
+            }
+        };
+        for (const ledger of [...ledgers.values(), ...incomingTransfers.ledgers.values()]) {
+            ledger.absentTasks().forEach(position => {
+                add(ledger, position);
+            });
+        }
+        for (const { session } of workers.values()) {
+            const runs = session.contact() === "silent" ? [...runRegistry.ofWorker(session.id)] : [];
+            for (const { ledger, position, step, task } of runs) {
+                if (step.isLasting && !ledger.isSettled() && runRegistry.ofTask(task).length === 1) {
+                    add(ledger, position, session.id);
+                }
+            }
+        }
+        return { absentTasks, locatedTasks };
+    };
     const startWriter = createUnansweredStartWriter({
         cell,
         lease,
         store,
         logger,
-        snapshot: () => ({ ...unansweredStarts.snapshot(), absentTasks: absentTasks() }),
+        snapshot: () => ({ ...unansweredStarts.snapshot(), hasAllStarts: true, ...findAbsences() }),
     });
     const workerCrashes = createWorkerCrashes(runRegistry);
     const taskCrashes = createTaskCrashes({
@@ -311,20 +351,19 @@
         isOnRecord: task => unansweredStarts.hasAny(task) || startWriter.mayName(task),
         storeStarts: () => startWriter.store(signal),
     });
-    const recordWorker = (task: TaskName, worker: WorkerId): void => {
+    const recordWorkers = (task: TaskName, ids: readonly WorkerId[]): void => {
         const job = parseTaskName(task)?.job;
         if (job !== undefined) {
             const tasks = recordedWorkers.get(job) ?? new Map<TaskName, Set<WorkerId>>();
-            recordedWorkers.set(job, tasks.set(task, (tasks.get(task) ?? new Set()).add(worker)));
+            recordedWorkers.set(job, tasks.set(task, new Set([...tasks.get(task) ?? [], ...ids])));
         }
     };
     const accountedTasks = (ledger: WorkflowLedger): ReadonlySet<TaskName> => {
         const tasks = [...recordedWorkers.get(ledger.workflow.id) ?? []].filter(([, on]) =>
-            ![...on].some(id => workers.get(id)?.session.mayHaveUnknownRuns() === true)
+            ![...on].some(mayHaveUnknownRuns)
         );
         return new Set(tasks.map(([task]) => task));
     };
-    const isHeldBack = (ledger: WorkflowLedger): boolean => inheritedJobs.has(ledger.workflow.id);
     const findStranded = (from: ReadonlyMap<JobId, WorkflowLedger>): readonly StrandedTasks[] =>
         findStrandedTasks({
             ledgers: from.values(),
@@ -405,8 +444,8 @@
     const recordAdoptedRuns = (session: WorkerSession, report: WorkerReport): void => {
         for (const { task, run: number } of report.running) {
             const run = runRegistry.find(session.id, task, number);
-            if (run?.step.isLasting === true && !run.step.isSpeculative && isHeldBack(run.ledger)) {
-                recordWorker(task, session.id);
+            if (areStartsKnown && run?.step.isLasting === true && !run.step.isSpeculative && isHeldBack(run.ledger)) {
+                recordWorkers(task, [session.id]);
             }
         }
     };
@@ -487,7 +526,7 @@
     let reviewedAbsentTasks = "";
     /** Has the absent tasks stored if they have changed; most of them run again before the next review. */
     const reviewAbsentTasks = (): void => {
-        const tasks = absentTasks().join();
+        const tasks = JSON.stringify(findAbsences());
         if (tasks !== reviewedAbsentTasks) {
             reviewedAbsentTasks = tasks;
             startWriter.request();
@@ -604,14 +643,19 @@
         incomingTransfers.inherit(loaded.value.transferRows);
         [...incomingTransfers.ledgers.keys()].forEach(id => inheritedJobs.add(id));
         roster.inherit(loaded.value);
-        const { starts, absentTasks: absent } = loaded.value.unansweredStarts;
-        startWriter.setStored(loaded.value.unansweredStartsVersion, starts.map(({ task }) => task));
-        for (const { task, worker, isLasting } of starts) {
-            if (isLasting) {
-                recordWorker(task, worker);
-            }
+        const { starts, hasAllStarts, absentTasks, locatedTasks } = loaded.value.unansweredStarts;
+        startWriter.setStored(loaded.value.unansweredStartsVersion, loaded.value.unansweredStarts);
+        areStartsKnown = hasAllStarts;
+        const lastingStarts = starts.filter(({ isLasting }) => isLasting);
+        if (hasAllStarts) {
+            lastingStarts.forEach(({ task, worker }) => {
+                recordWorkers(task, [worker]);
+            });
+            locatedTasks.forEach(({ task, workers: on }) => {
+                recordWorkers(task, on);
+            });
         }
-        [...starts.filter(({ isLasting }) => isLasting).map(({ task }) => task), ...absent].forEach(recordEarlierRun);
+        [...[...lastingStarts, ...locatedTasks].map(({ task }) => task), ...absentTasks].forEach(recordEarlierRun);
         unansweredStarts.inherit(loaded.value.unansweredStarts).forEach(({ worker, ...start }) => {
             workers.get(worker)?.session.expectStart(start);
         });
