--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -195,6 +195,8 @@
     let unansweredAt = -Infinity;
     /** Monotonic time in ms at which the current incarnation last reported or was detected. */
     let incarnationSeenAt = -Infinity;
+    /** Monotonic time in ms at which the worker last lapsed. */
+    let lapsedAt = -Infinity;
     /** Monotonic time in ms at which the last answered poll was sent. */
     let reportSentAt = -Infinity;
     /** Monotonic time in ms up to which a start order other than the pending ones may have been carried out. */
@@ -248,11 +250,22 @@
         && performance.now() - entryAt > (entry.remaining ?? Infinity);
     const markLapsed = (hasProcessEnded: boolean, details: object): void => {
         setContact("lapsed", details);
+        lapsedAt = performance.now();
         resetIncarnation();
         bornAt = undefined;
         leaseExpiry = newLeaseExpiry(0);
         events.onLapsed(session, hasProcessEnded && !entry.isDraining);
     };
+    /** Milliseconds until nothing can run any more on a worker that does not answer; undefined while it may answer. */
+    const untilLapse = (): number | undefined =>
+        failingSince !== undefined && (contact === "silent" || contact === "unknown")
+            ? leaseExpiry.expiresAt() + lapseMargin - performance.now()
+            : undefined;
+    const lapseIfOver = (error?: OrderError["kind"]): void => {
+        if ((untilLapse() ?? 0) < 0) {
+            markLapsed(error === "closed", { error, reason: "no answer until its leases expired" });
+        }
+    };
     /**
      * Whether another worker has answered at the address, which ends all runs of this one. The answer to a poll that
      * was sent before this worker last reported may come from the previous worker at the address, and is ignored.
@@ -279,12 +292,13 @@
                 leasedFor: Math.round(leaseExpiry.expiresAt() - performance.now()),
             });
         }
-        const hasLeft = hasLeftAsAnnounced(error);
-        const isOver = hasLeft || performance.now() > leaseExpiry.expiresAt() + lapseMargin;
-        if (isOver && (contact === "silent" || contact === "unknown")) {
-            const reason = hasLeft ? "the worker left after its announced drain" : "no answer until its leases expired";
-            markLapsed(error.kind === "closed", { error: error.kind, reason });
+        if (hasLeftAsAnnounced(error) && (contact === "silent" || contact === "unknown")) {
+            markLapsed(error.kind === "closed", {
+                error: error.kind,
+                reason: "the worker left after its announced drain",
+            });
         }
+        lapseIfOver(error.kind);
     };
     const updateEndList = ({ ended, hasAllEnds }: WorkerReport, isFirst: boolean): void => {
         lacksEnds = (isFirst || lacksEnds) && !hasAllEnds;
@@ -359,6 +373,10 @@
             handleFailure(report.error, sentAt, sentToken);
             return false;
         }
+        if (sentAt < lapsedAt) {
+            // What it reports ended with the leases, which have expired since.
+            return false;
+        }
         confirmDeadline?.();
         leaseExpiry.recordToken(sentToken);
         acknowledgedEnd = Math.max(acknowledgedEnd, endToAcknowledge);
@@ -409,6 +427,12 @@
             return false;
         }
         const answered = pollSafely(nextWait()).finally(leavePlace);
+        const untilOver = untilLapse();
+        // The end of the leases does not wait for the end of a poll.
+        const lapseTimer = untilOver === undefined ? undefined : setTimeout(lapseIfOver, Math.max(0, untilOver) + 1);
+        void answered.finally(() => {
+            clearTimeout(lapseTimer);
+        });
         if (!pendingStarts.hasAny()) {
             return await answered;
         }
--- a/packages/workflow/tests/worker-session.test.ts
+++ b/packages/workflow/tests/worker-session.test.ts
@@ -172,6 +172,22 @@
         expect(session.contact()).toBe("lapsed");
     });
 
+    // Guards against tasks that wait up to a second longer than the leases of a lost worker, for a poll that times out.
+    it("marks a worker as lapsed when its leases expire, also while a poll has no answer", async () => {
+        await jest.advanceTimersByTimeAsync(1_000);
+        answer = silent;
+        delays = Array<number>(20).fill(1_000);
+        await jest.advanceTimersByTimeAsync(3_000);
+        const polls = tokens.length;
+        const leasedFor = session.leasedFor() ?? 0;
+        expect(leasedFor).toBeGreaterThan(1_000);
+        await jest.advanceTimersByTimeAsync(leasedFor - 20);
+        expect(session.contact()).toBe("silent");
+        await jest.advanceTimersByTimeAsync(50);
+        expect(session.contact()).toBe("lapsed");
+        expect(tokens.length).toBeGreaterThan(polls);
+    });
+
     /** Reads the directory every second, for so many milliseconds. */
     const readDirectory = async (isListed: boolean, duration: number): Promise<void> => {
         for (let passed = 0; passed < duration; passed += 1_000) {
