--- /dev/null
+++ b/packages/bench/tests/workflow/late-grant-and-holder.test.ts
@@ -0,0 +1,87 @@
+import { findBreach, isDeadlineCall } from "@jayfront/platform-stand-in";
+import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
+
+import type { FakeTime } from "../../src/util/fake-time.js";
+import { installFakeTime } from "../../src/util/fake-time.js";
+import type { WorkflowCluster } from "../../src/workflow/workflow-cluster.js";
+import { createWorkflowCluster } from "../../src/workflow/workflow-cluster.js";
+
+const job = "00000000000000a1";
+const tasks = 2;
+const cpu = 4_000;
+/** Milliseconds by which the deadline arrives late: before the lease that the worker has got expires. */
+const delay = 3_000;
+/** Milliseconds in which another worker shows that deadlines arrive late. */
+const signTime = 3_000;
+/** Milliseconds from the late deadline to the loss of the holder, before or after it has noticed that it has no answer. */
+const unnoticed = 50;
+const noticed = 2_000;
+/** Milliseconds in which the next holder must not start the tasks twice; then the worker answers again. */
+const observedTime = 20_000;
+
+describe("deadlines that the former holder sent and that arrive late", () => {
+    let time: FakeTime;
+    let cluster: WorkflowCluster;
+    beforeEach(async () => {
+        time = installFakeTime();
+        cluster = createWorkflowCluster({
+            hosts: { "east-a": 3 },
+            workers: { "east-a": 6 },
+            longestLease: 10_000,
+            cpuOf: () => cpu,
+        });
+        await time.advance(3_000);
+        void cluster.submit(cluster.holder() ?? "", job, [{ count: tasks, cpu, isLasting: true }], { isLasting: true });
+        await time.advance(1_000);
+    });
+    afterEach(() => {
+        cluster.stop();
+        time.restore();
+    });
+    const runningOf = (worker: string): readonly string[] =>
+        cluster.platform.workers.get(worker)?.running().filter(task => task.startsWith(job)) ?? [];
+    const cutOff = (worker: string): () => void =>
+        cluster.platform.network.addFault({
+            matches: (...[, call]) => call.address === cluster.platform.addressOf(worker),
+            action: "cut",
+        });
+    const workersOfTasks = (): readonly string[] =>
+        [...cluster.platform.workers.keys()].filter(id => runningOf(id).length > 0);
+    /** Lets the deadlines of a worker arrive late; `granted` tells how many. */
+    const delayDeadlines = (worker: string): { readonly heal: () => void; readonly granted: () => number; } => {
+        let granted = 0;
+        const heal = cluster.platform.network.addFault({
+            matches: (...[, call]) => {
+                const isGrant = call.address === cluster.platform.addressOf(worker) && isDeadlineCall(call);
+                granted += isGrant ? 1 : 0;
+                return isGrant;
+            },
+            action: "late-grant",
+            delay,
+        });
+        return { heal, granted: () => granted };
+    };
+
+    // Guards against a second run beside the first one: the next holder, from which the worker is cut off, counted the
+    // leases of the former holder without a deadline that arrived late, or had a shorter bound from the stored roster.
+    it.each([["has not noticed", unnoticed], ["has noticed", noticed]] as const)(
+        "keep the next holder from a second run if the former one %s that the worker does not answer",
+        async (...[, untilLoss]) => {
+            const [other = "", worker = ""] = workersOfTasks();
+            const sign = delayDeadlines(other);
+            await time.advance(signTime);
+            const { heal, granted } = delayDeadlines(worker);
+            await time.advanceUntil(() => granted() > 0, 5_000, 10);
+            const reconnect = cutOff(worker);
+            heal();
+            await time.advance(untilLoss);
+            cluster.kill(cluster.holder() ?? "");
+            sign.heal();
+            await time.advance(observedTime);
+            reconnect();
+            await time.advance(5_000);
+            expect(findBreach(cluster.platform.journal.events)).toBeUndefined();
+            expect([...cluster.platform.workers.keys()].flatMap(runningOf)).toHaveLength(tasks);
+        },
+    );
+});
--- a/packages/workflow/src/cell/lease-expiry.ts
+++ b/packages/workflow/src/cell/lease-expiry.ts
@@ -14,6 +14,16 @@
     readonly recordRestart: () => void;
     /** Monotonic time in ms. */
     readonly expiresAt: () => number;
+    /** As `expiresAt`, if no deadline arrives late. */
+    readonly expiresIfPrompt: () => number;
+}
+
+/** Leases that earlier holders of a cell granted to a worker; both in ms of monotonic time. */
+export interface InheritedLeases {
+    /** Until which they may last if no deadline arrives late. */
+    readonly until: number;
+    /** Until which they may last, since deadlines may arrive late; `until` if they don't. */
+    readonly lateUntil: number;
 }
 
 /** Options of {@link createLeaseExpiry}. */
@@ -27,8 +37,10 @@
      * counts from its arrival.
      */
     readonly maxDeliveryDelay: (sentAt: number) => number;
-    /** Monotonic time in ms until which leases that an earlier holder of the cell granted may last. */
-    readonly initialExpiry: number;
+    /** The leases of earlier holders. */
+    readonly inherited: () => InheritedLeases;
+    /** Whether deadlines of earlier holders can't arrive any more. */
+    readonly isGone: () => boolean;
 }
 
 /** A deadline that was sent and has no answer. */
@@ -49,8 +61,10 @@
 
 /** Creates the lease expiry of one worker. */
 export const createLeaseExpiry = (options: LeaseExpiryOptions): LeaseExpiry => {
-    const { longestLease, clockDrift, maxDeliveryDelay } = options;
-    let until = options.initialExpiry;
+    const { longestLease, clockDrift, maxDeliveryDelay, inherited, isGone } = options;
+    let until = inherited().until;
+    /** Whether the worker may still accept deadlines of earlier holders. */
+    let acceptsInherited = true;
     const longestLength = longestLease / (1 - clockDrift);
     const unanswered = new Set<SentDeadline>();
     /** Counts a deadline that may have arrived at any time until now. */
@@ -74,6 +88,11 @@
             };
         },
         recordToken: token => {
+            const { lateUntil } = inherited();
+            if (acceptsInherited && !isGone()) {
+                until = Math.max(until, Math.min(lateUntil, performance.now() + longestLength));
+            }
+            acceptsInherited = false;
             for (const sent of unanswered) {
                 if (!sent.isVoid && sent.token < token) {
                     sent.isVoid = true;
@@ -89,7 +108,13 @@
         },
         expiresAt: () => {
             const valid = [...unanswered].filter(({ isVoid }) => !isVoid);
-            return Math.max(until, ...valid.map(sent => sent.until + maxDeliveryDelay(sent.sentAt)));
+            return Math.max(
+                until,
+                acceptsInherited && !isGone() ? inherited().lateUntil : -Infinity,
+                ...valid.map(sent => sent.until + maxDeliveryDelay(sent.sentAt)),
+            );
         },
+        expiresIfPrompt: () =>
+            Math.max(until, ...[...unanswered].filter(({ isVoid }) => !isVoid).map(sent => sent.until)),
     };
 };
--- a/packages/workflow/src/cell/load-cell.ts
+++ b/packages/workflow/src/cell/load-cell.ts
@@ -95,6 +95,7 @@
     }
     const noStarts: StoredAbsences = {
         restartAge: undefined,
+        lateSignAge: undefined,
         starts: [],
         hasAllStarts: true,
         absentTasks: [],
--- a/packages/workflow/src/cell/roster-codec.ts
+++ b/packages/workflow/src/cell/roster-codec.ts
@@ -9,35 +9,43 @@
      * for workers that may get new leases.
      */
     readonly leasedFor?: number | undefined;
+    /** As `leasedFor`, including deadlines that may still arrive late; undefined if none may. */
+    readonly lateFor?: number | undefined;
 }
 
 /** Fields that are the same for many workers of a rack. */
 type CommonPart = Pick<WorkerEntry, "service" | "failureDomain" | "rack" | "labels" | "capacity">;
 
-/** A worker as `[id, address, bornAt, remaining]`, the last only for a draining one. */
-type RosterRow = readonly [WorkerId, string, number, number?];
+/** Number in a row; JSON has no undefined elements of arrays. */
+type OptionalNumber = number | null | undefined;
+
+/** A worker as `[id, address, bornAt, remaining, leasedFor, lateFor]`, without the last elements that are undefined. */
+type RosterRow = readonly [WorkerId, string, number, OptionalNumber?, OptionalNumber?, OptionalNumber?];
 
 /** Workers with equal common fields. */
 interface RosterGroup extends CommonPart {
     readonly isDraining: boolean;
     readonly workers: readonly RosterRow[];
-    /** `RosterEntry.leasedFor` by worker. */
-    readonly leases?: Readonly<Record<string, number>>;
 }
 
+const encodeWorker = ({ id, address, bornAt, remaining, leasedFor, lateFor }: RosterEntry): RosterRow => {
+    const row: RosterRow = [id, address, bornAt, remaining, leasedFor, lateFor];
+    return row.slice(0, row.findLastIndex(value => value !== undefined) + 1) as unknown as RosterRow;
+};
+const decodeOptional = <Key extends string>(key: Key, value: OptionalNumber): { readonly [Name in Key]?: number; } =>
+    value === undefined || value === null ? {} : { [key]: value } as { readonly [Name in Key]?: number; };
+
 /** Codec of a cell's roster row. A row holds at most 64 KB, so fields that workers have in common are written once. */
 export const rosterCodec = {
     /** Groups workers with equal common fields; their order is not kept. */
     encode: (entries: readonly RosterEntry[]): string => {
-        const groups = new Map<string, RosterGroup & { workers: RosterRow[]; leases?: Record<string, number>; }>();
-        for (const { id, address, bornAt, remaining, leasedFor, ...common } of entries) {
-            const { service, failureDomain, rack, labels, capacity, isDraining } = common;
-            const key = JSON.stringify([service, failureDomain, rack, labels, capacity, isDraining]);
+        const groups = new Map<string, RosterGroup & { workers: RosterRow[]; }>();
+        for (const entry of entries) {
+            const { service, failureDomain, rack, labels, capacity, isDraining } = entry;
+            const common = { service, failureDomain, rack, labels, capacity, isDraining };
+            const key = JSON.stringify(Object.values(common));
             const group = groups.get(key) ?? { ...common, workers: [] };
-            group.workers.push(remaining === undefined ? [id, address, bornAt] : [id, address, bornAt, remaining]);
-            if (leasedFor !== undefined) {
-                group.leases = { ...group.leases, [id]: leasedFor };
-            }
+            group.workers.push(encodeWorker(entry));
             groups.set(key, group);
         }
         return JSON.stringify([...groups.values()]);
@@ -48,8 +56,8 @@
             if (!("workers" in group)) {
                 return [group];
             }
-            const { workers, leases = {}, service, failureDomain, rack, labels, capacity, isDraining } = group;
-            return workers.map(([id, address, bornAt, remaining]): RosterEntry => ({
+            const { workers, service, failureDomain, rack, labels, capacity, isDraining } = group;
+            return workers.map(([id, address, bornAt, remaining, leasedFor, lateFor]): RosterEntry => ({
                 id,
                 address,
                 service,
@@ -59,8 +67,9 @@
                 capacity,
                 isDraining,
                 bornAt,
-                ...(remaining === undefined ? {} : { remaining }),
-                ...(leases[id] === undefined ? {} : { leasedFor: leases[id] }),
+                ...decodeOptional("remaining", remaining),
+                ...decodeOptional("leasedFor", leasedFor),
+                ...decodeOptional("lateFor", lateFor),
             }));
         }),
 };
--- a/packages/workflow/src/cell/starts-codec.ts
+++ b/packages/workflow/src/cell/starts-codec.ts
@@ -6,6 +6,7 @@
 
 const storedRow = z.object({
     restartAge: z.number().optional(),
+    lateSignAge: z.number().optional(),
     /** Task, run, worker, age; then whether the task is long-running, may be delayed, and has lost its incarnation. */
     starts: z.array(z.tuple([
         z.string(),
@@ -45,7 +46,7 @@
      * Leaves out the oldest starts if there are too many for a row, and located and absent tasks for which there is no room
      * left.
      */
-    encode: ({ restartAge, starts, hasAllStarts, absentTasks, locatedTasks }: StoredAbsences): string => {
+    encode: ({ restartAge, lateSignAge, starts, hasAllStarts, absentTasks, locatedTasks }: StoredAbsences): string => {
         const bytesForTasks = maxBytes - Math.min(starts.length, maxStarts) * bytesPerStart;
         const located = fitLocated(locatedTasks, bytesForTasks);
         const bytesForLocated = located.reduce(
@@ -55,6 +56,7 @@
         return JSON.stringify(
             {
                 ...(restartAge === undefined ? {} : { restartAge: Math.round(restartAge) }),
+                ...(lateSignAge === undefined ? {} : { lateSignAge: Math.round(lateSignAge) }),
                 starts: starts.slice(-maxStarts).map(start => [
                     start.task,
                     start.run,
@@ -72,9 +74,12 @@
     },
     /** Throws if the row is not valid. */
     decode: (value: string): StoredAbsences => {
-        const { restartAge, starts, hasAllStarts, absentTasks, locatedTasks } = storedRow.parse(JSON.parse(value));
+        const { restartAge, lateSignAge, starts, hasAllStarts, absentTasks, locatedTasks } = storedRow.parse(
+            JSON.parse(value),
+        );
         return {
             restartAge,
+            lateSignAge,
             hasAllStarts,
             starts: starts.map(([task, run, worker, age, isLasting, mayBeDelayed, isIncarnationOver]) => ({
                 task: task as TaskName,
--- a/packages/workflow/src/cell/stored-starts.ts
+++ b/packages/workflow/src/cell/stored-starts.ts
@@ -33,6 +33,8 @@
 
 /** What the next holder of a cell has to know of tasks that no worker lists. */
 export interface StoredAbsences extends StoredStarts {
+    /** See `LateOrderDetector.signAge`. */
+    readonly lateSignAge: number | undefined;
     /** Whether all starts are named. */
     readonly hasAllStarts: boolean;
     /** Long-running tasks that have run and wait to run again, other than the located ones. */
--- a/packages/workflow/src/cell/unanswered-start-writer.ts
+++ b/packages/workflow/src/cell/unanswered-start-writer.ts
@@ -53,7 +53,7 @@
     let version = 0;
     /** Whether the stored row may name starts or absent tasks. */
     let mayBeStored = false;
-    /** Whether the stored row may name starts, whose ages it has to tell, or has to be written again. */
+    /** Whether the stored row may contain ages, which count up to its write, or has to be written again. */
     let isRefreshDue = false;
     /** Tasks whose starts or workers the stored row may name. */
     let storedTasks: ReadonlySet<TaskName> = new Set();
@@ -63,6 +63,8 @@
 
     const namedTasks = ({ starts, locatedTasks }: StoredAbsences): readonly TaskName[] =>
         [...starts, ...locatedTasks].map(({ task }) => task);
+    const hasAges = ({ starts, lateSignAge }: StoredAbsences): boolean =>
+        starts.length > 0 || lateSignAge !== undefined;
     const hasAbsences = ({ absentTasks, locatedTasks }: StoredAbsences): boolean =>
         absentTasks.length > 0 || locatedTasks.length > 0;
     const write = async (value: StoredAbsences): Promise<void> => {
@@ -81,7 +83,7 @@
             version = written.value;
             storedTasks = new Set(tasks);
             storedSnapshot = number;
-            isRefreshDue = value.starts.length > 0;
+            isRefreshDue = hasAges(value);
             mayBeStored = isRefreshDue || hasAbsences(value);
             return;
         }
@@ -117,7 +119,7 @@
                 await wakeUp.wait(isRefreshDue ? refreshInterval : idleWait, signal);
                 snapshots += 1;
                 const value = snapshot();
-                const isEmpty = value.starts.length === 0 && !hasAbsences(value);
+                const isEmpty = !hasAges(value) && !hasAbsences(value);
                 if (!signal.aborted && (mayBeStored || !isEmpty)) {
                     await write(value);
                     await sleep(writeInterval, signal);
--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -11,6 +11,7 @@
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
 import { isListed } from "./cell-workers.js";
 import type { LateOrderDetector } from "./late-order-detector.js";
+import type { InheritedLeases } from "./lease-expiry.js";
 import type { LoadedCell } from "./load-cell.js";
 import type { PollBudget } from "./poll-budget.js";
 import { createResourceAccount } from "./resource-account.js";
@@ -52,8 +53,8 @@
     /** Whether the runs of one worker may interfere with each other. */
     readonly mayInterfere: (runs: readonly Run[]) => boolean;
     readonly lateOrderDetector: LateOrderDetector;
-    /** Monotonic time in ms by which all leases that earlier holders granted have expired. */
-    readonly inheritedLeasesUntil: number;
+    /** The leases that earlier holders may have granted to any worker. */
+    readonly inheritedLeases: () => InheritedLeases;
     /** See `ProcessDelay.recent`. */
     readonly processDelay: () => number;
     /** Shared by all cells of the host. */
@@ -71,8 +72,7 @@
 export const createWorkerRoster = (options: WorkerRosterOptions): WorkerRoster => {
     const { workers, lease, store, directory, gateway, timing, logger, runRegistry, events, signal } = options;
     const list = createWorkerList({ store, directory });
-    const { isOwn, mayInterfere, lateOrderDetector, inheritedLeasesUntil, processDelay, pollBudget, onChange } =
-        options;
+    const { isOwn, mayInterfere, lateOrderDetector, inheritedLeases, processDelay, pollBudget, onChange } = options;
     const { cell, epoch } = lease;
     const wakeUp = createWakeUp();
     /** The entries of the workers on the roster, as they are stored. */
@@ -93,7 +93,22 @@
         },
     };
 
-    const addWorker = ({ leasedFor, ...entry }: RosterEntry): void => {
+    /** The leases of a worker on the roster, as of its read. */
+    const leasesOf = ({ leasedFor, lateFor }: RosterEntry): () => InheritedLeases => {
+        if (leasedFor === undefined) {
+            return inheritedLeases;
+        }
+        const now = performance.now();
+        const until = Math.min(inheritedLeases().until, now + leasedFor);
+        const storedLateUntil = Math.max(until, now + (lateFor ?? leasedFor));
+        return () => {
+            const { until: anyUntil, lateUntil } = inheritedLeases();
+            // A deadline that arrives late has no effect if nothing runs there.
+            const isIdle = leasedFor === 0 && lateFor === undefined;
+            return { until, lateUntil: isIdle ? until : Math.max(storedLateUntil, until + lateUntil - anyUntil) };
+        };
+    };
+    const addWorker = (entry: RosterEntry): void => {
         const isNew = !storedEntries.has(entry.id);
         const sessionStop = createStopSignal(signal);
         const session = createWorkerSession({
@@ -107,9 +122,7 @@
             mayInterfere: () => mayInterfere([...runRegistry.ofWorker(entry.id)]),
             lateOrderDetector,
             // A worker that is not on the roster can't have a lease of an earlier holder.
-            inheritedLeasesUntil: isNew
-                ? 0
-                : Math.min(inheritedLeasesUntil, performance.now() + (leasedFor ?? Infinity)),
+            inheritedLeases: isNew ? () => ({ until: 0, lateUntil: 0 }) : leasesOf(entry),
             mayExtendLease: () => !boundedWorkers.has(entry.id),
             processDelay,
             pollBudget,
@@ -161,22 +174,25 @@
         const { session } = worker;
         const { remaining, isDraining, ...entry } = session.entry();
         const leasedFor = session.leasedFor();
+        const lateFor = session.lateFor();
         return {
             ...entry,
             isDraining: isDraining || !isListed(worker),
             ...(remaining === undefined
                 ? {}
                 : { remaining: Math.max(0, Math.round(remaining - (performance.now() - session.entryAt()))) }),
-            ...(leasedFor === undefined ? {} : { leasedFor: Math.ceil(leasedFor) }),
+            leasedFor: leasedFor === undefined ? undefined : Math.ceil(leasedFor),
+            lateFor: lateFor === undefined ? undefined : Math.ceil(lateFor),
         };
     };
     /** Whether the roster has what a later holder has to know of the worker before it starts anything there. */
-    const isStored = ({ id, isDraining, capacity, leasedFor }: RosterEntry): boolean => {
+    const isStored = ({ id, isDraining, capacity, leasedFor, lateFor }: RosterEntry): boolean => {
         const stored = storedEntries.get(id);
         return stored !== undefined
             && stored.isDraining === isDraining
             // The time that is stored counts up to the write, so that it is stored again until it is over.
             && (leasedFor === undefined || leasedFor === 0) && stored.leasedFor === leasedFor
+            && lateFor === undefined && stored.lateFor === undefined
             && stored.capacity.cpu === capacity.cpu
             && stored.capacity.memory === capacity.memory
             && stored.capacity.accelerators === capacity.accelerators;
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -10,7 +10,7 @@
 import { leaseDuration } from "./cell-timing.js";
 import type { ExpectedStart } from "./expected-start.js";
 import type { LateOrderDetector } from "./late-order-detector.js";
-import type { LeaseExpiry } from "./lease-expiry.js";
+import type { InheritedLeases, LeaseExpiry } from "./lease-expiry.js";
 import { createLeaseExpiry } from "./lease-expiry.js";
 import { createOrderTokens } from "./order-tokens.js";
 import { createPendingStarts } from "./pending-starts.js";
@@ -43,9 +43,11 @@
     readonly failingSince: () => number | undefined;
     /**
      * Milliseconds after which nothing can run any more on a worker that does not answer or drains: 0 if it has reported
-     * that nothing runs there; undefined while it answers otherwise, or before its first poll in this epoch has failed.
+     * that nothing runs there; undefined while it answers otherwise, or may answer its first poll in this epoch.
      */
     readonly leasedFor: () => number | undefined;
+    /** As `leasedFor`, including deadlines that may still arrive late; undefined if none may. */
+    readonly lateFor: () => number | undefined;
     /** Deadline for starts, in ms on the worker's clock; undefined if it may not start anything. */
     readonly deadline: () => number | undefined;
     /** Sends a start order; returns the worker's clock. */
@@ -102,8 +104,8 @@
     /** Whether tasks on the worker may interfere with each other, which requires frequent reports. */
     readonly mayInterfere: () => boolean;
     readonly lateOrderDetector: LateOrderDetector;
-    /** Monotonic time in ms until which leases that earlier holders granted may last. */
-    readonly inheritedLeasesUntil: number;
+    /** The leases that earlier holders granted. */
+    readonly inheritedLeases: () => InheritedLeases;
     /**
      * Whether the worker may get a new lease: not while the next holder may read that its leases expire at an earlier time.
      */
@@ -140,6 +142,9 @@
  */
 const incarnationProofTime = 100;
 
+/** The leases of a worker on which nothing runs. */
+const noLeases: InheritedLeases = { until: 0, lateUntil: 0 };
+
 /** Creates the session of a worker; it polls once `run` is called. */
 export const createWorkerSession = (options: WorkerSessionOptions): WorkerSession => {
     const { epoch, gateway, timing, logger, events, isBusy, lateOrderDetector, processDelay, pollBudget } = options;
@@ -157,15 +162,16 @@
     const pacing = createPollPacing(options);
     const pendingStarts = createPendingStarts({ lateOrderTime: timing.lateOrderTime, lateOrderDetector });
     const listing = createWorkerListing();
-    const newLeaseExpiry = (initial: number): LeaseExpiry =>
+    const newLeaseExpiry = (inherited: () => InheritedLeases): LeaseExpiry =>
         createLeaseExpiry({
             longestLease: timing.longestLease,
             clockDrift: timing.clockDrift,
             maxDeliveryDelay: sentAt =>
                 lateOrderDetector.mayBeDelayed(sentAt) && !listing.isGone() ? timing.lateOrderTime : 0,
-            initialExpiry: initial,
+            inherited,
+            isGone: listing.isGone,
         });
-    let leaseExpiry = newLeaseExpiry(options.inheritedLeasesUntil);
+    let leaseExpiry = newLeaseExpiry(options.inheritedLeases);
     let entry = options.entry;
     let entryAt = performance.now();
     let contact: ContactState = "unknown";
@@ -253,7 +259,7 @@
         lapsedAt = performance.now();
         resetIncarnation();
         bornAt = undefined;
-        leaseExpiry = newLeaseExpiry(0);
+        leaseExpiry = newLeaseExpiry(() => noLeases);
         events.onLapsed(session, hasProcessEnded && !entry.isDraining);
     };
     /** Milliseconds until nothing can run any more on a worker that does not answer; undefined while it may answer. */
@@ -489,9 +495,19 @@
             if (isProvenIdle() && (contact === "silent" || entry.isDraining)) {
                 return 0;
             }
-            return contact === "known" || contact === "unknown" && failingSince === undefined
+            // A worker for which the stored roster tells this already gets no new lease before it answers.
+            const mayAnswer = contact === "unknown" && failingSince === undefined;
+            return contact === "known" || mayAnswer
                 ? undefined
-                : Math.max(0, leaseExpiry.expiresAt() + lapseMargin - performance.now());
+                : Math.max(0, leaseExpiry.expiresIfPrompt() + lapseMargin - performance.now());
+        },
+        lateFor: () => {
+            const isIdle = isProvenIdle() && (contact === "silent" || entry.isDraining);
+            const lateFor = leaseExpiry.expiresAt() + lapseMargin - performance.now();
+            return session.leasedFor() !== undefined && !isIdle && lateFor > 0
+                    && leaseExpiry.expiresAt() > leaseExpiry.expiresIfPrompt()
+                ? lateFor
+                : undefined;
         },
         beginProof: clock.beginProof,
         setEntry: next => {
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -196,10 +196,12 @@
     const passWakeUp = createWakeUp();
     const placementLag = createPlacementLag();
     const interferenceModel = createInterferenceModel();
-    const lateOrderDetector = createLateOrderDetector();
+    const lateOrderDetector = createLateOrderDetector(() => {
+        startWriter.request();
+    });
     let isActive = false;
     let accepted: JobId[] = [];
-    /** Monotonic time in ms by which all task leases of earlier holders have expired. */
+    /** Monotonic time in ms by which all task leases of earlier holders have expired if no deadline arrives late. */
     const inheritedLeasesUntil = options.takenAt
         + leaseDuration(timing) / (1 - timing.clockDrift) + timing.stopTime;
 
@@ -307,7 +309,12 @@
         lease,
         store,
         logger,
-        snapshot: () => ({ ...unansweredStarts.snapshot(), hasAllStarts: true, ...findAbsences() }),
+        snapshot: () => ({
+            ...unansweredStarts.snapshot(),
+            lateSignAge: lateOrderDetector.signAge(),
+            hasAllStarts: true,
+            ...findAbsences(),
+        }),
     });
     const workerCrashes = createWorkerCrashes(runRegistry);
     const taskCrashes = createTaskCrashes({
@@ -496,7 +503,11 @@
         isOwn,
         mayInterfere: interferenceController.mayInterfere,
         lateOrderDetector,
-        inheritedLeasesUntil,
+        inheritedLeases: () => ({
+            until: inheritedLeasesUntil,
+            lateUntil: inheritedLeasesUntil
+                + (lateOrderDetector.mayBeDelayed(options.takenAt) ? timing.lateOrderTime : 0),
+        }),
         processDelay,
         pollBudget: options.pollBudget,
         onChange: passWakeUp.notify,
@@ -643,9 +654,12 @@
         incomingTransfers.inherit(loaded.value.transferRows);
         [...incomingTransfers.ledgers.keys()].forEach(id => inheritedJobs.add(id));
         roster.inherit(loaded.value);
-        const { starts, hasAllStarts, absentTasks, locatedTasks } = loaded.value.unansweredStarts;
+        const { starts, lateSignAge, hasAllStarts, absentTasks, locatedTasks } = loaded.value.unansweredStarts;
         startWriter.setStored(loaded.value.unansweredStartsVersion, loaded.value.unansweredStarts);
         areStartsKnown = hasAllStarts;
+        if (lateSignAge !== undefined) {
+            lateOrderDetector.recordSign(performance.now() - lateSignAge);
+        }
         const lastingStarts = starts.filter(({ isLasting }) => isLasting);
         if (hasAllStarts) {
             lastingStarts.forEach(({ task, worker }) => {
--- a/packages/workflow/tests/roster-codec.test.ts
+++ b/packages/workflow/tests/roster-codec.test.ts
@@ -25,6 +25,7 @@
             bornAt: 1_783_136_637_722 + number,
             ...(number % 10 === 0 ? { remaining: 2_500 } : {}),
             ...(number % 2 === 0 ? { leasedFor: 5_400 } : {}),
+            ...(number % 4 === 0 ? { lateFor: 17_400 } : {}),
         };
     });
 const byId = (left: RosterEntry, right: RosterEntry): number => left.id < right.id ? -1 : 1;
--- a/packages/workflow/tests/starts-codec.test.ts
+++ b/packages/workflow/tests/starts-codec.test.ts
@@ -33,6 +33,7 @@
     it("fits the newest starts into a row, however many there are", () => {
         const encoded = startsCodec.encode({
             restartAge: 59_999,
+            lateSignAge: 5_999,
             starts: starts(5_000),
             hasAllStarts: true,
             absentTasks: absentTasks(5_000),
@@ -49,6 +50,7 @@
     it("fits absent tasks into the rest of a row", () => {
         const encoded = startsCodec.encode({
             restartAge: undefined,
+            lateSignAge: undefined,
             starts: starts(400),
             hasAllStarts: true,
             absentTasks: absentTasks(5_000),
@@ -61,6 +63,7 @@
     it("fits located tasks into the rest of a row", () => {
         const encoded = startsCodec.encode({
             restartAge: undefined,
+            lateSignAge: undefined,
             starts: starts(400),
             hasAllStarts: true,
             absentTasks: absentTasks(5_000),
@@ -77,12 +80,20 @@
     it.each<StoredAbsences>([
         {
             restartAge: 400,
+            lateSignAge: 30,
             starts: starts(40),
             hasAllStarts: true,
             absentTasks: absentTasks(3),
             locatedTasks: locatedTasks(4),
         },
-        { restartAge: undefined, starts: [], hasAllStarts: false, absentTasks: [], locatedTasks: [] },
+        {
+            restartAge: undefined,
+            lateSignAge: undefined,
+            starts: [],
+            hasAllStarts: false,
+            absentTasks: [],
+            locatedTasks: [],
+        },
     ])("decodes what it encoded", stored => {
         expect(startsCodec.decode(startsCodec.encode(stored))).toEqual(stored);
     });
--- a/packages/workflow/tests/worker-clock.test.ts
+++ b/packages/workflow/tests/worker-clock.test.ts
@@ -59,7 +59,8 @@
             longestLease: 6_000,
             clockDrift: drift,
             maxDeliveryDelay: () => maxDeliveryDelay,
-            initialExpiry: 0,
+            inherited: () => ({ until: 0, lateUntil: 0 }),
+            isGone: () => false,
         });
 
     it("counts an answered deadline from its answer, with the slowest clock", () => {
--- a/packages/workflow/tests/worker-polls.test.ts
+++ b/packages/workflow/tests/worker-polls.test.ts
@@ -109,7 +109,7 @@
                 isBusy: () => isBusy,
                 mayInterfere: () => true,
                 lateOrderDetector,
-                inheritedLeasesUntil: 0,
+                inheritedLeases: () => ({ until: 0, lateUntil: 0 }),
                 mayExtendLease: () => true,
                 processDelay: () => processDelay,
                 pollBudget,
--- a/packages/workflow/tests/worker-session.test.ts
+++ b/packages/workflow/tests/worker-session.test.ts
@@ -113,7 +113,7 @@
             isBusy: () => true,
             mayInterfere: () => false,
             lateOrderDetector,
-            inheritedLeasesUntil: 0,
+            inheritedLeases: () => ({ until: 0, lateUntil: 0 }),
             mayExtendLease: () => true,
             processDelay: () => 0,
             pollBudget: createPollBudget(),
