--- a/packages/bench/tests/workflow/silent-worker-and-holder.test.ts
+++ b/packages/bench/tests/workflow/silent-worker-and-holder.test.ts
@@ -10,6 +10,8 @@
 const cpu = 4_000;
 /** Milliseconds for which the first holder waits for the leases of the lost worker before it is lost as well. */
 const waited = 6_000;
+/** Milliseconds for which the second holder has the cell: shorter than a poll that gets no answer. */
+const heldFor = 500;
 /** Milliseconds without a disturbance within which users expect long-running tasks to run that have waited for over 9 s. */
 const calmTime = 7_000;
 
@@ -19,7 +21,7 @@
     beforeEach(async () => {
         time = installFakeTime();
         cluster = createWorkflowCluster({
-            hosts: { "east-a": 3 },
+            hosts: { "east-a": 5 },
             workers: { "east-a": 6 },
             longestLease: 10_000,
             cpuOf: () => cpu,
@@ -52,4 +54,24 @@
         await time.advance(calmTime);
         expect(countRunning(others)).toBe(tasks);
     });
+
+    // Guards against a wait that starts anew since the next holder stores the roster before it has tried to reach the worker.
+    it("run again within 7 s although the next holder is lost at once as well", async () => {
+        const { platform } = cluster;
+        const workers = [...platform.workers.keys()];
+        const lost = workers.find(worker => runningOf(worker).length > 0) ?? "";
+        const others = workers.filter(worker => worker !== lost);
+        platform.network.addFault({
+            matches: (...[, call]) => call.address === platform.addressOf(lost),
+            action: "cut",
+        });
+        await time.advance(waited);
+        const first = cluster.holder() ?? "";
+        cluster.kill(first);
+        await time.advanceUntil(() => cluster.holder() !== first, 5_000, 10);
+        await time.advance(heldFor);
+        cluster.kill(cluster.holder() ?? "");
+        await time.advance(calmTime);
+        expect(countRunning(others)).toBe(tasks);
+    });
 });
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -496,7 +496,7 @@
                 return 0;
             }
             // A worker for which the stored roster tells this already gets no new lease before it answers.
-            const mayAnswer = contact === "unknown" && failingSince === undefined;
+            const mayAnswer = contact === "unknown" && failingSince === undefined && mayExtendLease();
             return contact === "known" || mayAnswer
                 ? undefined
                 : Math.max(0, leaseExpiry.expiresIfPrompt() + lapseMargin - performance.now());
