--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -195,6 +195,8 @@
     let acknowledgedEnd = 0;
     /** Latest deadline that the worker has confirmed, in ms on its clock. */
     let grantedDeadline = 0;
+    /** Deadline of the extensions that have been sent since the worker's last report, in ms on its clock. */
+    let requestedDeadline: number | undefined;
     let consecutiveFailures = 0;
     let failingSince: number | undefined;
     /** Monotonic time in ms of the last unanswered call, or -Infinity if a report came since. */
@@ -230,6 +232,7 @@
         hadAllEnds = true;
         acknowledgedEnd = 0;
         grantedDeadline = 0;
+        requestedDeadline = undefined;
     };
     /**
      * Handles a possible restart of the worker. The registered runs may run in the new incarnation all the same, since
@@ -327,6 +330,7 @@
         latestBirth = report.bornAt;
         incarnationSeenAt = performance.now();
         reportSentAt = sentAt;
+        requestedDeadline = undefined;
         consecutiveFailures = 0;
         failingSince = undefined;
         if (contact === "known" && performance.now() - unansweredAt < lateOrderSignTime) {
@@ -361,6 +365,7 @@
         const confirmDeadline = deadline === undefined
             ? undefined
             : leaseExpiry.recordDeadlineSent(clock.timeUntil(deadline), sentToken);
+        requestedDeadline = deadline ?? requestedDeadline;
         const endToAcknowledge = hasUnacknowledgedEnds() && isIncarnationProven() ? recordedEnd : 0;
         const supersedeTimer = endToAcknowledge > 0
             ? setTimeout(tokens.supersede, incarnationProofTime, sentToken)
@@ -470,7 +475,10 @@
     };
     /** The deadline to send if the worker's current one expires soon; else undefined. */
     const deadlineToExtend = (): number | undefined => {
-        const deadline = clock.deadline();
+        // A later one would lengthen the wait for the leases of a worker that does not answer any more.
+        const isRepeated = requestedDeadline !== undefined
+            && clock.timeUntil(requestedDeadline) > lease * (1 - extensionShare);
+        const deadline = isRepeated ? requestedDeadline : clock.deadline();
         const isShort = clock.timeUntil(grantedDeadline) < lease * extensionShare;
         return contact === "known" && isBusy() && mayExtendLease() && deadline !== undefined
                 && deadline > grantedDeadline && isShort
@@ -606,8 +614,11 @@
             const requestedAt = performance.now();
             extendingSince = requestedAt;
             const leavePlace = await pollBudget.admit(() => "lease", endSignal);
+            const hasEnded = (): boolean => endSignal?.aborted === true;
+            // A worker that may be down gets no longer lease, since its tasks would have to wait for the end of that one.
+            const isReachable = unansweredAt === -Infinity || !hasEnded() && await pollSafely(0);
             const deadline = deadlineToExtend();
-            if (deadline !== undefined && endSignal?.aborted !== true) {
+            if (isReachable && deadline !== undefined && !hasEnded()) {
                 await pollSafely(0, deadline);
             }
             leavePlace();
--- a/packages/workflow/tests/worker-session.test.ts
+++ b/packages/workflow/tests/worker-session.test.ts
@@ -30,6 +30,8 @@
     const stop = createStopSignal();
     let answer: Result<WorkerReport, OrderError>;
     let tokens: number[];
+    /** Deadlines of the polls. */
+    let deadlines: (number | undefined)[];
     /** Milliseconds for which polls allowed the worker to delay its answer. */
     let waits: number[];
     /** Tokens of the start orders. */
@@ -60,6 +62,7 @@
         jest.useFakeTimers();
         answer = report(1);
         tokens = [];
+        deadlines = [];
         waits = [];
         startTokens = [];
         stopResults = [];
@@ -80,8 +83,9 @@
                     return Promise.resolve(Result.err({ kind: "unknown", message: "no answer" }));
                 },
                 stop: () => stopResults.shift()?.() ?? Promise.resolve(closed),
-                poll: async (...[, { token, recordedEnd, wait = 0 }]) => {
+                poll: async (...[, { token, recordedEnd, wait = 0, deadline }]) => {
                     tokens.push(token);
+                    deadlines.push(deadline);
                     waits.push(wait);
                     acknowledged.push(recordedEnd);
                     const given = answer;
@@ -163,6 +167,35 @@
         expect(session.contact()).toBe("lapsed");
     });
 
+    /** Proves the lease of the cell, and has the worker's lease extended; returns the deadlines that this has sent. */
+    const extendLease = async (): Promise<readonly number[]> => {
+        session.beginProof()();
+        deadlines = [];
+        void session.extendLease();
+        await jest.advanceTimersByTimeAsync(500);
+        return deadlines.filter(deadline => deadline !== undefined);
+    };
+
+    // Guards against tasks that wait for the end of a lease that their worker got after it had stopped to answer.
+    it("extends no lease after an unanswered call before the worker has answered another one", async () => {
+        await jest.advanceTimersByTimeAsync(1_000);
+        answer = silent;
+        await session.start({ task: "j.0.0.0" as never, run: 2, payload: "", checkpoint: "" });
+        const whileSilent = await extendLease();
+        answer = report(1);
+        await jest.advanceTimersByTimeAsync(500);
+        expect([whileSilent.length, (await extendLease()).length]).toEqual([0, 1]);
+    });
+
+    // Guards against the same if the lease is extended again and again while no call has timed out yet.
+    it("repeats the deadline of an extension that has not been answered", async () => {
+        await jest.advanceTimersByTimeAsync(1_000);
+        answer = silent;
+        delays = Array(10).fill(2_000);
+        const first = await extendLease();
+        expect([first.length, await extendLease()]).toEqual([1, first]);
+    });
+
     // Guards against tasks that wait 12 s longer for a deadline that the worker would refuse: it has answered an order with
     // a higher token since.
     it("does not wait for a late deadline that a later order has made void", async () => {
