Update the load forecasts of a workflow in one loop, with sines shared by all workflows

Cause: each report of a worker is learned by 31 candidate periods for each of its serving tasks. Each of them computed its own sine, cosine and decay, through closures, so that one sample took 20 us or more in a process of some minutes. Change: the fits of a workflow are updated in one loop. The sines of a time are computed once for all workflows, and the decay once for all periods. The test fails before: 93 sines, cosines and decays of three samples instead of 31, 31 and 3.

--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -76,7 +76,7 @@
 export * from "./policy/run-time-estimate.js";
 export * from "./policy/serving-slack.js";
 export * from "./policy/share-regression.js";
-export * from "./policy/sine-regression.js";
+export * from "./policy/sine-regressions.js";
 export * from "./policy/soonest-fit.js";
 export * from "./policy/tail-latency-throttle.js";
 export * from "./policy/urgency.js";
--- a/packages/workflow/src/policy/load-forecast.ts
+++ b/packages/workflow/src/policy/load-forecast.ts
@@ -1,5 +1,6 @@
-import type { SineRegression } from "./sine-regression.js";
-import { createSineRegression } from "./sine-regression.js";
+import { createSineBasis } from "./sine-basis.js";
+import type { SineRegressions } from "./sine-regressions.js";
+import { createSineRegressions } from "./sine-regressions.js";
 
 /**
  * Forecasts the relative speed (see `InterferenceModel`) of workflows whose load oscillates. All workflows are assumed
@@ -28,8 +29,8 @@
 
 /** What was learned of one workflow. */
 interface Wave {
-    /** One regression for each of `periods`. */
-    readonly fits: readonly SineRegression[];
+    /** Has a fit for each of `periods`. */
+    readonly fits: SineRegressions;
     readonly startedAt: number;
     /** Forecasts to be compared with later reports, oldest first. */
     forecasts: Forecast[];
@@ -73,6 +74,7 @@
 /** Creates a forecast that has learned nothing. */
 export const createLoadForecast = (): LoadForecast => {
     const waves = new Map<string, Wave>();
+    const basis = createSineBasis(periods);
     /** Discounted sums of squared errors by candidate period; the lowest fits best. */
     const scores = periods.map(() => 0);
     /** Index of the period in use. */
@@ -81,8 +83,7 @@
 
     const scorePeriods = ({ fits }: Wave, speed: number, noise: number, now: number): void => {
         let leading = 0;
-        fits.forEach((fit, index) => {
-            const error = (speed - fit.predict(now)) ** 2 / (noise ** 2 + fit.variance(now));
+        fits.squaredErrors(speed, noise, now).forEach((error, index) => {
             const score = (scores[index] ?? 0) * scoreRetention + error;
             scores[index] = score;
             leading = score < (scores[leading] ?? 0) ? index : leading;
@@ -103,13 +104,13 @@
         const latest = wave.forecasts.at(-1);
         if (latest === undefined || now + checkAhead - latest.dueAt >= checkInterval) {
             const dueAt = now + checkAhead;
-            wave.forecasts.push({ dueAt, speed: wave.fits[best]?.predict(dueAt) ?? speed });
+            wave.forecasts.push({ dueAt, speed: wave.fits.predict(best, dueAt) });
         }
     };
     return {
         learn: (job, speed, noise, now) => {
             const wave = waves.get(job) ?? {
-                fits: periods.map(period => createSineRegression({ period, mean: unseenSpeed })),
+                fits: createSineRegressions({ basis, mean: unseenSpeed }),
                 startedAt: now,
                 forecasts: [],
                 cache: new Map<number, { at: number; speed: number; }>(),
@@ -117,31 +118,27 @@
             waves.set(job, wave);
             scorePeriods(wave, speed, noise, now);
             checkForecasts(wave, speed, noise, now);
-            wave.fits.forEach(fit => {
-                fit.learn(speed, noise, now);
-            });
+            wave.fits.learn(speed, noise, now);
         },
         slowestSpeed: (job, now, ahead) => {
             const wave = waves.get(job);
-            const fit = wave?.fits[best];
-            if (wave === undefined || fit === undefined || now - wave.startedAt < minObservation) {
+            if (wave === undefined || now - wave.startedAt < minObservation) {
                 return undefined;
             }
             const cached = wave.cache.get(ahead);
             if (cached !== undefined && now - cached.at < cacheLifetime) {
                 return cached.speed;
             }
-            const slowest = Math.min(...spanPoints.map(point => fit.predict(now + ahead * point)));
+            const slowest = Math.min(...spanPoints.map(point => wave.fits.predict(best, now + ahead * point)));
             const speed = slowest - safetyFactor * Math.sqrt(meanSquareError);
             wave.cache.set(ahead, { at: now, speed });
             return speed;
         },
         highestSpeed: (job, now) => {
             const wave = waves.get(job);
-            const fit = wave?.fits[best];
-            return wave === undefined || fit === undefined || now - wave.startedAt < minObservation
+            return wave === undefined || now - wave.startedAt < minObservation
                 ? Infinity
-                : fit.predict(now) + Math.sqrt(meanSquareError);
+                : wave.fits.predict(best, now) + Math.sqrt(meanSquareError);
         },
         forget: job => {
             waves.delete(job);
--- a/packages/workflow/tests/load-forecast.test.ts
+++ b/packages/workflow/tests/load-forecast.test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from "@jest/globals";
+import { describe, expect, it, jest } from "@jest/globals";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 
@@ -67,4 +67,36 @@
         expect(forecast.slowestSpeed("a", 1_000, ahead)).toBeUndefined();
         expect(forecast.slowestSpeed("b", 1_000, ahead)).toBeUndefined();
     });
+
+    it("has these figures", () => {
+        const random = xoroshiro128plus(9);
+        const forecast = createLoadForecast();
+        for (let now = 0; now < 60_000; now += 300) {
+            for (const job of ["a", "b", "c"]) {
+                const speed = 2.5 + Math.sin(now / 2_100 + job.charCodeAt(0)) + 0.4 * uniformFloat64(random);
+                forecast.learn(job, speed, 0.3, now);
+            }
+        }
+        const figures = ["a", "b", "c"].flatMap(job => [
+            ...[1_500, 3_000, 5_000].map(span => forecast.slowestSpeed(job, 60_000, span)),
+            forecast.highestSpeed(job, 60_000),
+        ]);
+        expect(figures).toMatchSnapshot();
+    });
+
+    // Guards against holders that compute the same sines for each period and workflow of a report again.
+    it("computes the sines of a time once for all workflows, and the decay once for all periods", () => {
+        const forecast = createLoadForecast();
+        const jobs = ["a", "b", "c"];
+        jobs.forEach(job => {
+            forecast.learn(job, 2, 0.3, 1_000);
+        });
+        const spies = [jest.spyOn(Math, "sin"), jest.spyOn(Math, "cos"), jest.spyOn(Math, "exp")];
+        jobs.forEach(job => {
+            forecast.learn(job, 2, 0.3, 1_400);
+        });
+        const counts = spies.map(spy => spy.mock.calls.length);
+        jest.restoreAllMocks();
+        expect(counts).toEqual([31, 31, 3]);
+    });
 });
