Look a submission up in the index when its time is over, not 150 ms before

A submission that is refused without an offer causes no read. If a heartbeat has named the workflow, the index is read before any offer.

--- a/packages/workflow/src/entry/workflow-router.ts
+++ b/packages/workflow/src/entry/workflow-router.ts
@@ -72,9 +72,11 @@
  * long to decline may be asked before, and one that accepts takes up to twice as long, since it has to store the workflow.
  */
 const decliningShare = 0.25;
-/** Milliseconds, at most, that are left of a submission's time when the index is asked whether it has been stored. */
-const lookUpTime = 150;
-/** The same as a share of the submission's time, for short ones. */
+/**
+ * Milliseconds for which a submission that no cell has accepted waits for the index, and the same as a share of its time,
+ * for short ones. Its submitter should have time left for a retry.
+ */
+const longestLookUp = 150;
 const longestLookUpShare = 0.4;
 /** Milliseconds between checks for a holder. */
 const holderPollInterval = 50;
@@ -229,21 +231,22 @@
         metrics.refusedSubmissions.inc({ reason: isBehind ? "behind" : attempts === "" ? "no-holder" : "other" });
         return { kind: "unavailable", reason, retryAfter: isBehind ? retryAfterBehind(id) : retryAfterOutage };
     };
-    /**
-     * Waits, and then looks a workflow up in the index; resolves once it is known to be stored, and never if not. The holder
-     * whose cell the index names runs it, whether it has replied or not.
-     */
-    const findStored = async (id: JobId, wait: number, signal: AbortSignal): Promise<SubmissionAnswer> => {
-        await sleep(wait, signal);
-        const stored = signal.aborted ? undefined : await lookUpCell(store, id);
+    /** The answer to a submission of which the index shows that it is stored; undefined if it does not, or not in time. */
+    const findStored = async (id: JobId, timeout: number): Promise<SubmissionAnswer | undefined> => {
+        const ended = createStopSignal();
+        const stored = await Promise.race([
+            lookUpCell(store, id),
+            sleep(Math.min(longestLookUp, timeout * longestLookUpShare), ended.signal).then(() => undefined),
+        ]);
+        ended.abort();
         if (stored?.kind !== "known") {
-            return new Promise(() => undefined);
+            return undefined;
         }
+        // The holder of this cell runs what is stored there, whether it has replied or not.
         claims.rememberCell(id, stored.value);
         return { kind: "accepted", reason: `${stored.value}: indexed` };
     };
     const submit = async (workflow: Workflow, timeout: number): Promise<SubmissionAnswer> => {
-        const answered = createStopSignal();
         const deadline = performance.now() + timeout;
         const decliningUntil = performance.now() + timeout * decliningShare;
         // Cells may decline for lack of capacity; after that, cells have to accept the workflow.
@@ -252,7 +255,7 @@
         /** Offers the workflow to a cell; after the deadline, nothing is sent and no reply is waited for. */
         const offerInTime = async (cell: CellId): Promise<OfferOutcome> => {
             const timeLeft = deadline - performance.now();
-            if (timeLeft <= 0 || answered.signal.aborted) {
+            if (timeLeft <= 0) {
                 return { kind: "not-sent" };
             }
             const knownCpu = loads.get(cell)?.longRunningCpu;
@@ -295,16 +298,17 @@
                     await sleep(Math.min(resolveInterval, timeLeft));
                 }
             }
-            while (offer.mayBeStored() && performance.now() < deadline && !answered.signal.aborted);
+            while (offer.mayBeStored() && performance.now() < deadline);
             return undefined;
         };
         // A workflow that a holder has named in a heartbeat is being submitted again.
-        const lookUpAfter = claims.cellOf(workflow.id) === undefined
-            ? timeout - Math.min(lookUpTime, timeout * longestLookUpShare)
-            : 0;
-        const answer = await Promise.race([offerToCells(), findStored(workflow.id, lookUpAfter, answered.signal)]);
-        answered.abort();
-        return answer ?? describeFailure(workflow, offer);
+        const known = claims.cellOf(workflow.id) === undefined ? undefined : await findStored(workflow.id, timeout);
+        const accepted = known ?? await offerToCells();
+        if (accepted !== undefined) {
+            return accepted;
+        }
+        const wasOffered = offer.describeAttempts() !== "";
+        return (wasOffered ? await findStored(workflow.id, timeout) : undefined) ?? describeFailure(workflow, offer);
     };
     /** Finds the cell of a workflow, from memory or from the index. */
     const findCell = async (id: JobId): Promise<WorkflowAnswer<CellId>> => {
