Offer a submission to the other cells at once after a late decline, before one has to accept

Cause: once a quarter of the time is over, the best of the one or two cells that were asked has to accept.

Change: after a decline later than 15% of the time, all other cells are offered the workflow at once and may decline; those with room accept. From 40% of the time on, or once all have declined, the best one has to accept, as before. An acceptance counts whenever it arrives. If two cells accept, the index row lets one of them store the workflow.

Tests: submission-time.test.ts, "are accepted by the cell that has room" (four of six failed before), "though one of the later holders does not reply" (guards the bound of 40%); the cases of 250 and 400 ms stay as they are.

--- a/packages/workflow/src/entry/workflow-offer.ts
+++ b/packages/workflow/src/entry/workflow-offer.ts
@@ -1,4 +1,5 @@
 import type { CellId } from "@jayfront/world";
+import { createStopSignal, sleep } from "@jayfront/world";
 
 import type { SubmissionReply } from "../cell/submission-reply.js";
 
@@ -15,7 +16,7 @@
      * or the one that the index names, whose holder runs what is stored there.
      */
     readonly offerTo: (cells: readonly CellId[]) => Promise<CellId | undefined>;
-    /** Whether a cell declined in the last round for lack of capacity, and no write may have stored the workflow. */
+    /** Whether a cell declined in the last round for lack of capacity. */
     readonly isDeclined: () => boolean;
     /** Share of the workflow's tasks for which the cell had room when it declined; 0 if it has not declined. */
     readonly roomShareOf: (cell: CellId) => number;
@@ -33,8 +34,10 @@
     readonly submitTo: (cell: CellId) => Promise<OfferOutcome>;
     /** Monotonic time in ms after which no further cell is tried for a workflow that may be stored. */
     readonly deadline: number;
-    /** Monotonic time in ms from which a round ends with a cell that declines for lack of capacity. */
+    /** Monotonic time in ms from which the other cells are asked at once after one has declined for lack of capacity. */
     readonly decliningUntil: number;
+    /** Monotonic time in ms from which a round does not wait for cells that were asked at once. */
+    readonly acceptingFrom: number;
 }
 
 /** Kinds of outcome after which the workflow may be stored. */
@@ -42,43 +45,65 @@
 
 /** Creates an offer that has not been sent to any cell. */
 export const createWorkflowOffer = (options: WorkflowOfferOptions): WorkflowOffer => {
-    const { submitTo, deadline, decliningUntil } = options;
+    const { submitTo, deadline, decliningUntil, acceptingFrom } = options;
     const attempts: string[] = [];
     const roomShares = new Map<CellId, number>();
     let mayBeStored = false;
     let isDeclined = false;
     let hasFoundBehind = false;
+    let recordAcceptance: (cell: CellId) => void = () => undefined;
+    /** Resolves to the first cell that has accepted the workflow, also if it replies after the end of its round. */
+    const acceptance = new Promise<CellId>(resolve => {
+        recordAcceptance = resolve;
+    });
+    let acceptedBy: CellId | undefined;
 
-    const offerTo = async (cells: readonly CellId[]): Promise<CellId | undefined> => {
+    const offerToOne = async (cell: CellId): Promise<OfferOutcome> => {
+        const outcome = await submitTo(cell);
+        attempts.push(`${cell}: ${outcome.kind}`);
+        if (outcome.kind === "full") {
+            isDeclined = true;
+            roomShares.set(cell, outcome.roomShare);
+        }
+        hasFoundBehind ||= outcome.kind === "behind";
+        // The index row ensures that only one cell stores an id, so others can be tried after an unknown outcome.
+        mayBeStored ||= uncertainKinds.has(outcome.kind);
+        acceptedBy ??= outcome.kind === "accepted" ? cell : outcome.kind === "elsewhere" ? outcome.cell : undefined;
+        if (acceptedBy !== undefined) {
+            recordAcceptance(acceptedBy);
+        }
+        return outcome;
+    };
+    /** Offers the workflow to the cells at once, and waits for their replies until {@link WorkflowOfferOptions.acceptingFrom}. */
+    const offerToAll = async (cells: readonly CellId[]): Promise<void> => {
+        const ended = createStopSignal();
+        let open = cells.length;
+        const replies = cells.map(async cell => {
+            await offerToOne(cell);
+            open -= 1;
+        });
+        const timeLeft = Math.max(0, acceptingFrom - performance.now());
+        await Promise.race([Promise.all(replies), sleep(timeLeft, ended.signal)]);
+        ended.abort();
+        mayBeStored ||= open > 0;
+    };
+    const offerInTurn = async (cells: readonly CellId[]): Promise<CellId | undefined> => {
         isDeclined = false;
-        for (const cell of cells) {
-            const outcome = await submitTo(cell);
-            attempts.push(`${cell}: ${outcome.kind}`);
-            if (outcome.kind === "accepted") {
-                return cell;
-            }
-            if (outcome.kind === "elsewhere") {
-                return outcome.cell;
-            }
-            if (outcome.kind === "full") {
-                isDeclined = true;
-                roomShares.set(cell, outcome.roomShare);
-                if (performance.now() >= decliningUntil) {
-                    return undefined;
-                }
+        for (const [index, cell] of cells.entries()) {
+            const { kind } = await offerToOne(cell);
+            if (acceptedBy !== undefined || mayBeStored && performance.now() >= deadline) {
+                return acceptedBy;
             }
-            hasFoundBehind ||= outcome.kind === "behind";
-            // The index row ensures that only one cell stores an id, so others can be tried after an unknown outcome.
-            mayBeStored ||= uncertainKinds.has(outcome.kind);
-            if (mayBeStored && performance.now() >= deadline) {
-                return undefined;
+            if (kind === "full" && performance.now() >= decliningUntil) {
+                await offerToAll(cells.slice(index + 1));
+                return acceptedBy;
             }
         }
         return undefined;
     };
     return {
-        offerTo,
-        isDeclined: () => isDeclined && !mayBeStored,
+        offerTo: cells => Promise.race([acceptance, acceptedBy === undefined ? offerInTurn(cells) : acceptance]),
+        isDeclined: () => isDeclined,
         roomShareOf: cell => roomShares.get(cell) ?? 0,
         mayBeStored: () => mayBeStored,
         hasFoundBehind: () => hasFoundBehind,
--- a/packages/workflow/src/entry/workflow-router.ts
+++ b/packages/workflow/src/entry/workflow-router.ts
@@ -68,10 +68,12 @@
 /** Share of the time left within which a submission has to be sent; the rest is left for the reply. */
 const sendingShare = 0.5;
 /**
- * Share of a submission's time from which no further cell may decline for lack of capacity. A cell that takes just as
- * long to decline may be asked before, and one that accepts takes up to twice as long, since it has to store the workflow.
+ * Share of a submission's time until which cells are asked one after another while they decline for lack of capacity; the
+ * others are then asked at once.
  */
-const decliningShare = 0.25;
+const decliningShare = 0.15;
+/** Share of a submission's time from which a cell has to accept; it takes longer than to decline, for the write. */
+const acceptingShare = 0.4;
 /**
  * Milliseconds for which a submission that no cell has accepted waits for the index, and the same as a share of its time,
  * for short ones. Its submitter should have time left for a retry.
@@ -247,8 +249,9 @@
         return { kind: "accepted", reason: `${stored.value}: indexed` };
     };
     const submit = async (workflow: Workflow, timeout: number): Promise<SubmissionAnswer> => {
-        const deadline = performance.now() + timeout;
-        const decliningUntil = performance.now() + timeout * decliningShare;
+        const submittedAt = performance.now();
+        const deadline = submittedAt + timeout;
+        const decliningUntil = submittedAt + timeout * decliningShare;
         // Cells may decline for lack of capacity; after that, cells have to accept the workflow.
         let mayDecline = true;
         let loads: RankedCells["loads"] = new Map();
@@ -267,7 +270,12 @@
             ended.abort();
             return outcome;
         };
-        const offer = createWorkflowOffer({ submitTo: offerInTime, deadline, decliningUntil });
+        const offer = createWorkflowOffer({
+            submitTo: offerInTime,
+            deadline,
+            decliningUntil,
+            acceptingFrom: submittedAt + timeout * acceptingShare,
+        });
         /** Offers the workflow again, to the cells that had room for the largest share of it first. */
         const offerByRoom = async (cells: readonly CellId[]): Promise<CellId | undefined> =>
             offer.isDeclined()
--- a/packages/workflow/tests/submission-time.test.ts
+++ b/packages/workflow/tests/submission-time.test.ts
@@ -17,6 +17,8 @@
 import { testQueue } from "./test-queue.js";
 
 const cells = ["a", "b", "c", "d", "e", "f"] as CellId[];
+/** Those of them that are not the first two in the order of this job's offers. */
+const askedLater = ["a", "b", "c", "e"] as CellId[];
 /** Milliseconds within which the submitter should get an answer. */
 const timeout = 1_350;
 const job = "0000000000000001" as JobId;
@@ -36,6 +38,9 @@
     let indexTime: number;
     /** What a holder replies to an offer that it may decline. */
     let declineReply: SubmissionReply;
+    /** The cell that has room, and the one whose holder never replies. */
+    let roomyCell: CellId | undefined;
+    let silentCell: CellId | undefined;
     /** Whether each offer that was sent could be declined. */
     let offers: boolean[];
 
@@ -43,6 +48,8 @@
         jest.useFakeTimers();
         offers = [];
         readTime = 20;
+        roomyCell = undefined;
+        silentCell = undefined;
         indexTime = Infinity;
         declineReply = { kind: "full", roomShare: 0 };
         const startedAt = performance.now();
@@ -82,10 +89,11 @@
             } as unknown as StateStore,
             network: {
                 call: async (...[, , body]) => {
-                    const { mayDecline } = body as WorkflowMessages["submit"];
+                    const { cell, mayDecline } = body as WorkflowMessages["submit"];
                     offers.push(mayDecline);
-                    await sleep(mayDecline ? declineTime : storeTime);
-                    return Result.ok(mayDecline ? declineReply : { kind: "accepted" }) as never;
+                    const isDeclined = mayDecline && cell !== roomyCell;
+                    await sleep(cell === silentCell ? 10 * timeout : isDeclined ? declineTime : storeTime);
+                    return Result.ok(isDeclined ? declineReply : { kind: "accepted" }) as never;
                 },
                 close: () => undefined,
             },
@@ -116,6 +124,23 @@
         expect((await submit()).kind).toBe("accepted");
     });
 
+    // Guards against a workflow that waits in a full cell since the time was over before the one with room was asked.
+    it.each(cells)("are accepted by the cell that has room, though holders take long to decline (%s)", async cell => {
+        roomyCell = cell;
+        declineTime = 250;
+        storeTime = 400;
+        const { kind, reason } = await submit();
+        expect([kind, reason.includes(`${cell}: accepted`)]).toEqual(["accepted", true]);
+    });
+
+    // Guards against a holder without reply that takes the time in which another one would have to accept.
+    it.each(askedLater)("are accepted in time, though one of the later holders does not reply (%s)", async cell => {
+        silentCell = cell;
+        declineTime = 250;
+        storeTime = 400;
+        expect((await submit()).kind).toBe("accepted");
+    });
+
     // Guards against a workflow that a cell has to accept although another one has room, where holders answer early.
     it("are offered to all cells before one has to accept, where holders answer early", async () => {
         declineTime = 40;
