--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -658,7 +658,8 @@
         startWriter.setStored(loaded.value.unansweredStartsVersion, loaded.value.unansweredStarts);
         areStartsKnown = hasAllStarts;
         if (lateSignAge !== undefined) {
-            lateOrderDetector.recordSign(performance.now() - lateSignAge);
+            // The sign is older than the takeover, however long the load took.
+            lateOrderDetector.recordSign(Math.min(performance.now() - lateSignAge, options.takenAt));
         }
         const lastingStarts = starts.filter(({ isLasting }) => isLasting);
         if (hasAllStarts) {
