--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -209,6 +209,7 @@
         }
         isRosterStored = false;
         const bounded = entries.filter(({ leasedFor }) => leasedFor !== undefined).map(({ id }) => id);
+        const boundedBefore = boundedWorkers;
         boundedWorkers = new Set([...boundedWorkers, ...bounded]);
         // An unanswered write may have removed them; if they return, they have to be stored again before any start.
         const memberIds = new Set(entries.map(({ id }) => id));
@@ -222,6 +223,10 @@
         if (written.isErr) {
             const { kind, message } = written.error;
             logger.warn({ cell, epoch, workers: members.length, error: kind, message }, "roster write failed");
+            if (written.error.kind === "refused" || written.error.kind === "throttled") {
+                // Nothing was stored.
+                boundedWorkers = boundedBefore;
+            }
             if (written.error.kind === "conflict") {
                 const current = written.error.rows.find(found => found.key === key.key);
                 rosterVersion = current?.version ?? 0;
