--- a/packages/workflow/src/cell/unanswered-start-writer.ts
+++ b/packages/workflow/src/cell/unanswered-start-writer.ts
@@ -60,6 +60,8 @@
     /** Number of the last snapshot, and of the last one that was stored. */
     let snapshots = 0;
     let storedSnapshot = 0;
+    /** Whether the last write failed; it is repeated after `writeInterval`, since starts may wait for it. */
+    let hasFailed = false;
 
     const namedTasks = ({ starts, locatedTasks }: StoredAbsences): readonly TaskName[] =>
         [...starts, ...locatedTasks].map(({ task }) => task);
@@ -80,6 +82,7 @@
         });
         if (written.isOk) {
             recordProof();
+            hasFailed = false;
             version = written.value;
             storedTasks = new Set(tasks);
             storedSnapshot = number;
@@ -87,6 +90,7 @@
             mayBeStored = isRefreshDue || hasAbsences(value);
             return;
         }
+        hasFailed = true;
         const { error } = written;
         logger.warn(
             { cell, starts: value.starts.length, error: error.kind, message: error.message },
@@ -116,7 +120,8 @@
         request: wakeUp.notify,
         run: async signal => {
             while (!signal.aborted) {
-                await wakeUp.wait(isRefreshDue ? refreshInterval : idleWait, signal);
+                const interval = hasFailed ? 0 : isRefreshDue ? refreshInterval : idleWait;
+                await wakeUp.wait(interval, signal);
                 snapshots += 1;
                 const value = snapshot();
                 const isEmpty = !hasAges(value) && !hasAbsences(value);
