--- a/packages/workflow/src/cell/load-cell.ts
+++ b/packages/workflow/src/cell/load-cell.ts
@@ -100,6 +100,7 @@
         hasAllStarts: true,
         absentTasks: [],
         locatedTasks: [],
+        epoch: undefined,
     };
     return Result.ok({
         ledgers,
--- a/packages/workflow/src/cell/roster-codec.ts
+++ b/packages/workflow/src/cell/roster-codec.ts
@@ -11,6 +11,11 @@
     readonly leasedFor?: number | undefined;
     /** As `leasedFor`, including deadlines that may still arrive late; undefined if none may. */
     readonly lateFor?: number | undefined;
+    /**
+     * Epoch of the holder that stored `leasedFor`, which holds for the next epoch only: a holder of an earlier version
+     * leaves it in the row although it grants leases.
+     */
+    readonly leasesEpoch?: number | undefined;
 }
 
 /** Fields that are the same for many workers of a rack. */
@@ -19,8 +24,19 @@
 /** Number in a row; JSON has no undefined elements of arrays. */
 type OptionalNumber = number | null | undefined;
 
-/** A worker as `[id, address, bornAt, remaining, leasedFor, lateFor]`, without the last elements that are undefined. */
-type RosterRow = readonly [WorkerId, string, number, OptionalNumber?, OptionalNumber?, OptionalNumber?];
+/**
+ * A worker as `[id, address, bornAt, remaining, leasedFor, lateFor, leasesEpoch]`, without the last elements that are
+ * undefined.
+ */
+type RosterRow = readonly [
+    WorkerId,
+    string,
+    number,
+    OptionalNumber?,
+    OptionalNumber?,
+    OptionalNumber?,
+    OptionalNumber?,
+];
 
 /** Workers with equal common fields. */
 interface RosterGroup extends CommonPart {
@@ -28,8 +44,9 @@
     readonly workers: readonly RosterRow[];
 }
 
-const encodeWorker = ({ id, address, bornAt, remaining, leasedFor, lateFor }: RosterEntry): RosterRow => {
-    const row: RosterRow = [id, address, bornAt, remaining, leasedFor, lateFor];
+const encodeWorker = (entry: RosterEntry): RosterRow => {
+    const { id, address, bornAt, remaining, leasedFor, lateFor, leasesEpoch } = entry;
+    const row: RosterRow = [id, address, bornAt, remaining, leasedFor, lateFor, leasesEpoch];
     return row.slice(0, row.findLastIndex(value => value !== undefined) + 1) as unknown as RosterRow;
 };
 const decodeOptional = <Key extends string>(key: Key, value: OptionalNumber): { readonly [Name in Key]?: number; } =>
@@ -57,7 +74,7 @@
                 return [group];
             }
             const { workers, service, failureDomain, rack, labels, capacity, isDraining } = group;
-            return workers.map(([id, address, bornAt, remaining, leasedFor, lateFor]): RosterEntry => ({
+            return workers.map(([id, address, bornAt, remaining, leasedFor, lateFor, leasesEpoch]): RosterEntry => ({
                 id,
                 address,
                 service,
@@ -70,6 +87,7 @@
                 ...decodeOptional("remaining", remaining),
                 ...decodeOptional("leasedFor", leasedFor),
                 ...decodeOptional("lateFor", lateFor),
+                ...decodeOptional("leasesEpoch", leasesEpoch),
             }));
         }),
 };
--- a/packages/workflow/src/cell/starts-codec.ts
+++ b/packages/workflow/src/cell/starts-codec.ts
@@ -21,6 +21,7 @@
     absentTasks: z.array(z.string()).default([]),
     /** Task, then its workers. */
     locatedTasks: z.array(z.tuple([z.string()]).rest(z.string())).default([]),
+    epoch: z.int().optional(),
 });
 
 /** Starts in a row, which holds at most 64 KB; one takes up to 80 bytes. */
@@ -46,7 +47,8 @@
      * Leaves out the oldest starts if there are too many for a row, and located and absent tasks for which there is no room
      * left.
      */
-    encode: ({ restartAge, lateSignAge, starts, hasAllStarts, absentTasks, locatedTasks }: StoredAbsences): string => {
+    encode: (stored: StoredAbsences): string => {
+        const { restartAge, lateSignAge, starts, hasAllStarts, absentTasks, locatedTasks, epoch } = stored;
         const bytesForTasks = maxBytes - Math.min(starts.length, maxStarts) * bytesPerStart;
         const located = fitLocated(locatedTasks, bytesForTasks);
         const bytesForLocated = located.reduce(
@@ -69,15 +71,17 @@
                 hasAllStarts: hasAllStarts && starts.length <= maxStarts,
                 absentTasks: absentTasks.slice(0, Math.floor((bytesForTasks - bytesForLocated) / bytesPerTask)),
                 locatedTasks: located.map(({ task, workers }): [string, ...string[]] => [task, ...workers]),
+                epoch,
             } satisfies z.input<typeof storedRow>,
         );
     },
     /** Throws if the row is not valid. */
     decode: (value: string): StoredAbsences => {
-        const { restartAge, lateSignAge, starts, hasAllStarts, absentTasks, locatedTasks } = storedRow.parse(
+        const { restartAge, lateSignAge, starts, hasAllStarts, absentTasks, locatedTasks, epoch } = storedRow.parse(
             JSON.parse(value),
         );
         return {
+            epoch,
             restartAge,
             lateSignAge,
             hasAllStarts,
--- a/packages/workflow/src/cell/stored-starts.ts
+++ b/packages/workflow/src/cell/stored-starts.ts
@@ -44,4 +44,9 @@
      * carried out; any other start is stored before it is sent.
      */
     readonly locatedTasks: readonly LocatedTask[];
+    /**
+     * Epoch of the holder that stored them. `locatedTasks` hold for the next epoch only, since a holder of an earlier version
+     * does not store starts first; undefined in rows of such a version.
+     */
+    readonly epoch: number | undefined;
 }
--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -183,16 +183,17 @@
                 : { remaining: Math.max(0, Math.round(remaining - (performance.now() - session.entryAt()))) }),
             leasedFor: leasedFor === undefined ? undefined : Math.ceil(leasedFor),
             lateFor: lateFor === undefined ? undefined : Math.ceil(lateFor),
+            leasesEpoch: leasedFor === undefined ? undefined : epoch,
         };
     };
     /** Whether the roster has what a later holder has to know of the worker before it starts anything there. */
-    const isStored = ({ id, isDraining, capacity, leasedFor, lateFor }: RosterEntry): boolean => {
+    const isStored = ({ id, isDraining, capacity, leasedFor, lateFor, leasesEpoch }: RosterEntry): boolean => {
         const stored = storedEntries.get(id);
         return stored !== undefined
             && stored.isDraining === isDraining
             // The time that is stored counts up to the write, so that it is stored again until it is over.
             && (leasedFor === undefined || leasedFor === 0) && stored.leasedFor === leasedFor
-            && lateFor === undefined && stored.lateFor === undefined
+            && lateFor === undefined && stored.lateFor === undefined && stored.leasesEpoch === leasesEpoch
             && stored.capacity.cpu === capacity.cpu
             && stored.capacity.memory === capacity.memory
             && stored.capacity.accelerators === capacity.accelerators;
@@ -253,8 +254,11 @@
             return session?.contact() === "known" && session.leasedFor() === undefined;
         });
     return {
-        inherit: ({ roster, rosterVersion: version }) => {
+        inherit: ({ roster: storedRoster, rosterVersion: version }) => {
             rosterVersion = version;
+            const roster = storedRoster.map(({ leasedFor, lateFor, leasesEpoch, ...entry }): RosterEntry =>
+                leasesEpoch === epoch - 1 ? { ...entry, leasedFor, lateFor, leasesEpoch } : entry
+            );
             roster.forEach(entry => storedEntries.set(entry.id, entry));
             boundedWorkers = new Set(roster.filter(({ leasedFor }) => leasedFor !== undefined).map(({ id }) => id));
             roster.forEach(addWorker);
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -312,8 +312,9 @@
         snapshot: () => ({
             ...unansweredStarts.snapshot(),
             lateSignAge: lateOrderDetector.signAge(),
-            hasAllStarts: true,
+            hasAllStarts: areStartsKnown || inheritedJobs.size === 0,
             ...findAbsences(),
+            epoch,
         }),
     });
     const workerCrashes = createWorkerCrashes(runRegistry);
@@ -654,7 +655,8 @@
         incomingTransfers.inherit(loaded.value.transferRows);
         [...incomingTransfers.ledgers.keys()].forEach(id => inheritedJobs.add(id));
         roster.inherit(loaded.value);
-        const { starts, lateSignAge, hasAllStarts, absentTasks, locatedTasks } = loaded.value.unansweredStarts;
+        const { starts, lateSignAge, hasAllStarts, absentTasks, locatedTasks, epoch: storedIn } =
+            loaded.value.unansweredStarts;
         startWriter.setStored(loaded.value.unansweredStartsVersion, loaded.value.unansweredStarts);
         areStartsKnown = hasAllStarts;
         if (lateSignAge !== undefined) {
@@ -666,10 +668,15 @@
             lastingStarts.forEach(({ task, worker }) => {
                 recordWorkers(task, [worker]);
             });
+        }
+        if (hasAllStarts && storedIn === epoch - 1) {
             locatedTasks.forEach(({ task, workers: on }) => {
                 recordWorkers(task, on);
             });
         }
+        if (loaded.value.unansweredStartsVersion > 0) {
+            startWriter.request();
+        }
         [...[...lastingStarts, ...locatedTasks].map(({ task }) => task), ...absentTasks].forEach(recordEarlierRun);
         unansweredStarts.inherit(loaded.value.unansweredStarts).forEach(({ worker, ...start }) => {
             workers.get(worker)?.session.expectStart(start);
--- a/packages/workflow/tests/roster-codec.test.ts
+++ b/packages/workflow/tests/roster-codec.test.ts
@@ -24,7 +24,7 @@
             isDraining: number % 10 === 0,
             bornAt: 1_783_136_637_722 + number,
             ...(number % 10 === 0 ? { remaining: 2_500 } : {}),
-            ...(number % 2 === 0 ? { leasedFor: 5_400 } : {}),
+            ...(number % 2 === 0 ? { leasedFor: 5_400, leasesEpoch: 12 } : {}),
             ...(number % 4 === 0 ? { lateFor: 17_400 } : {}),
         };
     });
--- a/packages/workflow/tests/starts-codec.test.ts
+++ b/packages/workflow/tests/starts-codec.test.ts
@@ -36,6 +36,7 @@
             lateSignAge: 5_999,
             starts: starts(5_000),
             hasAllStarts: true,
+            epoch: 7,
             absentTasks: absentTasks(5_000),
             locatedTasks: locatedTasks(5_000),
         });
@@ -53,6 +54,7 @@
             lateSignAge: undefined,
             starts: starts(400),
             hasAllStarts: true,
+            epoch: 7,
             absentTasks: absentTasks(5_000),
             locatedTasks: [],
         });
@@ -66,6 +68,7 @@
             lateSignAge: undefined,
             starts: starts(400),
             hasAllStarts: true,
+            epoch: 7,
             absentTasks: absentTasks(5_000),
             locatedTasks: locatedTasks(5_000),
         });
@@ -83,6 +86,7 @@
             lateSignAge: 30,
             starts: starts(40),
             hasAllStarts: true,
+            epoch: 7,
             absentTasks: absentTasks(3),
             locatedTasks: locatedTasks(4),
         },
@@ -91,6 +95,7 @@
             lateSignAge: undefined,
             starts: [],
             hasAllStarts: false,
+            epoch: 7,
             absentTasks: [],
             locatedTasks: [],
         },
--- a/packages/workflow/tests/unanswered-start-writer.test.ts
+++ b/packages/workflow/tests/unanswered-start-writer.test.ts
@@ -36,6 +36,7 @@
                     isIncarnationOver: false,
                 }],
                 hasAllStarts: true,
+                epoch: 7,
                 absentTasks: [],
                 locatedTasks: [],
             }) as never,
