--- a/packages/workflow/src/cell/incoming-transfers.ts
+++ b/packages/workflow/src/cell/incoming-transfers.ts
@@ -7,6 +7,7 @@
 import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
 import { taskName } from "../model/task-name.js";
 import type { StateStore, StoredRow } from "../port/state-store.js";
+import { arrivedWorkflow } from "./arrived-workflow.js";
 import type { CellLease } from "./cell-lease.js";
 import { createTransferredLedger } from "./create-transferred-ledger.js";
 import { decodeTransferRow } from "./decode-transfer-row.js";
@@ -40,6 +41,8 @@
     readonly logger: Logger;
     /** Called when tasks of the workflow have been added. */
     readonly onArrival: (job: JobId) => void;
+    /** Adds a workflow that has moved to this cell, unless it is known; resolves to whether it may be forgotten. */
+    readonly addArrived: (job: JobId) => Promise<boolean>;
 }
 
 /** Milliseconds between reads of the rows; bounds the time for which a cancelled task goes on if no notice arrives. */
@@ -53,7 +56,7 @@
 
 /** Creates a set without transferred tasks. */
 export const createIncomingTransfers = (options: IncomingTransfersOptions): IncomingTransfers => {
-    const { lease, store, otherCells, findStranded, runController, logger, onArrival } = options;
+    const { lease, store, otherCells, findStranded, runController, logger, onArrival, addArrived } = options;
     const { cell, epoch } = lease;
     const ledgers = new Map<JobId, WorkflowLedger>();
     const applied = new Map<JobId, AppliedRow>();
@@ -127,13 +130,32 @@
             lease.recordStoreFailure();
         }
     };
+    /** Adds the workflows that have moved here; their rows are removed once they are known. */
+    const addAllArrived = async (rows: readonly StoredRow[]): Promise<void> => {
+        for (const row of rows) {
+            const id = arrivedWorkflow(row);
+            if (id !== undefined && await addArrived(id)) {
+                const recordProof = lease.trackCall();
+                const { table, partition, key, version } = row;
+                const removed = await store.commit({
+                    checks: [lease.check, { table, partition, key, version }],
+                    writes: [],
+                    removals: [{ table, partition, key }],
+                });
+                if (removed.isOk) {
+                    recordProof();
+                }
+                onArrival(id);
+            }
+        }
+    };
     const readRows = async (): Promise<void> => {
         const { table, partition } = rowKeys.transfer(cell, "" as JobId);
         const read = await store.read(table, partition);
         if (read.isErr) {
             return;
         }
-        const { rows } = read.value;
+        const rows = read.value.rows.filter(row => arrivedWorkflow(row) === undefined);
         const present = new Set(rows.map(row => row.key as JobId));
         [...ledgers.keys()].filter(id => !present.has(id)).forEach(drop);
         const changed = rows.filter(row => applied.get(row.key as JobId)?.version !== row.version);
@@ -148,6 +170,7 @@
         for (const [id, content] of returns) {
             await writeReturn(id, content);
         }
+        await addAllArrived(read.value.rows);
         // Repeated until the tasks are no longer in the row, since a notice can be lost.
         for (const [id, { content }] of applied) {
             if (content.tasks.some(({ isReturned }) => isReturned)) {
@@ -180,7 +203,7 @@
     return {
         ledgers,
         inherit: rows => {
-            rows.forEach(apply);
+            rows.filter(row => arrivedWorkflow(row) === undefined).forEach(apply);
         },
         notify: wakeUp.notify,
         review: () => {
--- a/packages/workflow/src/cell/progress-writer.ts
+++ b/packages/workflow/src/cell/progress-writer.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "pino";
 
 import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
+import type { WorkflowMove } from "../ledger/workflow-move.js";
 import type { RowKey, StateStore, StoredRow, StoreError, Transaction } from "../port/state-store.js";
 import { createTransactionSize } from "../store/transaction-size.js";
 import type { CellLease } from "./cell-lease.js";
@@ -36,6 +37,11 @@
     readonly logger: Logger;
     /** Called after each successful write, with the ledgers written and the new version of their rows. */
     readonly onWritten: (ledgers: readonly WorkflowLedger[], version: number) => void;
+    /**
+     * Called once the move of a workflow to another cell is stored. `isBack`: it was found to have been carried out
+     * before, and the workflow has this cell again.
+     */
+    readonly onMoved: (ledger: WorkflowLedger, isBack: boolean) => void;
     /** Called with a transfer row of a workflow that the holder of the cell `other` was found to have changed. */
     readonly onTransferChanged: (ledger: WorkflowLedger, other: CellId, row: StoredRow) => void;
 }
@@ -60,6 +66,8 @@
     readonly ledger: WorkflowLedger;
     readonly revision: number;
     readonly isSettled: boolean;
+    /** Whether the changes move the workflow to another cell. */
+    readonly isMove: boolean;
     readonly callbacks: readonly (() => void)[];
     readonly changes: Required<Transaction>;
     /** See `EncodedProgress`. */
@@ -69,7 +77,7 @@
 
 /** Creates a writer without pending writes. */
 export const createProgressWriter = (options: ProgressWriterOptions): ProgressWriter => {
-    const { cell, lease, store, logger, onWritten, onTransferChanged } = options;
+    const { cell, lease, store, logger, onWritten, onMoved, onTransferChanged } = options;
     const versions = new Map<JobId, number>();
     const transferRows = createTransferRowChanges(cell);
     const pending = new Map<JobId, PendingWrite>();
@@ -80,9 +88,20 @@
     const isolatedFrom = new Map<JobId, number>();
     const wakeUp = createWakeUp();
 
+    /** Completes the requests of a workflow that has moved; its rows are the other cell's. */
+    const recordMoved = (ledger: WorkflowLedger, isBack: boolean): void => {
+        const { id } = ledger.workflow;
+        const callbacks = pending.get(id)?.callbacks ?? [];
+        pending.delete(id);
+        ledger.markStored(ledger.revision());
+        callbacks.forEach(callback => {
+            callback();
+        });
+        onMoved(ledger, isBack);
+    };
     const resolveConflict = (
         error: Extract<StoreError, { kind: "conflict"; }>,
-        entries: readonly { readonly ledger: WorkflowLedger; }[],
+        entries: readonly Pick<BatchEntry, "ledger" | "isMove">[],
     ): void => {
         const find = ({ table, partition, key }: RowKey): StoredRow | undefined =>
             error.rows.find(row => row.table === table && row.partition === partition && row.key === key);
@@ -90,22 +109,58 @@
             lease.markLost("a write of workflow progress found another holder in the cell's holder row");
             return;
         }
-        for (const { ledger } of entries) {
+        for (const { ledger, isMove } of entries) {
             const { id } = ledger.workflow;
             // Only this holder writes progress rows, so another version comes from an earlier write without an answer.
             versions.set(id, find(rowKeys.progress(cell, id))?.version ?? 0);
+            const indexRow = find(rowKeys.index(id));
+            if (isMove && indexRow?.version !== ledger.move()?.indexVersion) {
+                // An earlier write without an answer has moved the workflow, which may have come back since.
+                recordMoved(ledger, indexRow?.value === cell);
+                continue;
+            }
             transferRows.resolveConflict(ledger, find).forEach(([other, row]) => {
                 onTransferChanged(ledger, other, row);
             });
         }
     };
-    /** Changes that store a workflow's progress; a workflow that has ended keeps only its settled row. */
-    const changesOf = (
-        { workflow: { id, steps }, latestState, isSettled, progress }: WorkflowLedger,
+    /**
+     * Changes that move a workflow's rows to another cell, all or none. The check of the index row makes them fail once
+     * they have been carried out, since the progress row may be absent before and after.
+     */
+    const moveChanges = (
+        { workflow, progress }: WorkflowLedger,
+        { cell: target, indexVersion }: WorkflowMove,
+        checks: Transaction["checks"],
     ): Pick<BatchEntry, "changes" | "omittedCheckpoints"> => {
+        const { id, steps } = workflow;
+        const { value, omittedCheckpoints } = encodeProgress(progress(), steps, store.limits.valueBytes);
+        return {
+            changes: {
+                checks: [...checks, { ...rowKeys.index(id), version: indexVersion }],
+                writes: [
+                    { ...rowKeys.index(id), value: target },
+                    { ...rowKeys.workflow(target, id), value: JSON.stringify(workflow) },
+                    { ...rowKeys.progress(target, id), value },
+                    { ...rowKeys.arrival(target, id), value: JSON.stringify({ from: cell }) },
+                ],
+                removals: [rowKeys.workflow(cell, id), rowKeys.progress(cell, id)],
+            },
+            omittedCheckpoints,
+        };
+    };
+    /** Changes that store a workflow's progress; a workflow that has ended keeps only its settled row. */
+    const changesOf = (ledger: WorkflowLedger): Pick<BatchEntry, "changes" | "omittedCheckpoints"> => {
+        const { workflow: { id, steps }, latestState, isSettled, progress, move } = ledger;
         const key = rowKeys.progress(cell, id);
         const version = versions.get(id) ?? 0;
         const check = { ...key, version };
+        // The progress row is absent both before its first write and after the end, when a late first write must fail.
+        const endChecks = version === 0 ? [{ ...rowKeys.settled(cell, id), version: 0 }] : [];
+        const recordedMove = move();
+        if (recordedMove !== undefined) {
+            return moveChanges(ledger, recordedMove, [check, ...endChecks]);
+        }
         if (isSettled()) {
             return {
                 changes: {
@@ -119,8 +174,6 @@
                 omittedCheckpoints: 0,
             };
         }
-        // The progress row is absent both before its first write and after the end, when a late first write must fail.
-        const endChecks = version === 0 ? [{ ...rowKeys.settled(cell, id), version: 0 }] : [];
         const { value, omittedCheckpoints } = encodeProgress(progress(), steps, store.limits.valueBytes);
         return {
             changes: { checks: [check, ...endChecks], writes: [{ ...key, value }], removals: [] },
@@ -151,6 +204,7 @@
                 ledger,
                 revision: ledger.revision(),
                 isSettled: ledger.isSettled(),
+                isMove: ledger.move() !== undefined,
                 callbacks: callbacks.splice(0),
                 changes,
                 omittedCheckpoints,
@@ -234,7 +288,10 @@
                 callback();
             });
         });
-        onWritten(entries.map(({ ledger }) => ledger), written.value);
+        onWritten(entries.filter(({ isMove }) => !isMove).map(({ ledger }) => ledger), written.value);
+        entries.filter(({ isMove }) => isMove).forEach(({ ledger }) => {
+            recordMoved(ledger, false);
+        });
         return true;
     };
     const request = (ledger: WorkflowLedger, callback?: () => void): void => {
--- a/packages/workflow/src/cell/row-keys.ts
+++ b/packages/workflow/src/cell/row-keys.ts
@@ -5,6 +5,9 @@
 /** Number of partitions of the workflow index; several, since the store limits the write rate of each partition. */
 const indexPartitions = 16;
 
+/** Start of the keys by which rows of arrivals differ from transfer rows, whose keys are workflow ids. */
+const arrivalPrefix = "moved-";
+
 /** Keys of the rows that jayfront keeps in the platform's store. */
 export const rowKeys = {
     /** The holder of a cell and its epoch. */
@@ -21,6 +24,12 @@
     settled: (cell: CellId, id: JobId): RowKey => ({ table: "settled", partition: cell, key: id }),
     /** The long-running tasks of another cell's workflow that `cell` runs; written by the holder of that other cell. */
     transfer: (cell: CellId, id: JobId): RowKey => ({ table: "transfers", partition: cell, key: id }),
+    /** Names a workflow that has moved to `cell` and that its holder may not know of; removed by that holder. */
+    arrival: (cell: CellId, id: JobId): RowKey => ({
+        table: "transfers",
+        partition: cell,
+        key: `${arrivalPrefix}${id}`,
+    }),
     /** The cell that stores a workflow; makes its id unique across all cells. */
     index: (id: JobId): RowKey => ({
         table: "workflow-index",
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -54,10 +54,26 @@
     readonly keepPlaceElsewhere: (run: Run) => boolean;
     /** Whether the run holds memory or accelerators that a waiting task needs for which its worker is reserved. */
     readonly holdsReservedRoom: (run: Run) => boolean;
+    /**
+     * The workers on which tasks of a waiting workflow of another cell could start now, at most `count`, beside what is
+     * planned in `taken`.
+     */
+    readonly findPlaces: (
+        ledger: WorkflowLedger,
+        stage: Stage,
+        count: number,
+        taken: readonly PlannedStart[],
+    ) => readonly CellWorker[];
     /** Why a long-running task that has run before did not start in the last pass, with the figures that decide it. */
     readonly explainWait: (ledger: WorkflowLedger, position: TaskNameParts) => WaitExplanation;
 }
 
+/** A start that is planned on a worker. */
+export interface PlannedStart {
+    readonly worker: CellWorker;
+    readonly step: Step;
+}
+
 /** Why a task waits; `undefined` for a task of a step that the workflow does not have. */
 export type WaitExplanation = (StartGateFacts & { readonly gate: StartGate; }) | undefined;
 
@@ -490,6 +506,9 @@
         const plan = oneRackPlan ?? planGang(candidate, method);
         if (plan === undefined) {
             const [first = 0] = record.waiting;
+            if (!step.isLasting) {
+                record.noRoomSince ??= performance.now();
+            }
             logWait(candidate, () => countExcluded(candidate, first, eligibleWorkersFor(candidate)));
             return;
         }
@@ -704,6 +723,43 @@
         keepPlace(candidate, position.index, worker);
         return true;
     };
+    const findPlaces: StageScheduler["findPlaces"] = (ledger, stage, count, taken) => {
+        const indices = [...stage.record.waiting].slice(0, count);
+        const candidate = candidateOf(ledger, stage, indices, "no");
+        const isInVain = failedSearches.blockerOf(candidate) !== undefined || failedSearches.isTooEarly(candidate)
+            || !admission.mayStart(candidate);
+        if (isInVain) {
+            return [];
+        }
+        // The state may have changed since the last pass.
+        summaries.clear();
+        openWorkers.clear();
+        taken.forEach(({ worker, step }) => {
+            worker.resources.add(step);
+        });
+        const plan: CellWorker[] = [];
+        const eligibleWorkers = eligibleWorkersFor(
+            candidate,
+            undefined,
+            worker => plan.filter(planned => planned === worker).length,
+        );
+        for (const index of indices) {
+            const worker = eligibleWorkers.choose(taskOf(candidate, index));
+            if (worker === undefined) {
+                break;
+            }
+            worker.resources.add(stage.step);
+            plan.push(worker);
+            eligibleWorkers.refresh(worker);
+        }
+        plan.forEach(worker => {
+            worker.resources.remove(stage.step);
+        });
+        taken.forEach(({ worker, step }) => {
+            worker.resources.remove(step);
+        });
+        return plan;
+    };
     const holdsReservedRoom: StageScheduler["holdsReservedRoom"] = ({ worker: id, step }) => {
         const resources = workers.get(id)?.resources;
         const reserved = reservations.reservedFor(id);
@@ -743,6 +799,7 @@
     };
     return {
         keepPlaceElsewhere,
+        findPlaces,
         holdsReservedRoom,
         explainWait,
         longestWait: starvingWorkflows.longestWait,
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -59,12 +59,16 @@
 import { createUnansweredStartWriter } from "./unanswered-start-writer.js";
 import type { UnansweredStarts } from "./unanswered-starts.js";
 import { createUnansweredStarts } from "./unanswered-starts.js";
+import { findWaitingWorkflows } from "./waiting-workflows.js";
 import { createWorkerCrashes } from "./worker-crashes.js";
 import { createWorkerRoster } from "./worker-roster.js";
 import type { SessionEvents, WorkerSession } from "./worker-session.js";
 import { createWorkflowIntake } from "./workflow-intake.js";
+import { createWorkflowMoves } from "./workflow-moves.js";
+import { createWorkflowOffers } from "./workflow-offers.js";
 import type { CancelReply, StateReply } from "./workflow-operations.js";
 import { createWorkflowOperations } from "./workflow-operations.js";
+import type { WorkflowRoomRequest } from "./workflow-room.js";
 
 /** A cell that this host holds: its workflows, its workers and the runs on them. */
 export interface WorkflowCell {
@@ -90,7 +94,9 @@
     readonly load: () => CellLoad | undefined;
     /** Number of long-running tasks of another cell that this cell offers to run; 0 before it has been loaded. */
     readonly offerRoom: (request: TransferRoomRequest) => number;
-    /** Reads the rows of the tasks that other cells have transferred to this one; to be called when they change. */
+    /** Number of tasks of a waiting workflow of another cell that this cell offers to start; 0 before it has been loaded. */
+    readonly offerPlaces: (request: WorkflowRoomRequest) => number;
+    /** Reads the rows of the tasks and workflows that other cells have given to this one; to be called when they change. */
     readonly readTransfers: () => void;
     /** Takes back tasks of a workflow that the cell `from` has returned. */
     readonly readReturns: (id: JobId, from: CellId) => void;
@@ -236,7 +242,7 @@
         logger,
         onWritten: (written, version) => {
             for (const ledger of written) {
-                if (ledger.isSettled() && !settledAt.has(ledger.workflow.id)) {
+                if (ledger.isSettled() && ledger.move() === undefined && !settledAt.has(ledger.workflow.id)) {
                     [...ledger.transfers().keys()].forEach(otherCells.notifyTransfer);
                     settledAt.set(ledger.workflow.id, performance.now());
                     sweep.add(ledger.workflow.id, Date.now(), version);
@@ -249,6 +255,9 @@
             }
             passWakeUp.notify();
         },
+        onMoved: (ledger, isBack) => {
+            void forgetMoved(ledger, isBack);
+        },
         onTransferChanged: (ledger, other, row) => {
             outgoingTransfers.applyReturns(ledger, other, row);
         },
@@ -385,8 +394,10 @@
         findStranded: () => findStranded(incomingTransfers.ledgers),
         runController,
         logger,
+        addArrived: job => isMoving(job) ? Promise.resolve(false) : intake.addArrived(job),
         onArrival: job => {
             transferOffers.recordArrival(job);
+            workflowOffers.recordArrival(job);
             passWakeUp.notify();
         },
     });
@@ -403,6 +414,18 @@
         queueOf,
         signal,
     });
+    const workflowMoves = createWorkflowMoves({
+        cell,
+        store,
+        otherCells,
+        ledgers,
+        findWaiting: candidates => findWaitingWorkflows({ ledgers: candidates, runRegistry, isHeldBack, constraintOf }),
+        runController,
+        writer,
+        logger,
+        metrics,
+        signal,
+    });
     const interferenceController = createInterferenceController({
         model: interferenceModel,
         throttle: (run: Run, percent: number) => {
@@ -436,6 +459,7 @@
         passTime,
         otherCellsRoom: otherCells.cpuRoom,
     });
+    const workflowOffers = createWorkflowOffers({ cell, workers, scheduler, logger });
     const runWatchdog = createRunWatchdog({
         runRegistry,
         runController,
@@ -617,6 +641,7 @@
                 reviewAbsentTasks();
                 outgoingTransfers.review();
                 incomingTransfers.review();
+                workflowMoves.review();
             }
         }
     };
@@ -630,6 +655,24 @@
             }
         }
     };
+    /** Whether the move of the workflow to another cell is being stored. */
+    const isMoving = (id: JobId): boolean => ledgers.get(id)?.move() !== undefined;
+    /** Drops a workflow whose move to another cell is stored. `isBack`: see `ProgressWriterOptions.onMoved`. */
+    const forgetMoved = async (ledger: WorkflowLedger, isBack: boolean): Promise<void> => {
+        const { id } = ledger.workflow;
+        const target = ledger.move()?.cell;
+        ledgers.delete(id);
+        writer.forget(id);
+        intake.recordDeparture(id);
+        interferenceModel.forgetJob(id);
+        logger.info({ job: id, cell, epoch, target, isBack }, "workflow moved to another cell");
+        if (target !== undefined) {
+            otherCells.notifyTransfer(target);
+        }
+        while (isBack && !signal.aborted && !await intake.addArrived(id)) {
+            await sleep(loadRetryDelay, signal);
+        }
+    };
     const addLedger = (ledger: WorkflowLedger, progressVersion: number): void => {
         const { id } = ledger.workflow;
         ledgers.set(id, ledger);
@@ -777,6 +820,7 @@
             return await lease.renew(freshReadTimeout);
         },
         load: () => isActive ? room.load() : undefined,
+        offerPlaces: request => isActive && !declinesWork() ? workflowOffers.offer(request) : 0,
         offerRoom: request => isActive ? transferOffers.offer(request) : 0,
         readTransfers: incomingTransfers.notify,
         readReturns: (id, from) => void outgoingTransfers.readReturns(id, from),
--- a/packages/workflow/src/cell/workflow-intake.ts
+++ b/packages/workflow/src/cell/workflow-intake.ts
@@ -26,6 +26,13 @@
      * rows of it. `unknown`: the rows could not be read, or it could not be shown that this host still holds the cell.
      */
     readonly find: (id: JobId) => Promise<WorkflowState | "not-known" | "unknown">;
+    /**
+     * As `find`, for a workflow that has moved to this cell; resolves to false if that is still to be repeated, since the
+     * store or the lease was not known well enough.
+     */
+    readonly addArrived: (id: JobId) => Promise<boolean>;
+    /** Records that the move of a workflow to another cell is stored, so that rows read before are out of date. */
+    readonly recordDeparture: (id: JobId) => void;
     /** Clears the cache of end states that `find` has read, since their rows may have been removed. */
     readonly forgetEndStates: () => void;
 }
@@ -73,6 +80,8 @@
     const { cell, epoch } = lease;
     const pendingSubmissions = new Map<JobId, PendingSubmission>();
     const endStates = new Map<JobId, WorkflowState>();
+    /** Reads of rows under way; `isOutdated`: the workflow has moved to another cell meanwhile. */
+    const reads = new Set<{ readonly id: JobId; isOutdated: boolean; }>();
     const submissionWriter = createSubmissionWriter({ store, lease, logger, metrics });
 
     const adopt = (stored: OpenWorkflow): boolean => {
@@ -89,11 +98,10 @@
             endStates.delete(oldest);
         }
     };
-    const find: WorkflowIntake["find"] = async id => {
-        const cached = endStates.get(id);
-        if (cached !== undefined) {
-            return cached;
-        }
+    /** Reads the workflow's rows and adds it if it has not ended; `onAdded` is called in that case. */
+    const readAndAdd = async (id: JobId, isOutdated: () => boolean, onAdded: () => void): ReturnType<
+        WorkflowIntake["find"]
+    > => {
         const stored = await readStoredWorkflow(store, cell, id);
         if (stored.isErr) {
             return "unknown";
@@ -110,11 +118,20 @@
         if (found.kind === "absent") {
             return "not-known";
         }
-        if (adopt(found)) {
-            logger.warn({ job: id, cell, epoch }, "added a stored workflow that was not in memory");
+        if (!isOutdated() && adopt(found)) {
+            onAdded();
         }
         return stateOf(id) ?? "unknown";
     };
+    const findWith = async (id: JobId, onAdded: () => void): ReturnType<WorkflowIntake["find"]> => {
+        const entry = { id, isOutdated: false };
+        reads.add(entry);
+        return await readAndAdd(id, () => entry.isOutdated, onAdded).finally(() => reads.delete(entry));
+    };
+    const find: WorkflowIntake["find"] = async id =>
+        endStates.get(id) ?? await findWith(id, () => {
+            logger.warn({ job: id, cell, epoch }, "added a stored workflow that was not in memory");
+        });
     /** The reply that follows from an attempt; undefined if another attempt is needed. */
     const replyFor = async (
         attempt: StoreAttempt,
@@ -210,6 +227,17 @@
     };
     return {
         find,
+        addArrived: async id => {
+            const state = stateOf(id) ?? await findWith(id, () => {
+                logger.info({ job: id, cell, epoch }, "workflow moved here");
+            });
+            return state !== "unknown";
+        },
+        recordDeparture: id => {
+            [...reads].filter(read => read.id === id).forEach(read => {
+                read.isOutdated = true;
+            });
+        },
         forgetEndStates: () => {
             endStates.clear();
         },
--- a/packages/workflow/src/cell/workflow-operations.ts
+++ b/packages/workflow/src/cell/workflow-operations.ts
@@ -47,12 +47,8 @@
     const { ledgers, intake, lease, writer, runController, logger, hasSuccessor, signal } = options;
     const { cell, epoch } = lease;
 
-    const storeCancellation = async (ledger: WorkflowLedger): Promise<CancelReply> => {
-        if (!ledger.isSettled()) {
-            ledger.recordCancellation();
-            runController.stopWorkflow(ledger.workflow.id, "the workflow was cancelled");
-            logger.info({ job: ledger.workflow.id, cell, epoch }, "workflow cancelled");
-        }
+    /** Waits until the ledger's state is stored or the cell is lost; resolves to whether it is stored. */
+    const waitUntilStored = async (ledger: WorkflowLedger): Promise<boolean> => {
         if (ledger.isDirty()) {
             await new Promise<void>(resolve => {
                 writer.request(ledger, resolve);
@@ -61,7 +57,19 @@
                 }, { once: true });
             });
         }
-        return ledger.isDirty() ? "unknown" : "cancelled";
+        return !ledger.isDirty();
+    };
+    const storeCancellation = async (ledger: WorkflowLedger): Promise<CancelReply> => {
+        if (ledger.move() !== undefined) {
+            // The cell that it moves to cancels it.
+            return await waitUntilStored(ledger) ? "not-known" : "unknown";
+        }
+        if (!ledger.isSettled()) {
+            ledger.recordCancellation();
+            runController.stopWorkflow(ledger.workflow.id, "the workflow was cancelled");
+            logger.info({ job: ledger.workflow.id, cell, epoch }, "workflow cancelled");
+        }
+        return await waitUntilStored(ledger) ? "cancelled" : "unknown";
     };
     return {
         state: async id => {
--- a/packages/workflow/src/entry/create-other-cells.ts
+++ b/packages/workflow/src/entry/create-other-cells.ts
@@ -43,6 +43,17 @@
                 : await network.call(claim.host, "transfer-room", { cell: target, request });
             return answer?.isOk === true ? answer.value : 0;
         },
+        placesIn: async (target, request) => {
+            const ownCell = held(target);
+            if (ownCell !== undefined) {
+                return ownCell.offerPlaces(request);
+            }
+            const claim = claims.fresh(target);
+            const answer = claim === undefined
+                ? undefined
+                : await network.call(claim.host, "workflow-room", { cell: target, request });
+            return answer?.isOk === true ? answer.value : 0;
+        },
         notifyTransfer: target => {
             const ownCell = held(target);
             const claim = claims.fresh(target);
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -232,6 +232,7 @@
         cancel: ({ cell, id }) => cellManager.held(cell)?.cancel(id) ?? "not-holder",
         "cell-load": ({ cell }) => cellManager.held(cell)?.load(),
         "transfer-room": ({ cell, request }) => cellManager.held(cell)?.offerRoom(request) ?? 0,
+        "workflow-room": ({ cell, request }) => cellManager.held(cell)?.offerPlaces(request) ?? 0,
         "transfers-changed": ({ cell }) => {
             cellManager.held(cell)?.readTransfers();
             return true;
--- a/packages/workflow/src/entry/workflow-router.ts
+++ b/packages/workflow/src/entry/workflow-router.ts
@@ -369,6 +369,15 @@
         const replies = await Promise.all((cells() ?? []).map(cell => askHolder("cancel", cell, id)));
         return replies.length > 0 && replies.every(reply => reply === "not-known");
     };
+    /** Whether the index names another cell for the workflow than `cell`, which is remembered then. */
+    const hasMoved = async (id: JobId, cell: CellId): Promise<boolean> => {
+        const read = await lookUpCell(store, id);
+        if (read.kind === "known" && read.value !== cell) {
+            claims.rememberCell(id, read.value);
+            return true;
+        }
+        return false;
+    };
     const cancel = async (id: JobId): Promise<WorkflowAnswer<"cancelled">> => {
         const cell = await findCell(id);
         if (cell.kind === "absent") {
@@ -380,8 +389,9 @@
             return cell;
         }
         const holderReply = await waitFor(async () => {
-            const reply = await askHolder("cancel", cell.value, id);
-            return reply === "cancelled" || reply === "not-known" ? reply : undefined;
+            const current = claims.cellOf(id) ?? cell.value;
+            const reply = await askHolder("cancel", current, id);
+            return reply === "cancelled" || reply === "not-known" && !await hasMoved(id, current) ? reply : undefined;
         });
         if (holderReply === "cancelled") {
             return { kind: "known", value: holderReply };
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -7,6 +7,7 @@
 import type { StepRecord } from "./step-record.js";
 import { createStepRecord } from "./step-record.js";
 import type { TransferredTask } from "./transferred-task.js";
+import type { WorkflowMove } from "./workflow-move.js";
 import type { WorkflowProgress } from "./workflow-progress.js";
 
 /** One step in one occurrence of a workflow, with the state of its tasks. */
@@ -32,7 +33,7 @@
     readonly state: () => WorkflowState;
     /** State by all recorded changes, stored or not. */
     readonly latestState: () => WorkflowState;
-    /** Whether the latest state is final: completed, failed or cancelled. */
+    /** Whether the latest state is final: completed, failed or cancelled; or the workflow moves to another cell. */
     readonly isSettled: () => boolean;
     /**
      * Stages whose tasks may run now: due, not done, and with all steps that they depend on done and stored. Empty once
@@ -75,6 +76,13 @@
     /** The long-running tasks that have run, as far as this holder knows, and wait to run again. */
     readonly absentTasks: () => readonly TaskPosition[];
     readonly recordCancellation: () => void;
+    /**
+     * Records that the workflow, none of whose tasks has a run, moves to another cell. Nothing of it starts here any more;
+     * once that is stored, its state here is out of date.
+     */
+    readonly recordMove: (move: WorkflowMove) => void;
+    /** The recorded move, stored or not; undefined if there is none. */
+    readonly move: () => WorkflowMove | undefined;
     /** Records that `cell` runs the waiting long-running task from now on; its runs there have higher numbers. */
     readonly recordTransfer: (task: TransferredTask, cell: CellId) => void;
     /**
@@ -98,7 +106,7 @@
     readonly progress: () => WorkflowProgress;
     /** Marks the changes up to `revision` as stored. */
     readonly markStored: (revision: number) => void;
-    /** Increases with each change that has to be stored: an end, a failure, a transfer or the cancellation. */
+    /** Increases with each change that has to be stored: an end, a failure, a transfer, the move or the cancellation. */
     readonly revision: () => number;
 }
 
@@ -113,6 +121,7 @@
     let isCancelled = stored?.isCancelled ?? false;
     let isFailed = stored?.isFailed ?? false;
     let hasStarted = stored?.hasStarted ?? false;
+    let move: WorkflowMove | undefined;
     let revision = 0;
     let storedRevision = 0;
     /** Revision that made the latest state final. */
@@ -134,7 +143,7 @@
     const stageOf = ({ occurrence, step }: TaskPosition): Stage | undefined => stageAt(occurrence, step);
     const isStepDone = (occurrence: number, stepIndex: number): boolean =>
         stages.get(stageKey(occurrence, stepIndex))?.record.done.size === steps[stepIndex]?.count;
-    const isSettled = (): boolean => isCancelled || isFailed || remainingSteps === 0;
+    const isSettled = (): boolean => move !== undefined || isCancelled || isFailed || remainingSteps === 0;
     const latestState = (): WorkflowState => {
         if (isCancelled) {
             return "cancelled";
@@ -341,6 +350,12 @@
             isCancelled = true;
             raiseRevision();
         },
+        recordMove: recorded => {
+            move = recorded;
+            recorded.lastRuns.forEach(task => stageOf(task)?.record.lastRuns.set(task.index, task.lastRun));
+            raiseRevision();
+        },
+        move: () => move,
         recordTransfer: (task, cell) => {
             addTransfer(task, cell);
             hasStarted = true;
--- a/packages/workflow/src/peer/workflow-message.ts
+++ b/packages/workflow/src/peer/workflow-message.ts
@@ -5,6 +5,7 @@
 import type { SubmissionReply } from "../cell/submission-reply.js";
 import type { TransferRoomRequest } from "../cell/transfer-room.js";
 import type { CancelReply, StateReply } from "../cell/workflow-operations.js";
+import type { WorkflowRoomRequest } from "../cell/workflow-room.js";
 import type { PackedChange } from "../configuration/packed-change.js";
 import type { Workflow } from "../model/workflow.js";
 import type { EntryHostRecord } from "./host-registry.js";
@@ -46,7 +47,12 @@
     readonly "cell-load": { readonly cell: CellId; };
     /** Asks how many long-running tasks the cell could run for another cell. */
     readonly "transfer-room": { readonly cell: CellId; readonly request: TransferRoomRequest; };
-    /** Tells the holder of a cell that another cell has changed the rows of the tasks that it transferred there. */
+    /** Asks how many tasks of a waiting workflow of another cell the cell could start now. */
+    readonly "workflow-room": { readonly cell: CellId; readonly request: WorkflowRoomRequest; };
+    /**
+     * Tells the holder of a cell that another cell has changed the rows of the tasks that it transferred there, or has
+     * moved a workflow there.
+     */
     readonly "transfers-changed": { readonly cell: CellId; };
     /** Tells the holder of a workflow's cell that the cell `from` has returned tasks of the workflow. */
     readonly "tasks-returned": { readonly cell: CellId; readonly id: JobId; readonly from: CellId; };
@@ -75,6 +81,8 @@
     readonly "cell-load": CellLoad | undefined;
     /** Number of tasks; 0 if the receiver does not hold the cell. */
     readonly "transfer-room": number;
+    /** Number of tasks; 0 if the receiver does not hold the cell. */
+    readonly "workflow-room": number;
     readonly "transfers-changed": true;
     readonly "tasks-returned": true;
     readonly "take-over": boolean;
@@ -106,6 +114,7 @@
     cancel: true,
     "cell-load": true,
     "transfer-room": true,
+    "workflow-room": true,
     "transfers-changed": true,
     "tasks-returned": true,
     "take-over": true,
--- a/packages/workflow/src/workflow-metrics.ts
+++ b/packages/workflow/src/workflow-metrics.ts
@@ -16,6 +16,8 @@
     readonly runEnds: Counter<"queue" | "outcome">;
     /** Long-running tasks that cells held by this host have transferred to other cells, by queue. */
     readonly transferredTasks: Counter<"queue">;
+    /** Workflows that cells held by this host have moved to other cells, by queue. */
+    readonly movedWorkflows: Counter<"queue">;
     /** Calls to the store, by operation and outcome. */
     readonly storeCalls: Counter<"operation" | "outcome">;
     /** Seconds that answered calls to the store took, by operation. */
@@ -92,6 +94,12 @@
             labelNames: ["queue"],
             registers,
         }),
+        movedWorkflows: new Counter({
+            name: "jayfront_moved_workflows_total",
+            help: "Waiting workflows moved to other cells, since their own could run none of their tasks",
+            labelNames: ["queue"],
+            registers,
+        }),
         storeCalls: new Counter({
             name: "jayfront_store_calls_total",
             help: "Calls to the store",
--- a/packages/workflow/tests/incoming-transfers.test.ts
+++ b/packages/workflow/tests/incoming-transfers.test.ts
@@ -94,6 +94,7 @@
             },
             logger: pino({ level: "silent" }),
             onArrival: () => undefined,
+            addArrived: () => Promise.resolve(true),
         });
         void transfers.run(stop.signal);
     });
--- a/packages/workflow/tests/outgoing-transfers.test.ts
+++ b/packages/workflow/tests/outgoing-transfers.test.ts
@@ -124,6 +124,7 @@
             store: store as StateStore,
             logger,
             onWritten: () => undefined,
+            onMoved: () => undefined,
             onTransferChanged: (ledger, from, row) => {
                 transfers.applyReturns(ledger, from, row);
             },
--- a/packages/workflow/tests/progress-writer.test.ts
+++ b/packages/workflow/tests/progress-writer.test.ts
@@ -68,6 +68,7 @@
             onWritten: ledgers => {
                 ledgers.forEach(({ workflow }) => written.add(workflow.id));
             },
+            onMoved: () => undefined,
             onTransferChanged: () => undefined,
         });
         void writer.run(stop.signal);
