--- a/packages/bench/src/random-days.ts
+++ b/packages/bench/src/random-days.ts
@@ -3,6 +3,7 @@
 import type { FakeTime } from "./util/fake-time.js";
 import { installFakeTime } from "./util/fake-time.js";
 import { readKnownRed } from "./util/read-known-red.js";
+import { crowdedCellsProfile } from "./workflow/crowded-cells-profile.js";
 import { fullCellsProfile } from "./workflow/full-cells-profile.js";
 import { replacementFaults } from "./workflow/replacement-faults.js";
 import type { SeveralCellsProfile } from "./workflow/several-cells-profile.js";
@@ -15,7 +16,7 @@
 const command = meow(
     `
     Usage
-      $ npm run random-days [-- --from N --days N --cells one|several|full|replaced|drained]
+      $ npm run random-days [-- --from N --days N --cells one|several|full|crowded|replaced|drained]
 
     Simulates entry hosts on the platform stand-in under random faults in fake time, one day for each seed, and checks
     what workers did and which answers submitters got. Exits with 1 on a broken promise that KNOWN-RED.txt does not
@@ -28,6 +29,8 @@
                        default one
       --cells full     as several, but the cells are nearly full of long-running work, which fails and is cancelled, and
                        workers leave or crash
+      --cells crowded  as several, but short-lived work fills the cells in turn and moves between them, and workers
+                       leave or crash
       --cells replaced one cell, and faults that replace workers by others at the same address
       --cells drained  one cell, of which workers with long-running tasks drain while orders, the holder and other workers
                        fail
@@ -37,7 +40,7 @@
         flags: {
             from: { type: "number", default: 0 },
             days: { type: "number", default: 60 },
-            cells: { type: "string", choices: ["one", "several", "full", "replaced", "drained"], default: "one" },
+            cells: { type: "string", choices: ["one", "several", "full", "crowded", "replaced", "drained"], default: "one" },
         },
     },
 );
@@ -81,6 +84,7 @@
     several: (seed, time) => simulateSeveralCells(seed, time, shortLivedProfile),
     full: (seed, time) => simulateSeveralCells(seed, time, fullCellsProfile),
     drained: simulateDrainedWorkers,
+    crowded: (seed, time) => simulateSeveralCells(seed, time, crowdedCellsProfile),
 };
 /** The name under which KNOWN-RED.txt lists a day. */
 const knownRedName = (seed: number): string =>
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -1,5 +1,5 @@
 import type { WorkerHealth } from "@jayfront/policy";
-import type { ServiceId, WorkerId } from "@jayfront/world";
+import type { JobId, ServiceId, WorkerId } from "@jayfront/world";
 import type { Logger } from "pino";
 
 import type { Stage, WorkflowLedger } from "../ledger/workflow-ledger.js";
@@ -45,6 +45,8 @@
      * `StageSchedulerOptions.passTime` is over; the next pass goes on. Returns whether all tasks have had their turn.
      */
     readonly runPass: () => boolean;
+    /** See `StarvingWorkflows.recordArrival`. */
+    readonly recordArrival: (id: JobId) => void;
     /** See `StarvingWorkflows.longestWait`. */
     readonly longestWait: () => number;
     /**
@@ -802,6 +804,7 @@
         findPlaces,
         holdsReservedRoom,
         explainWait,
+        recordArrival: starvingWorkflows.recordArrival,
         longestWait: starvingWorkflows.longestWait,
         runPass: () => {
             summaries.clear();
--- a/packages/workflow/src/cell/starving-workflows.ts
+++ b/packages/workflow/src/cell/starving-workflows.ts
@@ -20,6 +20,8 @@
      * selection; 0 while less than half of the room is free. If it keeps growing, the holder has accepted too much.
      */
     readonly longestWait: () => number;
+    /** Records that the workflow has moved to this cell after it had waited in another one, so that it starves sooner. */
+    readonly recordArrival: (id: JobId) => void;
     /** Records an attempt to start a task of a selected candidate; if none started, others are selected before it. */
     readonly recordAttempt: (candidate: StageCandidate) => void;
 }
@@ -51,7 +53,7 @@
 export const createStarvingWorkflows = ({ freeRoom, runRegistry }: StarvingWorkflowsOptions): StarvingWorkflows => {
     /** Monotonic times in ms since which workflows have waited without a run or an attempt to start one. */
     let waitingSince = new Map<JobId, number>();
-    /** Workflows that got their last run since they were starving. */
+    /** Workflows that got their last run since they were starving, or have waited in another cell. */
     const served = new Set<JobId>();
     let longestWait = 0;
     const isRoomAmple = (): boolean => freeRoom.ofCell() > ampleFreeShare || freeRoom.ofAllCells() > ampleFreeShare;
@@ -96,6 +98,9 @@
                 .filter(candidate => hasAmpleRoom || isExpiredSpareWork(candidate));
         },
         longestWait: () => longestWait,
+        recordArrival: id => {
+            served.add(id);
+        },
         recordAttempt: ({ ledger }) => {
             waitingSince.set(ledger.workflow.id, performance.now());
             served.add(ledger.workflow.id);
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -394,7 +394,13 @@
         findStranded: () => findStranded(incomingTransfers.ledgers),
         runController,
         logger,
-        addArrived: job => isMoving(job) ? Promise.resolve(false) : intake.addArrived(job),
+        addArrived: async job => {
+            if (isMoving(job) || !await intake.addArrived(job)) {
+                return false;
+            }
+            scheduler.recordArrival(job);
+            return true;
+        },
         onArrival: job => {
             transferOffers.recordArrival(job);
             workflowOffers.recordArrival(job);
--- a/packages/workflow/src/cell/workflow-moves.ts
+++ b/packages/workflow/src/cell/workflow-moves.ts
@@ -1,4 +1,5 @@
 import type { CellId, JobId } from "@jayfront/world";
+import { sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 
 import type { TransferredTask } from "../ledger/transferred-task.js";
@@ -15,7 +16,7 @@
 
 /** Moves workflows of short-lived tasks that wait without a run to cells that can run them. */
 export interface WorkflowMoves {
-    /** Starts to move workflows that have waited for long, unless an earlier review is still under way. */
+    /** Starts to move workflows that have waited for long; those of earlier reviews may be still under way. */
     readonly review: () => void;
 }
 
@@ -41,8 +42,14 @@
     readonly since: number;
     /** Monotonic time in ms before which no other cell is asked again. */
     askAgainAt: number;
+    /** Number of times that cells were asked. */
+    attempts: number;
     /** Number of requests to cells so far. */
     requests: number;
+    /** Monotonic time in ms at which it was last logged why the workflow stays. */
+    loggedAt: number;
+    /** Whether cells are being asked, or the move is being prepared. */
+    isUnderWay: boolean;
 }
 
 /** A cell and the number of tasks that it offers to start. */
@@ -55,17 +62,22 @@
 const ownRoomWait = 800;
 /** Milliseconds until cells that had no room for a workflow are asked for it again. */
 const askInterval = 600;
+/** Multiple of that time up to which it grows with each attempt. */
+const longestIntervalFactor = 3;
 /** Workflows for which other cells are asked in one review. */
 const maxWorkflowsPerReview = 4;
+/** Milliseconds for which a cell may take to answer; a busy holder that takes longer has no time for more work. */
+const answerTime = 400;
 /** Cells that are asked for one workflow in one review. */
 const maxAskedCells = 2;
+/** Minimum milliseconds between two log lines on why a workflow stays. */
+const logInterval = 2_000;
 /** Largest share of a transaction that the rows of a workflow may take, as they are written with those of others. */
 const largestShare = 0.5;
 
 /** Creates the moves of a cell. */
 export const createWorkflowMoves = (options: WorkflowMovesOptions): WorkflowMoves => {
     const { cell, store, otherCells, ledgers, findWaiting, runController, writer, logger, metrics, signal } = options;
-    let isUnderWay = false;
     let waits = new Map<JobId, Wait>();
 
     /** Last run numbers of the waiting tasks that may have run in this cell. */
@@ -115,13 +127,17 @@
         const targets = [...cells.slice(start), ...cells.slice(0, start)].slice(0, maxAskedCells);
         wait.requests += targets.length;
         const offers = await Promise.all(
-            targets.map(async target => ({ target, places: await otherCells.placesIn(target, request) })),
+            targets.map(async target => ({
+                target,
+                places: await Promise.race([otherCells.placesIn(target, request), sleep(answerTime).then(() => 0)]),
+            })),
         );
         return offers.sort((left, right) => right.places - left.places);
     };
     const moveIfPossible = async (waiting: WaitingWorkflow, wait: Wait): Promise<void> => {
         const waited = Math.round(performance.now() - wait.since);
-        wait.askAgainAt = performance.now() + askInterval;
+        wait.attempts += 1;
+        wait.askAgainAt = performance.now() + askInterval * Math.min(wait.attempts, longestIntervalFactor);
         const offers = await askCells(waiting, wait);
         const [best] = offers;
         if (best !== undefined && best.places > 0 && fitsIntoTransaction(waiting.ledger)) {
@@ -134,32 +150,39 @@
             : best.places > 0
             ? "its rows are too large"
             : "the cells that were asked can start none of its tasks";
-        logger.info({ job: waiting.ledger.workflow.id, cell, asked, waited, reason }, "waiting workflow does not move");
+        if (performance.now() - wait.loggedAt >= logInterval) {
+            wait.loggedAt = performance.now();
+            const job = waiting.ledger.workflow.id;
+            logger.info({ job, cell, asked, waited, reason }, "waiting workflow does not move");
+        }
     };
-    const reviewAll = async (): Promise<void> => {
-        const now = performance.now();
-        const found = findWaiting(ledgers.values());
-        waits = new Map(
-            [...found.keys()].map(id => [id, waits.get(id) ?? { since: now, askAgainAt: -Infinity, requests: 0 }]),
-        );
-        const due = [...waits].filter(([, { since, askAgainAt }]) => now - since >= ownRoomWait && askAgainAt <= now)
-            .sort(([, left], [, right]) => left.askAgainAt - right.askAgainAt || left.since - right.since);
-        await Promise.all(
-            due.slice(0, maxWorkflowsPerReview).map(async ([id, wait]) => {
+    return {
+        review: () => {
+            const now = performance.now();
+            const found = findWaiting(ledgers.values());
+            waits = new Map([...found.keys()].map(id => [
+                id,
+                waits.get(id)
+                    ?? {
+                        since: now,
+                        askAgainAt: -Infinity,
+                        attempts: 0,
+                        requests: 0,
+                        loggedAt: -Infinity,
+                        isUnderWay: false,
+                    },
+            ]));
+            const due = [...waits].filter(([, { since, askAgainAt, isUnderWay }]) =>
+                !isUnderWay && now - since >= ownRoomWait && askAgainAt <= now
+            ).sort(([, left], [, right]) => left.askAgainAt - right.askAgainAt || left.since - right.since);
+            for (const [id, wait] of due.slice(0, maxWorkflowsPerReview)) {
                 const waiting = found.get(id);
                 if (waiting !== undefined) {
-                    await moveIfPossible(waiting, wait);
+                    wait.isUnderWay = true;
+                    void moveIfPossible(waiting, wait).finally(() => {
+                        wait.isUnderWay = false;
+                    });
                 }
-            }),
-        );
-    };
-    return {
-        review: () => {
-            if (!isUnderWay) {
-                isUnderWay = true;
-                void reviewAll().finally(() => {
-                    isUnderWay = false;
-                });
             }
         },
     };
--- a/packages/workflow/tests/starving-workflows.test.ts
+++ b/packages/workflow/tests/starving-workflows.test.ts
@@ -68,6 +68,15 @@
         expect(countRuns(cell, workflow)).toBe(1);
     });
 
+    // Guards against a workflow that starves in one cell after the other: each counts its wait from the arrival.
+    it("gets its first run sooner if it has waited in another cell", () => {
+        const cell = createServingCell(2_000);
+        const workflow = cell.submit({ priority: 2 }, [spareStep]);
+        cell.scheduler.recordArrival(workflow.workflow.id);
+        runPasses(cell, nextRunBound);
+        expect(countRuns(cell, workflow)).toBe(1);
+    });
+
     // Guards against spare-CPU work that slows serving tasks although it only waits for room.
     it("gets none while less than half of the room is free", () => {
         const cell = createServingCell(5_000);
