--- a/packages/workflow/src/cell/incoming-transfers.ts
+++ b/packages/workflow/src/cell/incoming-transfers.ts
@@ -25,6 +25,8 @@
     readonly inherit: (rows: readonly StoredRow[]) => void;
     /** Reads the rows again soon, since another cell reports that it has changed them. */
     readonly notify: () => void;
+    /** Adds a workflow that another cell reports to have moved to this one. */
+    readonly notifyArrival: (id: JobId) => void;
     /** Returns tasks for which this cell has no room any more, if another cell may have room. */
     readonly review: () => void;
     /** Follows the rows until `signal` aborts. */
@@ -41,7 +43,7 @@
     readonly logger: Logger;
     /** Called when tasks of the workflow have been added. */
     readonly onArrival: (job: JobId) => void;
-    /** Adds a workflow that has moved to this cell, unless it is known; resolves to whether it may be forgotten. */
+    /** See `WorkflowIntake.addArrived`. */
     readonly addArrived: (job: JobId) => Promise<boolean>;
 }
 
@@ -65,6 +67,11 @@
      * it is repeated until the row has another version, and the tasks come back only with such a row.
      */
     const returns = new Map<JobId, TransferRow>();
+    /**
+     * Workflows that have moved here and are not added yet, with whether that is under way. They stay without a row in the
+     * store, since its removal may have been carried out without an answer.
+     */
+    const arrived = new Map<JobId, boolean>();
     const wakeUp = createWakeUp();
 
     const apply = (row: StoredRow): void => {
@@ -130,24 +137,34 @@
             lease.recordStoreFailure();
         }
     };
-    /** Adds the workflows that have moved here; their rows are removed once they are known. */
-    const addAllArrived = async (rows: readonly StoredRow[]): Promise<void> => {
-        for (const row of rows) {
-            const id = arrivedWorkflow(row);
-            if (id !== undefined && await addArrived(id)) {
-                const recordProof = lease.trackCall();
-                const { table, partition, key, version } = row;
-                const removed = await store.commit({
-                    checks: [lease.check, { table, partition, key, version }],
-                    writes: [],
-                    removals: [{ table, partition, key }],
-                });
-                if (removed.isOk) {
-                    recordProof();
-                }
-                onArrival(id);
+    /** Removes the row that names a workflow which is known; it may have been removed along with adding it. */
+    const removeArrival = async ({ table, partition, key, version }: StoredRow): Promise<void> => {
+        const recordProof = lease.trackCall();
+        const removed = await store.commit({
+            checks: [lease.check, { table, partition, key, version }],
+            writes: [],
+            removals: [{ table, partition, key }],
+        });
+        if (removed.isOk) {
+            recordProof();
+        }
+    };
+    /** Adds a workflow that has moved here, unless that is under way. `row`: the row that names it, if it was read. */
+    const addOne = async (id: JobId, row?: StoredRow): Promise<void> => {
+        if (arrived.get(id) === true) {
+            return;
+        }
+        arrived.set(id, true);
+        if (await addArrived(id)) {
+            arrived.delete(id);
+            onArrival(id);
+            if (row !== undefined) {
+                await removeArrival(row);
             }
         }
+        else {
+            arrived.set(id, false);
+        }
     };
     const readRows = async (): Promise<void> => {
         const { table, partition } = rowKeys.transfer(cell, "" as JobId);
@@ -170,7 +187,13 @@
         for (const [id, content] of returns) {
             await writeReturn(id, content);
         }
-        await addAllArrived(read.value.rows);
+        const namingRows = new Map(read.value.rows.flatMap(row => {
+            const id = arrivedWorkflow(row);
+            return id === undefined ? [] : [[id, row] as const];
+        }));
+        for (const id of new Set([...namingRows.keys(), ...arrived.keys()])) {
+            void addOne(id, namingRows.get(id));
+        }
         // Repeated until the tasks are no longer in the row, since a notice can be lost.
         for (const [id, { content }] of applied) {
             if (content.tasks.some(({ isReturned }) => isReturned)) {
@@ -206,6 +229,9 @@
             rows.filter(row => arrivedWorkflow(row) === undefined).forEach(apply);
         },
         notify: wakeUp.notify,
+        notifyArrival: id => {
+            void addOne(id);
+        },
         review: () => {
             findStranded()
                 .filter(({ stage: { step } }) => otherCells.withFreeCpu(step.cpu).length > 0)
--- a/packages/workflow/src/cell/other-cells.ts
+++ b/packages/workflow/src/cell/other-cells.ts
@@ -14,7 +14,9 @@
     readonly roomIn: (cell: CellId, request: TransferRoomRequest) => Promise<number>;
     /** Number of tasks of a waiting workflow that the cell could start now; 0 if its holder does not answer. */
     readonly placesIn: (cell: CellId, request: WorkflowRoomRequest) => Promise<number>;
-    /** Tells the cell's holder that rows of tasks transferred to it, or of workflows moved there, have changed. */
+    /** Tells the cell's holder that a workflow has moved there. */
+    readonly notifyArrival: (cell: CellId, id: JobId) => void;
+    /** Tells the cell's holder that rows of tasks transferred to it have changed. */
     readonly notifyTransfer: (cell: CellId) => void;
     /** Tells the cell's holder that tasks of its workflow have been returned to it. */
     readonly notifyReturn: (cell: CellId, id: JobId) => void;
--- a/packages/workflow/src/cell/outgoing-transfers.ts
+++ b/packages/workflow/src/cell/outgoing-transfers.ts
@@ -28,7 +28,7 @@
 export interface OutgoingTransfersOptions {
     readonly cell: CellId;
     readonly store: StateStore;
-    readonly otherCells: Omit<OtherCells, "cpuRoom" | "placesIn">;
+    readonly otherCells: Omit<OtherCells, "cpuRoom" | "placesIn" | "notifyArrival">;
     readonly findStranded: () => readonly StrandedTasks[];
     readonly ledgerOf: (id: JobId) => WorkflowLedger | undefined;
     readonly runController: Pick<RunController, "nextNumber" | "reserveNumbers">;
--- a/packages/workflow/src/cell/progress-writer.ts
+++ b/packages/workflow/src/cell/progress-writer.ts
@@ -189,7 +189,8 @@
         const size = createTransactionSize();
         size.add({ checks: [lease.check], writes: [] });
         for (const [id, { ledger, callbacks }] of pending) {
-            const isAlone = isolatedFrom.has(id);
+            // Writes of other workflows must not wait for a move without an answer, nor for its conflict.
+            const isAlone = isolatedFrom.has(id) || ledger.move() !== undefined;
             if (dueAt(ledger) > performance.now() || isAlone && batch.length > 0) {
                 continue;
             }
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -96,7 +96,9 @@
     readonly offerRoom: (request: TransferRoomRequest) => number;
     /** Number of tasks of a waiting workflow of another cell that this cell offers to start; 0 before it has been loaded. */
     readonly offerPlaces: (request: WorkflowRoomRequest) => number;
-    /** Reads the rows of the tasks and workflows that other cells have given to this one; to be called when they change. */
+    /** Adds a workflow that another cell has moved to this one, unless the cell has not been loaded yet. */
+    readonly addArrived: (id: JobId) => void;
+    /** Reads the rows of the tasks that other cells have transferred to this one; to be called when they change. */
     readonly readTransfers: () => void;
     /** Takes back tasks of a workflow that the cell `from` has returned. */
     readonly readReturns: (id: JobId, from: CellId) => void;
@@ -673,7 +675,7 @@
         interferenceModel.forgetJob(id);
         logger.info({ job: id, cell, epoch, target, isBack }, "workflow moved to another cell");
         if (target !== undefined) {
-            otherCells.notifyTransfer(target);
+            otherCells.notifyArrival(target, id);
         }
         while (isBack && !signal.aborted && !await intake.addArrived(id)) {
             await sleep(loadRetryDelay, signal);
@@ -829,6 +831,11 @@
         offerPlaces: request => isActive && !declinesWork() ? workflowOffers.offer(request) : 0,
         offerRoom: request => isActive ? transferOffers.offer(request) : 0,
         readTransfers: incomingTransfers.notify,
+        addArrived: id => {
+            if (isActive) {
+                incomingTransfers.notifyArrival(id);
+            }
+        },
         readReturns: (id, from) => void outgoingTransfers.readReturns(id, from),
         summary: () => {
             const reported = accepted;
--- a/packages/workflow/src/cell/workflow-intake.ts
+++ b/packages/workflow/src/cell/workflow-intake.ts
@@ -7,7 +7,9 @@
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { CellLease } from "./cell-lease.js";
 import type { OpenWorkflow } from "./decode-open-workflow.js";
+import { decodeOpenWorkflow } from "./decode-open-workflow.js";
 import { readWorkflowIndex } from "./read-workflow-index.js";
+import { rowKeys } from "./row-keys.js";
 import type { StoreAttempt } from "./store-workflows.js";
 import { readStoredWorkflow } from "./stored-workflow.js";
 import type { SubmissionReply } from "./submission-reply.js";
@@ -132,6 +134,40 @@
         endStates.get(id) ?? await findWith(id, () => {
             logger.warn({ job: id, cell, epoch }, "added a stored workflow that was not in memory");
         });
+    /**
+     * Adds a workflow that has moved here, by few calls: the removal of the row that names it proves the lease, and that the
+     * rows read before are up to date. False if that did not succeed.
+     */
+    const addFromRows = async (id: JobId): Promise<boolean> => {
+        const keys = [rowKeys.arrival(cell, id), rowKeys.progress(cell, id), rowKeys.workflow(cell, id)];
+        const reads = await Promise.all(keys.map(({ table, partition, key }) => store.read(table, partition, key)));
+        const [arrival, progress, workflow] = reads.map(read => read.isOk ? read.value.rows[0] : undefined);
+        if (arrival === undefined || progress === undefined || workflow === undefined) {
+            return false;
+        }
+        const decoded = decodeOpenWorkflow(workflow, progress);
+        if (decoded.isErr) {
+            return false;
+        }
+        const recordProof = lease.trackCall();
+        const removed = await store.commit({
+            checks: [
+                lease.check,
+                { ...rowKeys.arrival(cell, id), version: arrival.version },
+                { ...rowKeys.progress(cell, id), version: progress.version },
+            ],
+            writes: [],
+            removals: [rowKeys.arrival(cell, id)],
+        });
+        if (removed.isErr) {
+            return false;
+        }
+        recordProof();
+        if (adopt(decoded.value)) {
+            logger.info({ job: id, cell, epoch }, "workflow moved here");
+        }
+        return stateOf(id) !== undefined;
+    };
     /** The reply that follows from an attempt; undefined if another attempt is needed. */
     const replyFor = async (
         attempt: StoreAttempt,
@@ -228,7 +264,8 @@
     return {
         find,
         addArrived: async id => {
-            const state = stateOf(id) ?? await findWith(id, () => {
+            const isAdded = stateOf(id) !== undefined || await addFromRows(id);
+            const state = isAdded ? undefined : await findWith(id, () => {
                 logger.info({ job: id, cell, epoch }, "workflow moved here");
             });
             return state !== "unknown";
--- a/packages/workflow/src/cell/workflow-moves.ts
+++ b/packages/workflow/src/cell/workflow-moves.ts
@@ -67,7 +67,7 @@
 /** Workflows for which other cells are asked in one review. */
 const maxWorkflowsPerReview = 4;
 /** Milliseconds for which a cell may take to answer; a busy holder that takes longer has no time for more work. */
-const answerTime = 400;
+const answerTime = 250;
 /** Cells that are asked for one workflow in one review. */
 const maxAskedCells = 2;
 /** Minimum milliseconds between two log lines on why a workflow stays. */
--- a/packages/workflow/src/entry/create-other-cells.ts
+++ b/packages/workflow/src/entry/create-other-cells.ts
@@ -54,6 +54,16 @@
                 : await network.call(claim.host, "workflow-room", { cell: target, request });
             return answer?.isOk === true ? answer.value : 0;
         },
+        notifyArrival: (target, id) => {
+            const ownCell = held(target);
+            const claim = claims.fresh(target);
+            if (ownCell !== undefined) {
+                ownCell.addArrived(id);
+            }
+            else if (claim !== undefined) {
+                void network.call(claim.host, "workflow-moved", { cell: target, id });
+            }
+        },
         notifyTransfer: target => {
             const ownCell = held(target);
             const claim = claims.fresh(target);
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -233,6 +233,10 @@
         "cell-load": ({ cell }) => cellManager.held(cell)?.load(),
         "transfer-room": ({ cell, request }) => cellManager.held(cell)?.offerRoom(request) ?? 0,
         "workflow-room": ({ cell, request }) => cellManager.held(cell)?.offerPlaces(request) ?? 0,
+        "workflow-moved": ({ cell, id }) => {
+            cellManager.held(cell)?.addArrived(id);
+            return true;
+        },
         "transfers-changed": ({ cell }) => {
             cellManager.held(cell)?.readTransfers();
             return true;
--- a/packages/workflow/src/peer/workflow-message.ts
+++ b/packages/workflow/src/peer/workflow-message.ts
@@ -49,10 +49,9 @@
     readonly "transfer-room": { readonly cell: CellId; readonly request: TransferRoomRequest; };
     /** Asks how many tasks of a waiting workflow of another cell the cell could start now. */
     readonly "workflow-room": { readonly cell: CellId; readonly request: WorkflowRoomRequest; };
-    /**
-     * Tells the holder of a cell that another cell has changed the rows of the tasks that it transferred there, or has
-     * moved a workflow there.
-     */
+    /** Tells the holder of a cell that a workflow has moved there. */
+    readonly "workflow-moved": { readonly cell: CellId; readonly id: JobId; };
+    /** Tells the holder of a cell that another cell has changed the rows of the tasks that it transferred there. */
     readonly "transfers-changed": { readonly cell: CellId; };
     /** Tells the holder of a workflow's cell that the cell `from` has returned tasks of the workflow. */
     readonly "tasks-returned": { readonly cell: CellId; readonly id: JobId; readonly from: CellId; };
@@ -83,6 +82,7 @@
     readonly "transfer-room": number;
     /** Number of tasks; 0 if the receiver does not hold the cell. */
     readonly "workflow-room": number;
+    readonly "workflow-moved": true;
     readonly "transfers-changed": true;
     readonly "tasks-returned": true;
     readonly "take-over": boolean;
@@ -115,6 +115,7 @@
     "cell-load": true,
     "transfer-room": true,
     "workflow-room": true,
+    "workflow-moved": true,
     "transfers-changed": true,
     "tasks-returned": true,
     "take-over": true,
