--- a/packages/workflow/src/cell/waiting-workflows.ts
+++ b/packages/workflow/src/cell/waiting-workflows.ts
@@ -9,6 +9,8 @@
 export interface WaitingWorkflow {
     readonly ledger: WorkflowLedger;
     readonly stage: Stage;
+    /** Monotonic time in ms since which it is known to have waited for room without a run. */
+    readonly since: number;
 }
 
 /** Options of {@link findWaitingWorkflows}. */
@@ -47,9 +49,13 @@
         const isCandidate = !ledger.isSettled() && schedule === undefined
             && options.runRegistry.ofWorkflow(id).length === 0 && !steps.some(step => step.isLasting);
         const stages = isCandidate ? ledger.openStages(Date.now(), now) : [];
-        const stage = stages.find(({ record }) => record.waiting.size > 0 && record.noRoomSince !== undefined);
+        // Spare-CPU tasks soon get a run in their own cell, whatever they disturb; see `StarvingWorkflows`.
+        const stage = stages.find(({ step, record }) =>
+            record.waiting.size > 0 && record.noRoomSince !== undefined && !step.usesSpareCpu
+        );
         if (stage !== undefined && isFree(ledger, stages, options)) {
-            found.set(id, { ledger, stage });
+            const { started, noRoomSince = now } = stage.record;
+            found.set(id, { ledger, stage, since: started.size === 0 ? noRoomSince : now });
         }
     }
     return found;
--- a/packages/workflow/src/cell/workflow-moves.ts
+++ b/packages/workflow/src/cell/workflow-moves.ts
@@ -122,7 +122,7 @@
     const askCells = async ({ ledger, stage }: WaitingWorkflow, wait: Wait): Promise<readonly Offer[]> => {
         const { step, stepIndex, record } = stage;
         const request = { workflow: { ...ledger.workflow, payload: "" }, stepIndex, count: record.waiting.size };
-        const cells = otherCells.withFreeCpu(step.usesSpareCpu ? 0 : step.cpu);
+        const cells = otherCells.withFreeCpu(step.cpu);
         const start = cells.length === 0 ? 0 : wait.requests % cells.length;
         const targets = [...cells.slice(start), ...cells.slice(0, start)].slice(0, maxAskedCells);
         wait.requests += targets.length;
@@ -160,11 +160,11 @@
         review: () => {
             const now = performance.now();
             const found = findWaiting(ledgers.values());
-            waits = new Map([...found.keys()].map(id => [
+            waits = new Map([...found].map(([id, { since }]) => [
                 id,
                 waits.get(id)
                     ?? {
-                        since: now,
+                        since,
                         askAgainAt: -Infinity,
                         attempts: 0,
                         requests: 0,
