--- a/packages/bench/tests/workflow/crowded-cells-day.test.ts
+++ b/packages/bench/tests/workflow/crowded-cells-day.test.ts
@@ -6,7 +6,8 @@
 import { crowdedCellsProfile } from "../../src/workflow/crowded-cells-profile.js";
 import { simulateSeveralCellsDay } from "../../src/workflow/simulate-several-cells-day.js";
 
-const seeds = [1, 2, 5];
+/** Days with several moves. */
+const seeds = [2, 7, 11, 14];
 /** Moves of workflows below which a day would prove nothing. */
 const minMoves = 3;
 /** Milliseconds of real time that one day may take on a busy machine. */
