--- a/packages/workflow/src/cell/workflow-intake.ts
+++ b/packages/workflow/src/cell/workflow-intake.ts
@@ -33,7 +33,7 @@
      * store or the lease was not known well enough.
      */
     readonly addArrived: (id: JobId) => Promise<boolean>;
-    /** Records that the move of a workflow to another cell is stored, so that rows read before are out of date. */
+    /** Records that the move of a workflow to another cell is stored, so that what was read or written before is out of date. */
     readonly recordDeparture: (id: JobId) => void;
     /** Clears the cache of end states that `find` has read, since their rows may have been removed. */
     readonly forgetEndStates: () => void;
@@ -65,6 +65,9 @@
     outcome: Promise<SubmissionReply>;
 }
 
+/** Adds a stored workflow; returns whether it was added. */
+type Adoption = (stored: OpenWorkflow) => boolean;
+
 /** Milliseconds after which a submitter gets the reply `unknown`; below the time limit of a call between hosts. */
 const replyTimeout = 900;
 /** Milliseconds between two attempts to store a workflow while a submitter waits. */
@@ -82,17 +85,29 @@
     const { cell, epoch } = lease;
     const pendingSubmissions = new Map<JobId, PendingSubmission>();
     const endStates = new Map<JobId, WorkflowState>();
-    /** Reads of rows under way; `isOutdated`: the workflow has moved to another cell meanwhile. */
-    const reads = new Set<{ readonly id: JobId; isOutdated: boolean; }>();
+    /** Attempts to add workflows; `isOutdated`: the workflow has moved to another cell since the attempt began. */
+    const additions = new Set<{ readonly id: JobId; isOutdated: boolean; }>();
     const submissionWriter = createSubmissionWriter({ store, lease, logger, metrics });
 
-    const adopt = (stored: OpenWorkflow): boolean => {
+    const adoptNew = (stored: OpenWorkflow): boolean => {
         const isNew = stateOf(stored.workflow.id) === undefined && !lease.isLost() && !signal.aborted;
         if (isNew) {
             onStored(stored);
         }
         return isNew;
     };
+    /**
+     * Calls `add` with a function that adds a stored workflow, unless this holder has it in memory, or had it since `add`
+     * was called and it has moved away: answers of the store may be late.
+     */
+    const beginAddition = async <Value>(
+        id: JobId,
+        add: (adopt: Adoption) => Promise<Value>,
+    ): Promise<Value> => {
+        const addition = { id, isOutdated: false };
+        additions.add(addition);
+        return await add(stored => !addition.isOutdated && adoptNew(stored)).finally(() => additions.delete(addition));
+    };
     const cacheEndState = (id: JobId, state: WorkflowState): void => {
         endStates.set(id, state);
         const [oldest] = endStates.keys();
@@ -101,9 +116,7 @@
         }
     };
     /** Reads the workflow's rows and adds it if it has not ended; `onAdded` is called in that case. */
-    const readAndAdd = async (id: JobId, isOutdated: () => boolean, onAdded: () => void): ReturnType<
-        WorkflowIntake["find"]
-    > => {
+    const readAndAdd = async (id: JobId, adopt: Adoption, onAdded: () => void): ReturnType<WorkflowIntake["find"]> => {
         const stored = await readStoredWorkflow(store, cell, id);
         if (stored.isErr) {
             return "unknown";
@@ -120,16 +133,13 @@
         if (found.kind === "absent") {
             return "not-known";
         }
-        if (!isOutdated() && adopt(found)) {
+        if (adopt(found)) {
             onAdded();
         }
         return stateOf(id) ?? "unknown";
     };
-    const findWith = async (id: JobId, onAdded: () => void): ReturnType<WorkflowIntake["find"]> => {
-        const entry = { id, isOutdated: false };
-        reads.add(entry);
-        return await readAndAdd(id, () => entry.isOutdated, onAdded).finally(() => reads.delete(entry));
-    };
+    const findWith = async (id: JobId, onAdded: () => void): ReturnType<WorkflowIntake["find"]> =>
+        await beginAddition(id, adopt => readAndAdd(id, adopt, onAdded));
     const find: WorkflowIntake["find"] = async id =>
         endStates.get(id) ?? await findWith(id, () => {
             logger.warn({ job: id, cell, epoch }, "added a stored workflow that was not in memory");
@@ -138,7 +148,7 @@
      * Adds a workflow that has moved here, by few calls: the removal of the row that names it proves the lease, and that the
      * rows read before are up to date. False if that did not succeed.
      */
-    const addFromRows = async (id: JobId): Promise<boolean> => {
+    const addFromRows = async (id: JobId, adopt: Adoption): Promise<boolean> => {
         const keys = [rowKeys.arrival(cell, id), rowKeys.progress(cell, id), rowKeys.workflow(cell, id)];
         const reads = await Promise.all(keys.map(({ table, partition, key }) => store.read(table, partition, key)));
         const [arrival, progress, workflow] = reads.map(read => read.isOk ? read.value.rows[0] : undefined);
@@ -172,6 +182,7 @@
     const replyFor = async (
         attempt: StoreAttempt,
         { unansweredAt, awaitedUntil }: PendingSubmission,
+        adopt: Adoption,
     ): Promise<SubmissionReply | undefined> => {
         if (attempt.kind === "indexed" && (attempt.cell !== cell || lease.isLost())) {
             return { kind: "elsewhere", cell: attempt.cell };
@@ -228,7 +239,7 @@
         }, "submission completed");
     };
     /** Tries until the outcome is known or the cell is lost; a successor then loads whatever has been stored. */
-    const completeSubmission = async (entry: PendingSubmission): Promise<SubmissionReply> => {
+    const completeSubmission = async (entry: PendingSubmission, adopt: Adoption): Promise<SubmissionReply> => {
         const { workflow } = entry;
         const startedAt = performance.now();
         const isStillAwaited = (): boolean => performance.now() < entry.awaitedUntil;
@@ -237,7 +248,7 @@
             const attempt = isAwaited
                 ? await submissionWriter.store(workflow, isStillAwaited)
                 : await checkIndex(entry);
-            const reply = await replyFor(attempt, entry);
+            const reply = await replyFor(attempt, entry, adopt);
             if (reply !== undefined) {
                 logOutcome(workflow, reply, attempt, startedAt);
                 return reply;
@@ -258,21 +269,23 @@
             outcome: Promise.resolve({ kind: "unknown" }),
         };
         pendingSubmissions.set(workflow.id, entry);
-        entry.outcome = completeSubmission(entry).finally(() => pendingSubmissions.delete(workflow.id));
+        entry.outcome = beginAddition(workflow.id, adopt => completeSubmission(entry, adopt)).finally(() =>
+            pendingSubmissions.delete(workflow.id)
+        );
         return entry;
     };
     return {
         find,
         addArrived: async id => {
-            const isAdded = stateOf(id) !== undefined || await addFromRows(id);
+            const isAdded = stateOf(id) !== undefined || await beginAddition(id, adopt => addFromRows(id, adopt));
             const state = isAdded ? undefined : await findWith(id, () => {
                 logger.info({ job: id, cell, epoch }, "workflow moved here");
             });
             return state !== "unknown";
         },
         recordDeparture: id => {
-            [...reads].filter(read => read.id === id).forEach(read => {
-                read.isOutdated = true;
+            [...additions].filter(addition => addition.id === id).forEach(addition => {
+                addition.isOutdated = true;
             });
         },
         forgetEndStates: () => {
