--- a/packages/bench/src/random-days.ts
+++ b/packages/bench/src/random-days.ts
@@ -40,7 +40,11 @@
         flags: {
             from: { type: "number", default: 0 },
             days: { type: "number", default: 60 },
-            cells: { type: "string", choices: ["one", "several", "full", "crowded", "replaced", "drained"], default: "one" },
+            cells: {
+                type: "string",
+                choices: ["one", "several", "full", "crowded", "replaced", "drained"],
+                default: "one",
+            },
         },
     },
 );
