--- a/packages/workflow/src/cell/starving-workflows.ts
+++ b/packages/workflow/src/cell/starving-workflows.ts
@@ -37,8 +37,10 @@
  * the report of the last end, a pass and the order take more than a second on a busy holder.
  */
 const starvationTime = 1_700;
-/** Milliseconds without a run after which a workflow starves again, if its last run was started for that reason. */
+/** Milliseconds without a run after which a workflow starves again, if it has starved shortly before. */
 const repeatedStarvationTime = 300;
+/** Milliseconds for which a workflow counts as having starved shortly before, though it has had other runs since. */
+const servedTime = 5_000;
 /**
  * Share of the CPU that has to be free, in the cell or in all cells; if less is, tasks wait for room in the order of their
  * urgency.
@@ -53,8 +55,8 @@
 export const createStarvingWorkflows = ({ freeRoom, runRegistry }: StarvingWorkflowsOptions): StarvingWorkflows => {
     /** Monotonic times in ms since which workflows have waited without a run or an attempt to start one. */
     let waitingSince = new Map<JobId, number>();
-    /** Workflows that got their last run since they were starving, or have waited in another cell. */
-    const served = new Set<JobId>();
+    /** Monotonic times in ms at which workflows got a run since they were starving, or moved here after a wait. */
+    const servedAt = new Map<JobId, number>();
     let longestWait = 0;
     const isRoomAmple = (): boolean => freeRoom.ofCell() > ampleFreeShare || freeRoom.ofAllCells() > ampleFreeShare;
     /**
@@ -72,22 +74,22 @@
         }
         return found;
     };
-    /** Forgets workflows that have several runs again, or none and no waiting task. */
-    const forgetServed = (waiting: ReadonlyMap<JobId, StageCandidate>): void => {
-        for (const id of served) {
+    /** Forgets workflows that have not starved for a while, and have several runs, or none and no waiting task. */
+    const forgetServed = (waiting: ReadonlyMap<JobId, StageCandidate>, now: number): void => {
+        for (const [id, at] of servedAt) {
             const runs = runRegistry.ofWorkflow(id).length;
-            if (runs > 1 || runs === 0 && !waiting.has(id)) {
-                served.delete(id);
+            if (now - at >= servedTime && (runs > 1 || runs === 0 && !waiting.has(id))) {
+                servedAt.delete(id);
             }
         }
     };
     const startOfWait = (id: JobId, now: number): number =>
-        served.has(id) ? now - starvationTime + repeatedStarvationTime : now;
+        servedAt.has(id) ? now - starvationTime + repeatedStarvationTime : now;
     return {
         select: candidates => {
             const now = performance.now();
             const waiting = findWaiting(candidates);
-            forgetServed(waiting);
+            forgetServed(waiting, now);
             waitingSince = new Map([...waiting.keys()].map(id => [id, waitingSince.get(id) ?? startOfWait(id, now)]));
             const starving = [...waitingSince].filter(([, since]) => now - since >= starvationTime);
             const hasAmpleRoom = starving.length > 0 && isRoomAmple();
@@ -99,11 +101,11 @@
         },
         longestWait: () => longestWait,
         recordArrival: id => {
-            served.add(id);
+            servedAt.set(id, performance.now());
         },
         recordAttempt: ({ ledger }) => {
             waitingSince.set(ledger.workflow.id, performance.now());
-            served.add(ledger.workflow.id);
+            servedAt.set(ledger.workflow.id, performance.now());
         },
     };
 };
--- a/packages/workflow/tests/starving-workflows.test.ts
+++ b/packages/workflow/tests/starving-workflows.test.ts
@@ -1,7 +1,12 @@
 import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
 
 import type { CpuRoom } from "../src/cell/cpu-room.js";
+import type { Run } from "../src/cell/run.js";
+import type { StageCandidate } from "../src/cell/stage-candidate.js";
+import type { StarvingWorkflows } from "../src/cell/starving-workflows.js";
+import { createStarvingWorkflows } from "../src/cell/starving-workflows.js";
 import type { WorkflowLedger } from "../src/ledger/workflow-ledger.js";
+import { createStep } from "../src/model/create-step.js";
 import type { Step } from "../src/model/step.js";
 import { taskName } from "../src/model/task-name.js";
 import type { TestCell } from "./test-cell.js";
@@ -214,3 +219,63 @@
         expect(countRuns(cell, workflow)).toBe(step.count);
     });
 });
+
+describe("a workflow that has starved shortly before", () => {
+    let runs: number;
+    let candidates: readonly StageCandidate[];
+    let starving: StarvingWorkflows;
+    const candidate = {
+        ledger: { workflow: { id: "0" } },
+        stage: { step: createStep({ usesSpareCpu: true }) },
+        urgency: { expiryLaxity: 0 },
+    } as StageCandidate;
+    beforeEach(() => {
+        jest.useFakeTimers();
+        runs = 0;
+        candidates = [candidate];
+        starving = createStarvingWorkflows({
+            freeRoom: { ofCell: () => 1, ofAllCells: () => 1 },
+            runRegistry: { ofWorkflow: () => Array<Run>(runs) },
+        });
+        passTime(longestWait - busyHolderTime);
+        starving.recordAttempt(candidate);
+    });
+    afterEach(() => {
+        jest.useRealTimers();
+    });
+    /** Lets time pass with a selection every 50 ms; returns how often the workflow was selected. */
+    const passTime = (milliseconds: number): number => {
+        let selected = 0;
+        for (let passed = 0; passed <= milliseconds; passed += passInterval) {
+            selected += starving.select(candidates).length;
+            jest.advanceTimersByTime(passInterval);
+        }
+        return selected;
+    };
+
+    // Guards against a gap of over 3 s under a busy holder, since a second run was taken for the end of the starvation.
+    it("gets the next run soon, though it had two runs meanwhile", () => {
+        runs = 2;
+        passTime(1_000);
+        runs = 0;
+        expect(passTime(nextRunBound)).toBeGreaterThan(0);
+    });
+
+    // Guards against the same, since no task of the workflow is open while the end of its last run is being stored.
+    it("gets the next run soon after the end of its last run has been stored", () => {
+        runs = 1;
+        passTime(1_000);
+        runs = 0;
+        candidates = [];
+        passTime(passInterval);
+        candidates = [candidate];
+        expect(passTime(nextRunBound)).toBeGreaterThan(0);
+    });
+
+    it("has to starve again if it has had several runs for long", () => {
+        runs = 2;
+        passTime(6_000);
+        runs = 0;
+        expect(passTime(nextRunBound)).toBe(0);
+    });
+});
