--- a/packages/bench/tests/workflow/short-lived-elsewhere.test.ts
+++ b/packages/bench/tests/workflow/short-lived-elsewhere.test.ts
@@ -204,4 +204,79 @@
         expect({ failed: ends.length, states: [...new Set(await statesAtAllHosts())] })
             .toEqual({ failed: 3, states: ["failed"] });
     });
+
+    // Guards against a second run of a task that is done: the other cell's next holder loads a workflow that arrives then.
+    it("has no task that is done run again after the other cell's holder was killed", async () => {
+        setStates(emptyDomain, "draining");
+        await time.advance(listingDelay);
+        submit("00000000000000f1", cellSize - 1, true, {});
+        await time.advanceUntil(() => runningIn(fullDomain).length === cellSize - 1, 8_000);
+        const [host = ""] = cluster.hosts.keys();
+        void cluster.submit(host, job, [
+            { count: 1, preferredRack: `r-${fullDomain}-0` },
+            { count: 2, cpu: 2_000, after: [0] },
+        ], { work: 300 });
+        await time.advanceUntil(hasStarted, startBound);
+        await time.advance(800);
+        expect(startsOf(tasks[0] ?? "")).toBe(1);
+        let isLoading = false;
+        const heal = cluster.platform.network.addFault({
+            matches: (...[, call]) => !isLoading && isWriteCall(call) && JSON.stringify(call.body).includes("moved-"),
+            action: "refuse",
+        });
+        let isKilled = false;
+        const isReadOf = (path: string, table: string): boolean =>
+            path.startsWith("/api/rows-get") && path.includes(`table=${table}&`)
+            && decodeURIComponent(path).includes(`part=${emptyDomain}/0`);
+        const healRead = cluster.platform.network.addFault({
+            matches: (...[, call]) => {
+                const isWorkflowRead = isKilled && isReadOf(call.path, "workflows");
+                if (isWorkflowRead) {
+                    setTimeout(() => {
+                        isLoading = true;
+                    }, 10);
+                }
+                return isWorkflowRead && !isLoading;
+            },
+            action: "slow",
+            delay: 350,
+        });
+        setStates(emptyDomain, "ready");
+        expect(await time.advanceUntil(() => hasAsked, listingDelay, 1)).toBe(true);
+        await time.advance(30);
+        isKilled = true;
+        killHolderOf(emptyDomain);
+        await time.advanceUntil(() => isLoading, 5_000);
+        expect(isLoading).toBe(true);
+        await time.advance(1_000);
+        heal();
+        healRead();
+        await time.advance(settlingTime);
+        const all = [`${job}.0.0.0`, `${job}.0.1.0`, `${job}.0.1.1`];
+        expect({ starts: all.map(startsOf), states: [...new Set(await statesAtAllHosts())] })
+            .toEqual({ starts: [1, 1, 1], states: ["completed"] });
+    });
+
+    // Guards against a host that answers "running" after another one has answered "completed".
+    it("stays completed at all hosts although the write that moves it has no answer", async () => {
+        await waitInFullCell({ work: 300 });
+        const heal = cluster.platform.network.addFault({
+            matches: (...[, call]) => isWriteCall(call) && JSON.stringify(call.body).includes("moved-"),
+            action: "lose-answer",
+        });
+        setStates(emptyDomain, "ready");
+        const seen: string[] = [];
+        for (let count = 0; count < 120; count += 1) {
+            const queries = [...cluster.hosts.values()].map(host => host.router.state(job as JobId));
+            await time.advance(100);
+            void Promise.all(queries).then(answers => {
+                seen.push(answers.map(answer => answer.kind === "known" ? answer.value : answer.kind).join(" "));
+            });
+        }
+        heal();
+        await time.advance(settlingTime);
+        const first = seen.findIndex(each => each.includes("completed"));
+        expect(first).toBeGreaterThan(-1);
+        expect(seen.slice(first + 1).filter(each => /queued|running/u.test(each))).toEqual([]);
+    });
 });
--- a/packages/workflow/src/cell/load-cell.ts
+++ b/packages/workflow/src/cell/load-cell.ts
@@ -52,8 +52,9 @@
     const rosterKey = rowKeys.roster(cell);
     const startsKey = rowKeys.unansweredStarts(cell);
     const transfersKey = rowKeys.transfer(cell, "" as JobId);
-    const [workflows, progress, cellRows, transfers] = await Promise.all([
-        store.read("workflows", cell),
+    // Other cells' holders move workflows here, each with its progress, in one transaction.
+    const workflows = await store.read("workflows", cell);
+    const [progress, cellRows, transfers] = await Promise.all([
         store.read("progress", cell),
         store.read(rosterKey.table, rosterKey.partition),
         store.read(transfersKey.table, transfersKey.partition),
--- a/packages/workflow/src/cell/stored-workflow.ts
+++ b/packages/workflow/src/cell/stored-workflow.ts
@@ -45,8 +45,12 @@
     if (workflowRow.isErr) {
         return Result.err(workflowRow.error);
     }
-    // The end of a workflow replaces its rows in one transaction, which may have been committed between the reads.
-    return workflowRow.value === undefined
-        ? readEnd()
-        : decodeOpenWorkflow(workflowRow.value, progress.value).mapErr(invalidRow);
+    if (workflowRow.value === undefined) {
+        // The end of a workflow replaces its rows in one transaction, which may have been committed between the reads.
+        return readEnd();
+    }
+    // Another cell may have moved the workflow here with its progress between the reads.
+    const latestProgress = progress.value === undefined ? await readRow(rowKeys.progress(cell, id)) : progress;
+    const openRow = workflowRow.value;
+    return latestProgress.andThen(row => decodeOpenWorkflow(openRow, row).mapErr(invalidRow));
 };
--- a/packages/workflow/src/cell/waiting-workflows.ts
+++ b/packages/workflow/src/cell/waiting-workflows.ts
@@ -21,6 +21,8 @@
     readonly isHeldBack: (ledger: WorkflowLedger) => boolean;
     /** See `UnansweredStarts.constraintOf`. */
     readonly constraintOf: UnansweredStarts["constraintOf"];
+    /** Whether a start of the task has no answer; it may yet turn out that it is carried out late. */
+    readonly hasUnansweredStart: UnansweredStarts["hasAny"];
 }
 
 /**
@@ -33,8 +35,9 @@
         && stages.every(({ occurrence, stepIndex, record }) =>
             [...record.waiting].every(index => {
                 const position = { occurrence, step: stepIndex, index };
+                const task = taskName({ job: id, ...position });
                 // Another cell would not know on which workers tasks have crashed.
-                return options.constraintOf(taskName({ job: id, ...position })) === undefined
+                return options.constraintOf(task) === undefined && !options.hasUnansweredStart(task)
                     && ledger.crashWeight(position) === 0;
             })
         );
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -427,7 +427,14 @@
         store,
         otherCells,
         ledgers,
-        findWaiting: candidates => findWaitingWorkflows({ ledgers: candidates, runRegistry, isHeldBack, constraintOf }),
+        findWaiting: candidates =>
+            findWaitingWorkflows({
+                ledgers: candidates,
+                runRegistry,
+                isHeldBack,
+                constraintOf,
+                hasUnansweredStart: unansweredStarts.hasAny,
+            }),
         runController,
         writer,
         logger,
--- a/packages/workflow/src/cell/workflow-operations.ts
+++ b/packages/workflow/src/cell/workflow-operations.ts
@@ -93,8 +93,9 @@
             if (ledger !== undefined) {
                 return storeCancellation(ledger);
             }
-            // A workflow that was found but has no ledger has ended.
-            return state === "not-known" || state === "unknown" ? state : "cancelled";
+            // A workflow that was found but has no ledger has ended, or has moved to another cell since.
+            const isOpen = state === "queued" || state === "running";
+            return state === "not-known" || state === "unknown" ? state : isOpen ? "unknown" : "cancelled";
         },
     };
 };
