--- a/packages/bench/tests/workflow/late-sign-and-slow-load.test.ts
+++ b/packages/bench/tests/workflow/late-sign-and-slow-load.test.ts
@@ -2,42 +2,22 @@
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 
 import type { FakeTime } from "../../src/util/fake-time.js";
-import { installFakeTime } from "../../src/util/fake-time.js";
 import type { WorkflowCluster } from "../../src/workflow/workflow-cluster.js";
-import { createWorkflowCluster } from "../../src/workflow/workflow-cluster.js";
+import { observeJob, startLongRunningJob } from "./long-running-job.js";
 
-const job = "00000000000000a1";
 const tasks = 2;
-const cpu = 4_000;
 
 describe("late deadlines and a slow load", () => {
     let time: FakeTime;
     let cluster: WorkflowCluster;
     beforeEach(async () => {
-        time = installFakeTime();
-        cluster = createWorkflowCluster({
-            hosts: { "east-a": 3 },
-            workers: { "east-a": 6 },
-            longestLease: 10_000,
-            cpuOf: () => cpu,
-        });
-        await time.advance(3_000);
-        void cluster.submit(cluster.holder() ?? "", job, [{ count: tasks, cpu, isLasting: true }], { isLasting: true });
-        await time.advance(1_000);
+        ({ time, cluster } = await startLongRunningJob({ tasks, runFor: 1_000 }));
     });
+    const { runningOf, workersOfTasks, cutOff } = observeJob(() => cluster);
     afterEach(() => {
         cluster.stop();
         time.restore();
     });
-    const runningOf = (worker: string): readonly string[] =>
-        cluster.platform.workers.get(worker)?.running().filter(task => task.startsWith(job)) ?? [];
-    const cutOff = (worker: string): () => void =>
-        cluster.platform.network.addFault({
-            matches: (...[, call]) => call.address === cluster.platform.addressOf(worker),
-            action: "cut",
-        });
-    const workersOfTasks = (): readonly string[] =>
-        [...cluster.platform.workers.keys()].filter(id => runningOf(id).length > 0);
     const delayDeadlines = (worker: string, delay: number) => {
         let granted = 0;
         const heal = cluster.platform.network.addFault({
--- a/packages/bench/tests/workflow/located-task.test.ts
+++ b/packages/bench/tests/workflow/located-task.test.ts
@@ -2,13 +2,10 @@
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 
 import type { FakeTime } from "../../src/util/fake-time.js";
-import { installFakeTime } from "../../src/util/fake-time.js";
 import type { WorkflowCluster } from "../../src/workflow/workflow-cluster.js";
-import { createWorkflowCluster } from "../../src/workflow/workflow-cluster.js";
+import { observeJob, startLongRunningJob } from "./long-running-job.js";
 
-const job = "00000000000000a1";
 const tasks = 4;
-const cpu = 4_000;
 /** Milliseconds from the crash of a worker until its holder knows that it does not answer. */
 const detectionTime = 1_500;
 /** Milliseconds until another worker answers at the address of the crashed one, and its tasks have started elsewhere. */
@@ -22,26 +19,13 @@
     let time: FakeTime;
     let cluster: WorkflowCluster;
     beforeEach(async () => {
-        time = installFakeTime();
-        cluster = createWorkflowCluster({
-            hosts: { "east-a": 3 },
-            workers: { "east-a": 6 },
-            longestLease: 10_000,
-            cpuOf: () => cpu,
-        });
-        await time.advance(3_000);
-        void cluster.submit(cluster.holder() ?? "", job, [{ count: tasks, cpu, isLasting: true }], { isLasting: true });
-        await time.advance(4_000);
+        ({ time, cluster } = await startLongRunningJob({ tasks, runFor: 4_000 }));
     });
+    const { runningOf, running, workersOfTasks } = observeJob(() => cluster);
     afterEach(() => {
         cluster.stop();
         time.restore();
     });
-    const runningOf = (worker: string): readonly string[] =>
-        cluster.platform.workers.get(worker)?.running().filter(task => task.startsWith(job)) ?? [];
-    const running = (): readonly string[] => [...cluster.platform.workers.keys()].flatMap(runningOf);
-    const workersOfTasks = (): readonly string[] =>
-        [...cluster.platform.workers.keys()].filter(worker => runningOf(worker).length > 0);
 
     // Guards against tasks that wait for the leases of another lost worker, on which they had never run (issue 50).
     it("run again once their workers are known to have ended, although another worker is lost with the holder", async () => {
--- a/packages/bench/tests/workflow/stored-lease-end.test.ts
+++ b/packages/bench/tests/workflow/stored-lease-end.test.ts
@@ -2,13 +2,10 @@
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 
 import type { FakeTime } from "../../src/util/fake-time.js";
-import { installFakeTime } from "../../src/util/fake-time.js";
 import type { WorkflowCluster } from "../../src/workflow/workflow-cluster.js";
-import { createWorkflowCluster } from "../../src/workflow/workflow-cluster.js";
+import { observeJob, startLongRunningJob } from "./long-running-job.js";
 
-const job = "00000000000000a1";
 const tasks = 2;
-const cpu = 4_000;
 /** Milliseconds for which the worker does not answer at first: shorter than its lease. */
 const silence = 5_000;
 /** Milliseconds in which the worker answers again; its lease would be extended. */
@@ -20,30 +17,14 @@
     let time: FakeTime;
     let cluster: WorkflowCluster;
     beforeEach(async () => {
-        time = installFakeTime();
-        cluster = createWorkflowCluster({
-            hosts: { "east-a": 3 },
-            workers: { "east-a": 6 },
-            longestLease: 10_000,
-            cpuOf: () => cpu,
-        });
-        await time.advance(3_000);
-        void cluster.submit(cluster.holder() ?? "", job, [{ count: tasks, cpu, isLasting: true }], { isLasting: true });
-        await time.advance(4_000);
+        ({ time, cluster } = await startLongRunningJob({ tasks, runFor: 4_000 }));
     });
+    const { runningOf, running, cutOff } = observeJob(() => cluster);
     afterEach(() => {
         cluster.stop();
         time.restore();
     });
-    const runningOf = (worker: string): readonly string[] =>
-        cluster.platform.workers.get(worker)?.running().filter(task => task.startsWith(job)) ?? [];
-    const running = (): number =>
-        [...cluster.platform.workers.keys()].reduce((sum, worker) => sum + runningOf(worker).length, 0);
-    const cutOff = (worker: string): () => void =>
-        cluster.platform.network.addFault({
-            matches: (...[, call]) => call.address === cluster.platform.addressOf(worker),
-            action: "cut",
-        });
+
     // Guards against a second run beside the first one: a worker that answered again got a longer lease than the stored
     // roster told the next holder.
     it("get no longer lease before the roster is stored again", async () => {
@@ -61,7 +42,7 @@
         cluster.kill(cluster.holder() ?? "");
         await time.advance(observedTime);
         expect(findBreach(journal.events)).toBeUndefined();
-        expect(running()).toBe(tasks);
+        expect(running()).toHaveLength(tasks);
     });
 
     // Guards against a worker whose runs lapse, since it answers again and gets no new lease.
@@ -72,6 +53,6 @@
         heal();
         await time.advance(observedTime);
         expect(runningOf(worker)).toHaveLength(1);
-        expect(running()).toBe(tasks);
+        expect(running()).toHaveLength(tasks);
     });
 });
--- a/packages/bench/tests/workflow/wait-and-holder.test.ts
+++ b/packages/bench/tests/workflow/wait-and-holder.test.ts
@@ -2,13 +2,10 @@
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 
 import type { FakeTime } from "../../src/util/fake-time.js";
-import { installFakeTime } from "../../src/util/fake-time.js";
 import type { WorkflowCluster } from "../../src/workflow/workflow-cluster.js";
-import { createWorkflowCluster } from "../../src/workflow/workflow-cluster.js";
+import { observeJob, startLongRunningJob } from "./long-running-job.js";
 
-const job = "00000000000000a1";
 const tasks = 3;
-const cpu = 4_000;
 /** Milliseconds of a wait until its holder is lost. */
 const waited = 2_000;
 /** Milliseconds after the loss of a holder within which a task that may run at once has to run again. */
@@ -18,27 +15,13 @@
     let time: FakeTime;
     let cluster: WorkflowCluster;
     beforeEach(async () => {
-        time = installFakeTime();
-        cluster = createWorkflowCluster({
-            hosts: { "east-a": 3 },
-            workers: { "east-a": 6 },
-            longestLease: 10_000,
-            cpuOf: () => cpu,
-            drainTime: 15_000,
-        });
-        await time.advance(3_000);
-        void cluster.submit(cluster.holder() ?? "", job, [{ count: tasks, cpu, isLasting: true }], { isLasting: true });
-        await time.advance(4_000);
+        ({ time, cluster } = await startLongRunningJob({ tasks, runFor: 4_000, drainTime: 15_000 }));
     });
+    const { runningOf, running, workersOfTasks } = observeJob(() => cluster);
     afterEach(() => {
         cluster.stop();
         time.restore();
     });
-    const runningOf = (worker: string): readonly string[] =>
-        cluster.platform.workers.get(worker)?.running().filter(task => task.startsWith(job)) ?? [];
-    const running = (): readonly string[] => [...cluster.platform.workers.keys()].flatMap(runningOf);
-    const workersOfTasks = (): readonly string[] =>
-        [...cluster.platform.workers.keys()].filter(worker => runningOf(worker).length > 0);
     const cutCalls = (path: string): () => void =>
         cluster.platform.network.addFault({ matches: (...[, call]) => call.path === path, action: "cut" });
     const loseHolder = async (): Promise<void> => {
