--- a/packages/workflow/src/entry/workflow-router.ts
+++ b/packages/workflow/src/entry/workflow-router.ts
@@ -315,8 +315,9 @@
         if (accepted !== undefined) {
             return accepted;
         }
-        const wasOffered = offer.describeAttempts() !== "";
-        return (wasOffered ? await findStored(workflow.id, timeout) : undefined) ?? describeFailure(workflow, offer);
+        // A holder that is behind refuses a workflow that another one has stored. Other refusals are sent at once.
+        const mayBeIndexed = offer.mayBeStored() || offer.hasFoundBehind();
+        return (mayBeIndexed ? await findStored(workflow.id, timeout) : undefined) ?? describeFailure(workflow, offer);
     };
     /** Finds the cell of a workflow, from memory or from the index. */
     const findCell = async (id: JobId): Promise<WorkflowAnswer<CellId>> => {
