--- a/packages/bench/tests/workflow/late-grant-and-holder.test.ts
+++ b/packages/bench/tests/workflow/late-grant-and-holder.test.ts
@@ -1,4 +1,4 @@
-import { findBreach, isDeadlineCall } from "@jayfront/platform-stand-in";
+import { findBreach } from "@jayfront/platform-stand-in";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 
 import type { FakeTime } from "../../src/util/fake-time.js";
@@ -22,36 +22,21 @@
     beforeEach(async () => {
         ({ time, cluster } = await startLongRunningJob({ tasks, runFor: 1_000 }));
     });
-    const { runningOf, workersOfTasks, cutOff } = observeJob(() => cluster);
+    const { running, workersOfTasks, cutOff, delayDeadlines } = observeJob(() => cluster);
     afterEach(() => {
         cluster.stop();
         time.restore();
     });
 
-    /** Lets the deadlines of a worker arrive late; `granted` tells how many. */
-    const delayDeadlines = (worker: string): { readonly heal: () => void; readonly granted: () => number; } => {
-        let granted = 0;
-        const heal = cluster.platform.network.addFault({
-            matches: (...[, call]) => {
-                const isGrant = call.address === cluster.platform.addressOf(worker) && isDeadlineCall(call);
-                granted += isGrant ? 1 : 0;
-                return isGrant;
-            },
-            action: "late-grant",
-            delay,
-        });
-        return { heal, granted: () => granted };
-    };
-
     // Guards against a second run beside the first one: the next holder, from which the worker is cut off, counted the
     // leases of the former holder without a deadline that arrived late, or had a shorter bound from the stored roster.
     it.each([["has not noticed", unnoticed], ["has noticed", noticed]] as const)(
         "keep the next holder from a second run if the former one %s that the worker does not answer",
         async (...[, untilLoss]) => {
             const [other = "", worker = ""] = workersOfTasks();
-            const sign = delayDeadlines(other);
+            const sign = delayDeadlines(other, delay);
             await time.advance(signTime);
-            const { heal, granted } = delayDeadlines(worker);
+            const { heal, granted } = delayDeadlines(worker, delay);
             await time.advanceUntil(() => granted() > 0, 5_000, 10);
             const reconnect = cutOff(worker);
             heal();
@@ -62,7 +47,7 @@
             reconnect();
             await time.advance(5_000);
             expect(findBreach(cluster.platform.journal.events)).toBeUndefined();
-            expect([...cluster.platform.workers.keys()].flatMap(runningOf)).toHaveLength(tasks);
+            expect(running()).toHaveLength(tasks);
         },
     );
 });
--- a/packages/bench/tests/workflow/late-sign-and-slow-load.test.ts
+++ b/packages/bench/tests/workflow/late-sign-and-slow-load.test.ts
@@ -1,4 +1,4 @@
-import { findBreach, isDeadlineCall } from "@jayfront/platform-stand-in";
+import { findBreach } from "@jayfront/platform-stand-in";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 
 import type { FakeTime } from "../../src/util/fake-time.js";
@@ -13,25 +13,11 @@
     beforeEach(async () => {
         ({ time, cluster } = await startLongRunningJob({ tasks, runFor: 1_000 }));
     });
-    const { runningOf, workersOfTasks, cutOff } = observeJob(() => cluster);
+    const { running, workersOfTasks, cutOff, delayDeadlines } = observeJob(() => cluster);
     afterEach(() => {
         cluster.stop();
         time.restore();
     });
-    const delayDeadlines = (worker: string, delay: number) => {
-        let granted = 0;
-        const heal = cluster.platform.network.addFault({
-            matches: (...[, call]) => {
-                const isGrant = call.address === cluster.platform.addressOf(worker) && isDeadlineCall(call);
-                granted += isGrant ? 1 : 0;
-                return isGrant;
-            },
-            action: "late-grant",
-            delay,
-        });
-        return { heal, granted: () => granted };
-    };
-
     // Guards against a sign of late orders that the next holder counts from its load, and not from the takeover.
     it.each([[0, 3_150], [6_000, 3_150], [6_600, 3_150]])(
         "load delayed by %d ms, grants by %d ms",
@@ -60,7 +46,7 @@
             reconnect();
             await time.advance(5_000);
             expect(findBreach(cluster.platform.journal.events)).toBeUndefined();
-            expect([...cluster.platform.workers.keys()].flatMap(runningOf)).toHaveLength(tasks);
+            expect(running()).toHaveLength(tasks);
         },
     );
 });
--- a/packages/bench/tests/workflow/long-running-job.ts
+++ b/packages/bench/tests/workflow/long-running-job.ts
@@ -1,3 +1,5 @@
+import { isDeadlineCall } from "@jayfront/platform-stand-in";
+
 import type { FakeTime } from "../../src/util/fake-time.js";
 import { installFakeTime } from "../../src/util/fake-time.js";
 import type { WorkflowCluster, WorkflowClusterOptions } from "../../src/workflow/workflow-cluster.js";
@@ -41,7 +43,14 @@
     return { time, cluster };
 };
 
-/** Where the tasks of the workflow run, and cuts of the workers' connections. */
+/** Deadlines of one worker that arrive late. */
+export interface LateDeadlines {
+    readonly heal: () => void;
+    /** Number of deadlines so far. */
+    readonly granted: () => number;
+}
+
+/** Where the tasks of the workflow run, and faults of the workers' connections. */
 export interface JobObserver {
     /** The tasks that run on a worker. */
     readonly runningOf: (worker: string) => readonly string[];
@@ -50,6 +59,8 @@
     readonly workersOfTasks: () => readonly string[];
     /** Cuts a worker off from all hosts; the returned function undoes that. */
     readonly cutOff: (worker: string) => () => void;
+    /** Lets the deadlines of a worker arrive `delay` ms late. */
+    readonly delayDeadlines: (worker: string, delay: number) => LateDeadlines;
 }
 
 /** Observes the workflow of {@link startLongRunningJob} on the cluster that `clusterOf` returns at the time of each call. */
@@ -65,5 +76,19 @@
             const { network, addressOf } = clusterOf().platform;
             return network.addFault({ matches: (...[, call]) => call.address === addressOf(worker), action: "cut" });
         },
+        delayDeadlines: (worker, delay) => {
+            const { network, addressOf } = clusterOf().platform;
+            let granted = 0;
+            const heal = network.addFault({
+                matches: (...[, call]) => {
+                    const isGrant = call.address === addressOf(worker) && isDeadlineCall(call);
+                    granted += isGrant ? 1 : 0;
+                    return isGrant;
+                },
+                action: "late-grant",
+                delay,
+            });
+            return { heal, granted: () => granted };
+        },
     };
 };
--- a/packages/bench/tests/workflow/refused-roster-write.test.ts
+++ b/packages/bench/tests/workflow/refused-roster-write.test.ts
@@ -2,12 +2,8 @@
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 
 import type { FakeTime } from "../../src/util/fake-time.js";
-import { installFakeTime } from "../../src/util/fake-time.js";
 import type { WorkflowCluster } from "../../src/workflow/workflow-cluster.js";
-import { createWorkflowCluster } from "../../src/workflow/workflow-cluster.js";
-
-const job = "00000000000000a1";
-const cpu = 4_000;
+import { observeJob, startLongRunningJob } from "./long-running-job.js";
 
 describe("workers that flicker", () => {
     let time: FakeTime;
@@ -15,29 +11,17 @@
     const count = 60;
     const tasks = 100;
     beforeEach(async () => {
-        time = installFakeTime();
-        cluster = createWorkflowCluster({
-            hosts: { "east-a": 3 },
-            workers: { "east-a": count },
-            longestLease: 10_000,
-            cpuOf: () => cpu,
-        });
-        await time.advance(3_000);
-        void cluster.submit(cluster.holder() ?? "", job, [{ count: tasks, cpu, isLasting: true }], { isLasting: true });
-        await time.advance(6_000);
+        ({ time, cluster } = await startLongRunningJob({ tasks, runFor: 6_000, workers: { "east-a": count } }));
     });
+    const { running, workersOfTasks, cutOff } = observeJob(() => cluster);
     afterEach(() => {
         cluster.stop();
         time.restore();
     });
-    const runningOf = (worker: string): readonly string[] =>
-        cluster.platform.workers.get(worker)?.running().filter(task => task.startsWith(job)) ?? [];
-    const running = (): number =>
-        [...cluster.platform.workers.keys()].reduce((sum, worker) => sum + runningOf(worker).length, 0);
 
     // Guards against workers in contact whose runs lapse, since each write of the roster is refused and none was stored.
     it.each([[0], [6_500], [8_000]])("with roster writes refused for %d ms from the first silence", async refused => {
-        const { network, workers, journal } = cluster.platform;
+        const { network, journal } = cluster.platform;
         let refuse = refused > 0;
         network.addFault({
             matches: (...[, call]) => {
@@ -46,15 +30,12 @@
             },
             action: "refuse",
         });
-        const ids = [...workers.keys()].filter(id => runningOf(id).length > 0);
-        const before = running();
-        // Each worker is cut off for 1.5 s, one after another.
+        const ids = workersOfTasks();
+        const before = running().length;
+        // Each worker is cut off for 3 s, 5 ms after the one before.
         const cut = async (id: string, at: number): Promise<void> => {
             await new Promise(resolve => setTimeout(resolve, at));
-            const heal = network.addFault({
-                matches: (...[, call]) => call.address === cluster.platform.addressOf(id),
-                action: "cut",
-            });
+            const heal = cutOff(id);
             await new Promise(resolve => setTimeout(resolve, 3_000));
             heal();
         };
@@ -63,7 +44,7 @@
         for (let elapsed = 0; elapsed < 10_000; elapsed += 100) {
             await time.advance(100);
             refuse = elapsed < refused;
-            least = Math.min(least, running());
+            least = Math.min(least, running().length);
         }
         expect(least).toBe(before);
         expect(findBreach(journal.events)).toBeUndefined();
--- a/packages/workflow/src/cell/lease-expiry.ts
+++ b/packages/workflow/src/cell/lease-expiry.ts
@@ -26,6 +26,9 @@
     readonly lateUntil: number;
 }
 
+/** The leases of a worker on which nothing of an earlier holder can run. */
+export const noLeases: InheritedLeases = { until: 0, lateUntil: 0 };
+
 /** Options of {@link createLeaseExpiry}. */
 export interface LeaseExpiryOptions {
     /** Longest time for which the worker accepts a deadline, in ms. */
--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -12,6 +12,7 @@
 import { isListed } from "./cell-workers.js";
 import type { LateOrderDetector } from "./late-order-detector.js";
 import type { InheritedLeases } from "./lease-expiry.js";
+import { noLeases } from "./lease-expiry.js";
 import type { LoadedCell } from "./load-cell.js";
 import type { PollBudget } from "./poll-budget.js";
 import { createResourceAccount } from "./resource-account.js";
@@ -122,7 +123,7 @@
             mayInterfere: () => mayInterfere([...runRegistry.ofWorker(entry.id)]),
             lateOrderDetector,
             // A worker that is not on the roster can't have a lease of an earlier holder.
-            inheritedLeases: isNew ? () => ({ until: 0, lateUntil: 0 }) : leasesOf(entry),
+            inheritedLeases: isNew ? () => noLeases : leasesOf(entry),
             mayExtendLease: () => !boundedWorkers.has(entry.id),
             processDelay,
             pollBudget,
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -11,7 +11,7 @@
 import type { ExpectedStart } from "./expected-start.js";
 import type { LateOrderDetector } from "./late-order-detector.js";
 import type { InheritedLeases, LeaseExpiry } from "./lease-expiry.js";
-import { createLeaseExpiry } from "./lease-expiry.js";
+import { createLeaseExpiry, noLeases } from "./lease-expiry.js";
 import { createOrderTokens } from "./order-tokens.js";
 import { createPendingStarts } from "./pending-starts.js";
 import type { PollBudget, PollUrgency } from "./poll-budget.js";
@@ -142,9 +142,6 @@
  */
 const incarnationProofTime = 100;
 
-/** The leases of a worker on which nothing runs. */
-const noLeases: InheritedLeases = { until: 0, lateUntil: 0 };
-
 /** Creates the session of a worker; it polls once `run` is called. */
 export const createWorkerSession = (options: WorkerSessionOptions): WorkerSession => {
     const { epoch, gateway, timing, logger, events, isBusy, lateOrderDetector, processDelay, pollBudget } = options;
@@ -493,6 +490,8 @@
     const isProvenIdle = (): boolean =>
         (contact === "known" || contact === "silent") && !isBusy() && listedRuns === 0 && !lacksEnds && hadAllEnds
         && listedEnd <= recordedEnd && !pendingStarts.hasAny();
+    /** Whether the worker needs no wait for its leases, since it gets no starts and nothing runs there. */
+    const holdsNoTask = (): boolean => isProvenIdle() && (contact === "silent" || entry.isDraining);
     const session: WorkerSession = {
         id: entry.id,
         entry: () => entry,
@@ -501,7 +500,7 @@
         mayHaveUnknownRuns: () => contact === "unknown" || lacksEnds,
         failingSince: () => failingSince,
         leasedFor: () => {
-            if (isProvenIdle() && (contact === "silent" || entry.isDraining)) {
+            if (holdsNoTask()) {
                 return 0;
             }
             // A worker for which the stored roster tells this already gets no new lease before it answers.
@@ -511,9 +510,8 @@
                 : Math.max(0, leaseExpiry.expiresIfPrompt() + lapseMargin - performance.now());
         },
         lateFor: () => {
-            const isIdle = isProvenIdle() && (contact === "silent" || entry.isDraining);
             const lateFor = leaseExpiry.expiresAt() + lapseMargin - performance.now();
-            return session.leasedFor() !== undefined && !isIdle && lateFor > 0
+            return session.leasedFor() !== undefined && !holdsNoTask() && lateFor > 0
                     && leaseExpiry.expiresAt() > leaseExpiry.expiresIfPrompt()
                 ? lateFor
                 : undefined;
