--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 for source in review/{6,7,8,9,10}/case.ts; do
     if [ -f "$source" ]; then
         number=$(basename "$(dirname "$source")")
-        npx --no-install esbuild "$source" --bundle --platform=node --format=esm --log-level=warning \
+        node_modules/.bin/esbuild "$source" --bundle --platform=node --format=esm --log-level=warning \
             --outfile="target/review-2/case-$number.mjs"
     fi
 done
--- a/review/lib-2/run-case.ts
+++ b/review/lib-2/run-case.ts
@@ -71,6 +71,11 @@
             process.exit(code);
         });
     }
+    // An error in a stand-in says nothing of the rule.
+    process.once("uncaughtException", error => {
+        console.error(error);
+        process.exit(exitCodes.notRun);
+    });
     try {
         code = await Promise.race([attempt(options, recorder), timeLimit]);
     }
