--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -329,8 +329,6 @@
         incarnationSeenAt = performance.now();
         reportSentAt = sentAt;
         requestedDeadline = undefined;
-        consecutiveFailures = 0;
-        failingSince = undefined;
         if (contact === "known" && performance.now() - unansweredAt < lateOrderSignTime) {
             lateOrderDetector.recordSign();
         }
@@ -347,6 +345,9 @@
         updateEndList(report, isFirst);
         // The report has to be applied before the contact is `known`, which allows starts on the worker.
         events.onReport(session, report, sentAt, isFirst);
+        // A report that can't be applied counts as a failed poll.
+        consecutiveFailures = 0;
+        failingSince = undefined;
         setContact("known", { running: report.running.length, ended: report.ended.length });
     };
     const hasUnacknowledgedEnds = (): boolean => recordedEnd > acknowledgedEnd;
@@ -395,17 +396,23 @@
         applyReport(report.value, sentAt);
         return true;
     };
-    /** As `poll`; an error in the handling of the answer must not end the polls of the worker. */
+    /**
+     * As `poll`; an exception must not end the polls of the worker. It counts as a poll without answer, so that a worker
+     * whose polls always throw lapses.
+     */
     const pollSafely = async (wait: number, deadline?: number): Promise<boolean> => {
+        const sentAt = performance.now();
+        const sentToken = tokens.current();
         try {
             return await poll(wait, deadline);
         }
         catch (error) {
             const stack = error instanceof Error ? error.stack : undefined;
             logger.error(
-                { worker: entry.id, epoch, error: String(error), stack },
-                "the answer of a worker could not be handled; report it as a bug",
+                { worker: entry.id, epoch, contact, error: String(error), stack },
+                "a poll failed with an exception and counts as unanswered; report it as a bug",
             );
+            handleFailure({ kind: "unknown", message: String(error) }, sentAt, sentToken);
             return false;
         }
     };
--- a/packages/workflow/src/port/worker-gateway.ts
+++ b/packages/workflow/src/port/worker-gateway.ts
@@ -87,7 +87,7 @@
     readonly hasAllEnds: boolean;
 }
 
-/** Sends orders to workers. */
+/** Sends orders to workers. Its promises never reject: what can't be sent is an error `not-sent`. */
 export interface WorkerGateway {
     /** Starts a run; resolves to the worker's clock in ms. Idempotent: a repeated start runs the task once. */
     readonly start: (worker: WorkerEntry, order: StartOrder) => Promise<Result<number, OrderError>>;
--- a/packages/workflow/tests/worker-session.test.ts
+++ b/packages/workflow/tests/worker-session.test.ts
@@ -48,6 +48,8 @@
     let restarts: number[];
     /** Number of the next reports whose handling fails. */
     let failingReports: number;
+    /** Whether polls throw before they are sent. */
+    let throwsPolls: boolean;
     let session: WorkerSession;
     const report = (bornAt: number): Result<WorkerReport, OrderError> =>
         Result.ok({ clock: 500_000 + performance.now(), bornAt, running: [], ended: [], hasAllEnds: true });
@@ -71,6 +73,7 @@
         acknowledgementDelay = undefined;
         restarts = [];
         failingReports = 0;
+        throwsPolls = false;
         const lateOrderDetector = createLateOrderDetector();
         session = createWorkerSession({
             entry,
@@ -84,6 +87,9 @@
                 },
                 stop: () => stopResults.shift()?.() ?? Promise.resolve(closed),
                 poll: async (...[, { token, recordedEnd, wait = 0, deadline }]) => {
+                    if (throwsPolls) {
+                        throw new Error("the order can't be encoded");
+                    }
                     tokens.push(token);
                     deadlines.push(deadline);
                     waits.push(wait);
@@ -145,6 +151,21 @@
         expect(session.contact()).toBe("known");
     });
 
+    // Guards against a worker whose polls always throw: a new holder waited for its report for good (review/7).
+    it.each(["handling of the report", "call"])(
+        "marks a worker as lapsed when an exception ends each %s",
+        async part => {
+            failingReports = part === "call" ? 0 : Infinity;
+            throwsPolls = part === "call";
+            await jest.advanceTimersByTimeAsync(30_000);
+            expect(session.contact()).toBe("lapsed");
+            failingReports = 0;
+            throwsPolls = false;
+            await jest.advanceTimersByTimeAsync(3_000);
+            expect(session.contact()).toBe("known");
+        },
+    );
+
     it("marks a worker as lapsed at once if it left as announced, regardless of its leases", async () => {
         session.setEntry({ ...entry, isDraining: true, remaining: 2_000 });
         await jest.advanceTimersByTimeAsync(2_100);
