--- a/packages/platform-stand-in/src/protocol/protocol-network.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-network.ts
@@ -35,8 +35,9 @@
      * `cut`: neither executed nor answered. `lose-answer`: executed, but not answered. `late`: executed after `delay`,
      * but not answered; `late-grant`: likewise, and the time until its deadline counts from then. `slow`: executed after
      * `delay`, and answered if that is below the call's timeout. `refuse`: not executed, answered with `status`.
+     * `refuse-connection`: not sent; a cut may show itself in this way.
      */
-    readonly action: "cut" | "lose-answer" | "late" | "late-grant" | "slow" | "refuse";
+    readonly action: "cut" | "lose-answer" | "late" | "late-grant" | "slow" | "refuse" | "refuse-connection";
     /** Milliseconds of `late`, `late-grant` and `slow`. Default 0. */
     readonly delay?: number;
     /** HTTP status of `refuse`. Default 503. */
@@ -101,10 +102,17 @@
         await pause(timeout);
         return Result.err({ isSent: true, isRefused: false, message: `no answer within ${String(timeout)} ms` });
     };
+    const refuseConnection = async ({ address }: NetworkCall): Promise<Result<NetworkAnswer, NetworkFailure>> => {
+        await pause(latency);
+        return Result.err({ isSent: false, isRefused: true, message: `the connection to ${address} was refused` });
+    };
     const applyFault = async (
         fault: NetworkFault,
         call: NetworkCall,
     ): Promise<Result<NetworkAnswer, NetworkFailure>> => {
+        if (fault.action === "refuse-connection") {
+            return refuseConnection(call);
+        }
         if (fault.action === "refuse") {
             await pause(latency);
             return Result.ok({ status: fault.status ?? 503, body: undefined, retryAfter: undefined });
@@ -128,8 +136,7 @@
         const name = call.path.split("?")[0] ?? "";
         counts.set(name, (counts.get(name) ?? 0) + 1);
         if (!servers.has(call.address)) {
-            await pause(latency);
-            return Result.err({ isSent: false, isRefused: true, message: `nobody listens on ${call.address}` });
+            return refuseConnection(call);
         }
         const fault = [...faults].find(candidate => candidate.matches(from, call));
         if (fault !== undefined) {
--- a/packages/workflow/src/cell/worker-listing.ts
+++ b/packages/workflow/src/cell/worker-listing.ts
@@ -2,8 +2,6 @@
 export interface WorkerListing {
     /** Records whether the worker was listed when the directory was read just now. */
     readonly recordRead: (isListed: boolean) => void;
-    /** Whether the last read found the worker. */
-    readonly isListed: () => boolean;
     /**
      * Whether the worker counts as gone: it has been missing so long that its entry did not merely expire while the
      * store was unavailable.
@@ -29,7 +27,6 @@
             missingSince = isListed ? undefined : missingSince === undefined || hasGap ? now : missingSince;
             readAt = now;
         },
-        isListed: () => missingSince === undefined,
         isGone: () => missingSince !== undefined && readAt - missingSince >= returnTime,
     };
 };
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -81,7 +81,7 @@
     /** The worker has restarted, some `age` ms ago; its next report shows what runs there. */
     readonly onRestarted: (session: WorkerSession, age: number) => void;
     /**
-     * Nothing that ran on the worker still runs: its leases have expired, or it has left or been replaced. `hasCrashed`:
+     * Nothing that ran on the worker still runs: its leases have expired, or it has been replaced. `hasCrashed`:
      * its process has ended, and it had not announced that.
      */
     readonly onLapsed: (session: WorkerSession, hasCrashed: boolean) => void;
@@ -251,10 +251,6 @@
             wake();
         }
     };
-    /** Whether the worker has left after its announced drain, which ends all its runs regardless of its leases. */
-    const hasLeftAsAnnounced = (error: OrderError): boolean =>
-        error.kind === "closed" && !listing.isListed() && entry.isDraining
-        && performance.now() - entryAt > (entry.remaining ?? Infinity);
     const markLapsed = (hasProcessEnded: boolean, details: object): void => {
         setContact("lapsed", details);
         lapsedAt = performance.now();
@@ -299,12 +295,6 @@
                 leasedFor: Math.round(leaseExpiry.expiresAt() - performance.now()),
             });
         }
-        if (hasLeftAsAnnounced(error) && (contact === "silent" || contact === "unknown")) {
-            markLapsed(error.kind === "closed", {
-                error: error.kind,
-                reason: "the worker left after its announced drain",
-            });
-        }
         lapseIfOver(error.kind);
     };
     const updateEndList = ({ ended, hasAllEnds }: WorkerReport, isFirst: boolean): void => {
--- a/packages/workflow/src/port/worker-gateway.ts
+++ b/packages/workflow/src/port/worker-gateway.ts
@@ -15,7 +15,7 @@
         | "reborn" // another incarnation of the worker than the expected one answered at the address
         | "unhealthy" // the worker refuses orders for now; nothing was done
         | "invalid"
-        | "closed" // the connection was refused: nothing listens at the worker's address
+        | "closed" // the connection was refused: nothing listens at the worker's address, or the worker is cut off
         | "not-sent"
         | "unknown";
     readonly message: string;
