--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -138,13 +138,12 @@
         if (current?.bornAt === bornAt) {
             return current.queue;
         }
+        const { id } = session;
         const queue = createRunEndQueue(number => {
-            // Ends of an earlier incarnation must not make the current one forget ends with the same numbers.
-            if (endQueues.get(session.id)?.queue === queue) {
-                session.recordEnds(number);
-            }
+            // The worker may have another session by now.
+            sessionOf(id)?.recordEnds(bornAt, number);
         });
-        endQueues.set(session.id, { bornAt, queue });
+        endQueues.set(id, { bornAt, queue });
         return queue;
     };
     /** Removes a run; its task waits again unless it is done or has another run. */
@@ -389,6 +388,10 @@
     const applyEndedRows = (session: WorkerSession, report: WorkerReport): void => {
         const queue = endQueueOf(session, report.bornAt);
         const newRows = report.ended.filter(row => queue.isNew(row.number));
+        if (newRows.length < report.ended.length) {
+            // The session may not know any more that these ends are stored, since its worker had lapsed.
+            session.recordEnds(report.bornAt, queue.recorded());
+        }
         if (newRows.length === 0) {
             return;
         }
--- a/packages/workflow/src/cell/run-end-queue.ts
+++ b/packages/workflow/src/cell/run-end-queue.ts
@@ -10,6 +10,8 @@
      * writes, the ends count as stored at once.
      */
     readonly add: (last: number, writes: number) => () => void;
+    /** Number up to which all ends are stored; 0 if none is. */
+    readonly recorded: () => number;
 }
 
 /** Ends that were reported together. */
@@ -24,16 +26,18 @@
 export const createRunEndQueue = (record: (number: number) => void): RunEndQueue => {
     const batches: Batch[] = [];
     let lastAdded = 0;
+    let recorded = 0;
     const recordStored = (): void => {
-        let recorded: number | undefined;
+        const recordedBefore = recorded;
         while (batches[0] !== undefined && batches[0].pendingWrites <= 0) {
-            recorded = batches.shift()?.last;
+            recorded = batches.shift()?.last ?? recorded;
         }
-        if (recorded !== undefined) {
+        if (recorded > recordedBefore) {
             record(recorded);
         }
     };
     return {
+        recorded: () => recorded,
         isNew: number => number > lastAdded,
         add: (last, writes) => {
             const batch = { last, pendingWrites: writes };
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -61,8 +61,11 @@
     readonly throttle: (task: TaskName, run: number, percent: number) => Promise<boolean>;
     /** Records that a start of an earlier holder has no answer. */
     readonly expectStart: (start: ExpectedStart) => void;
-    /** Records that all ends up to `number` are stored, so that the worker may forget them. */
-    readonly recordEnds: (number: number) => void;
+    /**
+     * Records that all ends up to `number` of the incarnation that started at `bornAt` are stored, so that it may forget
+     * them. Has no effect if that is not the one in contact, which numbers its own ends.
+     */
+    readonly recordEnds: (bornAt: number, number: number) => void;
     /** See `WorkerClock.beginProof`. */
     readonly beginProof: () => () => void;
     /** Sends a new deadline if the worker's current one expires soon. */
@@ -598,9 +601,11 @@
             expectedStarts = [...expectedStarts, start.orderedAt];
             wake();
         },
-        recordEnds: number => {
-            recordedEnd = Math.max(recordedEnd, number);
-            wake();
+        recordEnds: (endsBornAt, number) => {
+            if (endsBornAt === bornAt && number > recordedEnd) {
+                recordedEnd = number;
+                wake();
+            }
         },
         extendLease: async () => {
             const isRequested = performance.now() - extendingSince < extensionRetryInterval + processDelay();
--- a/packages/workflow/tests/run-controller.test.ts
+++ b/packages/workflow/tests/run-controller.test.ts
@@ -39,3 +39,20 @@
         },
     );
 });
+
+describe("ends that are stored", () => {
+    // Guards against a worker whose list of ends stays full: its session has lapsed and no longer knew that they are stored.
+    it("are told again to a session that lists them", () => {
+        const told: [bornAt: number, end: number][] = [];
+        const controller = createRunController(runControllerOptions({ epoch: 2, ledgerOf: () => undefined }));
+        const session = {
+            id: "w-0" as WorkerId,
+            recordEnds: (...end: [bornAt: number, end: number]) => told.push(end),
+        } as Partial<WorkerSession>;
+        const end = { number: 7, task: `${job}.0.0.0` as never, run: 3, outcome: "done" as const, checkpoint: "" };
+        const report = { clock: 0, bornAt: 5, running: [], ended: [end], hasAllEnds: true };
+        controller.applyReport(session as WorkerSession, report, 0, true);
+        controller.applyReport(session as WorkerSession, report, 0, true);
+        expect(told.at(-1)).toEqual([5, 7]);
+    });
+});
--- a/packages/workflow/tests/worker-session.test.ts
+++ b/packages/workflow/tests/worker-session.test.ts
@@ -320,7 +320,7 @@
     it("acknowledges no end after a silence until a poll has shown that the incarnation goes on", async () => {
         answer = silent;
         await jest.advanceTimersByTimeAsync(500);
-        session.recordEnds(57);
+        session.recordEnds(1, 57);
         acknowledged = [];
         await jest.advanceTimersByTimeAsync(500);
         expect(new Set(acknowledged)).toEqual(new Set([0]));
@@ -328,7 +328,7 @@
         await jest.advanceTimersByTimeAsync(500);
         expect(acknowledged).toContain(57);
         // A poll that shows another incarnation discards pending acknowledgements.
-        session.recordEnds(60);
+        session.recordEnds(1, 60);
         answer = report(2);
         acknowledged = [];
         await jest.advanceTimersByTimeAsync(500);
@@ -336,13 +336,25 @@
     });
 
     // Guards against the same if the worker restarts while its ends wait to be stored.
+    // Guards against ends that a new incarnation forgets before they are stored, since ends of the former one, with the same
+    // numbers, were stored after its restart had been seen in the directory.
+    it("acknowledges no end of an earlier incarnation", async () => {
+        await jest.advanceTimersByTimeAsync(500);
+        answer = report(2);
+        session.setEntry({ ...entry, bornAt: 2 });
+        acknowledged = [];
+        session.recordEnds(1, 57);
+        await jest.advanceTimersByTimeAsync(2_000);
+        expect(new Set(acknowledged)).toEqual(new Set([0]));
+    });
+
     it("polls without an acknowledgement first if a task was started and the last report is old", async () => {
         answer = listing(57);
         await jest.advanceTimersByTimeAsync(50);
         await session.start({ task: "j.0.0.1" as never, run: 1, payload: "", checkpoint: "" });
         await jest.advanceTimersByTimeAsync(300);
         acknowledged = [];
-        session.recordEnds(57);
+        session.recordEnds(1, 57);
         await jest.advanceTimersByTimeAsync(10);
         expect(acknowledged.slice(0, 2)).toEqual([0, 57]);
     });
@@ -397,7 +409,7 @@
         await jest.advanceTimersByTimeAsync(300);
         acknowledged = [];
         tokens = [];
-        session.recordEnds(57);
+        session.recordEnds(1, 57);
         acknowledgementDelay = 2_000;
         await jest.advanceTimersByTimeAsync(150);
         const unanswered = tokens[acknowledged.indexOf(57)] ?? Infinity;
