--- a/packages/workflow/src/cell/cell-room.ts
+++ b/packages/workflow/src/cell/cell-room.ts
@@ -32,11 +32,13 @@
 }
 
 /** Millicores that the long-running tasks of a workflow request which its cell has to run, or runs for another cell. */
-const acceptedLongRunningCpu = ({ workflow: { steps }, stage }: WorkflowLedger): number => {
+const acceptedLongRunningCpu = ({ workflow: { steps }, knownStage }: WorkflowLedger): number => {
     let sum = 0;
     for (const [number, step] of steps.entries()) {
-        const record = step.isLasting ? stage({ occurrence: 0, step: number, index: 0 })?.record : undefined;
-        sum += record === undefined ? 0 : (step.count - record.transferred.size - record.done.size) * step.cpu;
+        if (step.isLasting) {
+            const record = knownStage(0, number)?.record;
+            sum += (step.count - (record?.transferred.size ?? 0) - (record?.done.size ?? 0)) * step.cpu;
+        }
     }
     return sum;
 };
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -7,8 +7,7 @@
 import type { Step } from "../model/step.js";
 import type { TaskName, TaskNameParts } from "../model/task-name.js";
 import { taskName } from "../model/task-name.js";
-import { criticalPath } from "../policy/critical-path.js";
-import { remainingPath } from "../policy/remaining-path.js";
+import { remainingPaths } from "../policy/remaining-paths.js";
 import type { StartGate, StartGateFacts } from "../policy/start-gate.js";
 import { startGate } from "../policy/start-gate.js";
 import type { Urgency } from "../policy/urgency.js";
@@ -183,26 +182,27 @@
     /** Workers that accept new tasks, by service. */
     const openWorkers = new Map<ServiceId, readonly CellWorker[]>();
 
-    const runTimesOf = (ledger: WorkflowLedger, queue: Queue) => (step: Step, number: number): number =>
-        runTime(ledger.workflow.id, queue, step, number);
+    const pathsOf = (ledger: WorkflowLedger, queue: Queue): readonly number[] =>
+        remainingPaths(
+            ledger.workflow.steps,
+            (step, number) => runTime(ledger.workflow.id, queue, step, number),
+        );
     const urgencyOf = (
         ledger: WorkflowLedger,
         stage: Stage,
         queue: Queue,
-        objective: number,
+        paths: readonly number[],
     ): Omit<Urgency, "lasting"> => {
-        const { steps, acceptedAt, schedule } = ledger.workflow;
+        const { acceptedAt, schedule } = ledger.workflow;
         const dueAt = schedule === undefined ? acceptedAt : schedule.firstDue + stage.occurrence * schedule.interval;
-        const remaining = remainingPath(steps, stage.stepIndex, runTimesOf(ledger, queue));
-        const spareTime = dueAt - Date.now() - remaining;
+        const objective = queue.slackFactor * Math.max(0, ...paths) + queue.latencyTarget;
+        const spareTime = dueAt - Date.now() - (paths[stage.stepIndex] ?? 0);
         return {
             priority: queue.priority,
             laxity: spareTime + objective,
             expiryLaxity: spareTime + objective * uselessFactor,
         };
     };
-    const objectiveOf = (ledger: WorkflowLedger, queue: Queue): number =>
-        queue.slackFactor * criticalPath(ledger.workflow.steps, runTimesOf(ledger, queue)) + queue.latencyTarget;
     /** The members of a gang start together, so that they are not kept apart. */
     const groupBySuspicion = (
         ledger: WorkflowLedger,
@@ -226,9 +226,9 @@
         if (waiting.length === 0) {
             return [];
         }
-        const objective = objectiveOf(ledger, queue);
+        const paths = pathsOf(ledger, queue);
         return waiting.flatMap(({ stage, indices: startable }) => {
-            const urgency = urgencyOf(ledger, stage, queue, objective);
+            const urgency = urgencyOf(ledger, stage, queue, paths);
             return groupWaiting(stage, startable).flatMap(([lasting, indices]) =>
                 groupBySuspicion(ledger, stage, indices).map(group => ({
                     ledger,
@@ -247,7 +247,7 @@
         lasting: Urgency["lasting"],
     ): StageCandidate => {
         const queue = queueOf(ledger);
-        const urgency = urgencyOf(ledger, stage, queue, objectiveOf(ledger, queue));
+        const urgency = urgencyOf(ledger, stage, queue, pathsOf(ledger, queue));
         return { ledger, stage, queue, urgency: { ...urgency, lasting }, indices, isSuspect: false };
     };
     /** Long-running tasks that run on draining workers and have no place on another one, by step. */
--- a/packages/workflow/src/cell/summarize-cell.ts
+++ b/packages/workflow/src/cell/summarize-cell.ts
@@ -26,13 +26,13 @@
 
 /** Millicores that the waiting tasks of a workflow's long-running steps request, of those steps that `isCounted` accepts. */
 export const waitingLongRunningCpu = (
-    { workflow: { steps }, stage }: WorkflowLedger,
+    { workflow: { steps }, knownStage }: WorkflowLedger,
     isCounted: (record: StepRecord) => boolean = () => true,
 ): number => {
     let waiting = 0;
     for (const [number, step] of steps.entries()) {
         if (step.isLasting) {
-            const record = stage({ occurrence: 0, step: number, index: 0 })?.record;
+            const record = knownStage(0, number)?.record;
             waiting += record === undefined || isCounted(record) ? (record?.waiting.size ?? step.count) * step.cpu : 0;
         }
     }
@@ -58,7 +58,7 @@
         waitingCpu += waitingLongRunningCpu(ledger);
         for (const [number, step] of steps.entries()) {
             if (!step.isLasting) {
-                const record = ledger.stage({ occurrence: 0, step: number, index: 0 })?.record;
+                const record = ledger.knownStage(0, number)?.record;
                 work += (step.count - (record?.done.size ?? 0)) * step.cpu * runTime(id, queue, step, number);
             }
         }
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -36,14 +36,16 @@
     readonly isSettled: () => boolean;
     /**
      * Stages whose tasks may run now: due, not done, and with all steps that they depend on done and stored. Empty once
-     * the workflow is settled. Long-running steps are left out while any change is not stored. `now` in Unix ms,
-     * `monotonicNow` in ms of the monotonic clock.
+     * the workflow is settled. Long-running steps are left out while any change is not stored. Further stages open once
+     * fewer than `maxOpenTasks` tasks wait. `now` in Unix ms, `monotonicNow` in ms of the monotonic clock.
      */
     readonly openStages: (now: number, monotonicNow: number) => readonly Stage[];
     /** Indices of the waiting tasks of an open stage whose failures are stored, so that they may start. */
     readonly startable: (stage: Stage) => readonly number[];
     /** Stage of a task; undefined where the workflow has no such step or occurrence. */
     readonly stage: (position: TaskPosition) => Stage | undefined;
+    /** As `stage`, but only if anything is known of its tasks; else none of them has run. Takes no memory for the stage. */
+    readonly knownStage: (occurrence: number, stepIndex: number) => Stage | undefined;
     readonly isDone: (position: TaskPosition) => boolean;
     /** Records that a run of the task has started. */
     readonly recordStart: (position: TaskPosition) => void;
@@ -102,6 +104,9 @@
     readonly revision: () => number;
 }
 
+/** Waiting tasks of a workflow up to which further stages open: each of them takes memory and time in each pass. */
+const maxOpenTasks = 20_000;
+
 const stageKey = (occurrence: number, stepIndex: number): string => `${String(occurrence)}.${String(stepIndex)}`;
 
 /** Creates the ledger of a workflow, from its stored progress where it has any. */
@@ -119,6 +124,9 @@
     let settledAtRevision: number | undefined;
     /** Number of steps that are not done, over all occurrences. */
     let remainingSteps = occurrences * steps.length;
+    /** Occurrences that have become due and are not known to be done; the next ones are due in their order. */
+    let dueOccurrences: number[] = [];
+    let nextOccurrence = 0;
 
     const stageAt = (occurrence: number, stepIndex: number): Stage | undefined => {
         const key = stageKey(occurrence, stepIndex);
@@ -191,6 +199,8 @@
         && !(isDirty() && steps[stepIndex]?.isLasting === true)
         && (steps[stepIndex]?.after ?? []).every(earlier => isStepStored(occurrence, earlier));
 
+    const isOccurrenceDone = (occurrence: number): boolean =>
+        steps.every((...[, stepIndex]) => isStepDone(occurrence, stepIndex));
     const markRangeDone = (stage: Stage, first: number, last: number): void => {
         for (let index = first; index <= Math.min(last, stage.step.count - 1); index += 1) {
             markDone(stage, index);
@@ -228,6 +238,7 @@
     return {
         workflow,
         stage: stageOf,
+        knownStage: (occurrence, stepIndex) => stages.get(stageKey(occurrence, stepIndex)),
         isSettled,
         latestState,
         state: () => {
@@ -239,14 +250,27 @@
                 return [];
             }
             const open: Stage[] = [];
-            for (let occurrence = 0; occurrence < occurrences && isDue(occurrence, now); occurrence += 1) {
+            let waitingTasks = 0;
+            const openOccurrence = (occurrence: number): void => {
                 for (const stepIndex of steps.keys()) {
-                    const stage = isOpen(occurrence, stepIndex) ? stageAt(occurrence, stepIndex) : undefined;
+                    const stage = waitingTasks < maxOpenTasks && isOpen(occurrence, stepIndex)
+                        ? stageAt(occurrence, stepIndex)
+                        : undefined;
                     if (stage !== undefined) {
                         stage.record.readySince ??= monotonicNow;
+                        waitingTasks += stage.record.waiting.size;
                         open.push(stage);
                     }
                 }
+            };
+            dueOccurrences = dueOccurrences.filter(occurrence => !isOccurrenceDone(occurrence));
+            dueOccurrences.forEach(openOccurrence);
+            while (waitingTasks < maxOpenTasks && nextOccurrence < occurrences && isDue(nextOccurrence, now)) {
+                if (!isOccurrenceDone(nextOccurrence)) {
+                    dueOccurrences.push(nextOccurrence);
+                    openOccurrence(nextOccurrence);
+                }
+                nextOccurrence += 1;
             }
             return open;
         },
@@ -375,6 +399,9 @@
             const stage = stageOf(position);
             if (stage?.record.done.has(position.index) === true) {
                 remainingSteps += stage.record.done.size === stage.step.count ? 1 : 0;
+                if (position.occurrence < nextOccurrence && !dueOccurrences.includes(position.occurrence)) {
+                    dueOccurrences.push(position.occurrence);
+                }
                 stage.record.done.delete(position.index);
                 stage.record.waiting.add(position.index);
                 stage.record.started.add(position.index);
--- a/packages/workflow/tests/urgency.test.ts
+++ b/packages/workflow/tests/urgency.test.ts
@@ -1,8 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
 
 import { createStep } from "../src/model/create-step.js";
-import { criticalPath } from "../src/policy/critical-path.js";
-import { remainingPath } from "../src/policy/remaining-path.js";
+import { remainingPaths } from "../src/policy/remaining-paths.js";
 import type { Urgency } from "../src/policy/urgency.js";
 import { compareUrgency } from "../src/policy/urgency.js";
 
@@ -56,10 +55,21 @@
     ];
     const runTime = (step: { expectedRunTime: number; }): number => step.expectedRunTime;
 
-    it("have the longest one as critical path", () => {
-        expect(criticalPath(steps, runTime)).toBe(350);
+    it("take the time of the longest one that begins with each step", () => {
+        expect(remainingPaths(steps, runTime)).toEqual([150, 350, 50, 10]);
     });
-    it.each([[0, 150], [1, 350], [2, 50], [3, 10], [9, 0]])("from step %i take %i ms", (stepIndex, expected) => {
-        expect(remainingPath(steps, stepIndex, runTime)).toBe(expected);
+
+    // Guards against a job that keeps each host in turn busy for minutes, since each chain was followed by itself (review/6).
+    it("are found with one look at each step, also if each depends on all earlier ones", () => {
+        const wide = Array.from(
+            { length: 120 },
+            (...[, number]) => createStep({ expectedRunTime: 100, after: [...Array(number).keys()] }),
+        );
+        let looks = 0;
+        const paths = remainingPaths(wide, step => {
+            looks += 1;
+            return step.expectedRunTime;
+        });
+        expect([looks, paths[0], paths.at(-1)]).toEqual([120, 12_000, 100]);
     });
 });
--- a/packages/workflow/tests/workflow-ledger.test.ts
+++ b/packages/workflow/tests/workflow-ledger.test.ts
@@ -1,6 +1,8 @@
 import type { CellId, JobId, ServiceId } from "@jayfront/world";
 import { describe, expect, it } from "@jest/globals";
 
+import { hasWaitingTasks } from "../src/cell/has-waiting-tasks.js";
+import { waitingShortLivedCpu } from "../src/cell/waiting-short-lived-cpu.js";
 import type { TransferredTask } from "../src/ledger/transferred-task.js";
 import type { TaskPosition, WorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { createWorkflowLedger } from "../src/ledger/workflow-ledger.js";
@@ -36,6 +38,39 @@
 const reload = (ledger: WorkflowLedger): WorkflowLedger =>
     createWorkflowLedger(ledger.workflow, workflowProgress.parse(JSON.parse(JSON.stringify(ledger.progress()))));
 
+describe("a workflow of very many tasks", () => {
+    // Guards against a pass that never ends: all occurrences of a schedule without an interval are due at once.
+    it("opens its occurrences one after another", () => {
+        const step = createStep({ count: 5_000 });
+        const ledger = createWorkflowLedger(workflow([step], { repetitions: 1e15, firstDue: 0, interval: 0 }));
+        expect(openSteps(ledger)).toEqual(["0.0", "1.0", "2.0", "3.0"]);
+        for (let index = 0; index < step.count; index += 1) {
+            ledger.recordStart(at(0, index, 1));
+            ledger.recordDone(at(0, index, 1));
+        }
+        expect(openSteps(markStored(ledger))).toEqual(["0.0", "2.0", "3.0", "4.0"]);
+    });
+
+    // Guards against summaries and requests for room that take memory for each task of steps which are not open.
+    it("takes no memory for steps that are only looked at", () => {
+        const steps = [createStep(), createStep({ count: 100_000, after: [0] })];
+        const ledger = createWorkflowLedger(workflow(steps));
+        expect([openSteps(ledger), waitingShortLivedCpu(ledger)]).toEqual([["0.0"], 1_000]);
+        expect(hasWaitingTasks(ledger)).toBe(true);
+        expect(ledger.progress().steps.map(({ step }) => step)).toEqual([0]);
+    });
+
+    // Guards against tasks from another cell that never start, since their occurrence counted as done before they came.
+    it("opens an occurrence again that another cell gives back", () => {
+        const steps = [createStep({ count: 1, isLasting: true })];
+        const ledger = createWorkflowLedger(workflow(steps, { repetitions: 3, firstDue: 0, interval: 0 }));
+        ledger.recordDeparture(at(0, 0, 1));
+        expect(openSteps(ledger)).toEqual(["0.0", "2.0"]);
+        ledger.recordArrival(at(0, 0, 1));
+        expect(openSteps(ledger).sort()).toEqual(["0.0", "1.0", "2.0"]);
+    });
+});
+
 describe("the workflow ledger", () => {
     // Guards against lost long-running tasks that wait as new ones under the next holder, and against tasks that never ran
     // and take the room of those that did.
