--- a/packages/bench/tests/workflow/returned-worker.test.ts
+++ b/packages/bench/tests/workflow/returned-worker.test.ts
@@ -61,6 +61,23 @@
         return await state;
     };
 
+    // Guards against a worker that refuses each call of its new session, which counted its tokens from the first one again
+    // (review/8).
+    it("gets tasks again if it has seen raised tokens before", async () => {
+        await submit(4, 5_000);
+        const heal = cutOff();
+        // Its starts have no answer, which raises the token.
+        await submit(4, 400);
+        await time.advance(2_400);
+        heal();
+        await time.advance(3_000 + quietTime);
+        await dropAndReturn();
+        const id = await submit(4, 400);
+        await time.advance(5_000);
+        expect(await stateOf(id)).toEqual({ kind: "known", value: "completed" });
+        expect(findBreach(cluster.platform.journal.events)).toBeUndefined();
+    });
+
     // Guards against tasks that stay running after they are done: the ends that were stored were told to the worker's dropped
     // session, and the worker listed the same 500 ends for good (review/10).
     it("forgets the ends that are stored", async () => {
--- a/packages/workflow/src/cell/order-tokens.ts
+++ b/packages/workflow/src/cell/order-tokens.ts
@@ -14,6 +14,13 @@
     readonly raise: () => void;
     /** Raises the token after an order that was not answered and may be carried out late, unless it was raised since. */
     readonly supersede: (sentToken: number) => void;
+    /**
+     * Raises the token after the worker has refused it although the cell has no later holder, unless it was raised since:
+     * by one, and by twice as many each further time in a row. Returns false if there is no higher token.
+     */
+    readonly outrun: (sentToken: number) => boolean;
+    /** Records that the worker has carried out an order. */
+    readonly recordAccepted: () => void;
     /** Sends an order; repeats it if the worker refused it only because the token was raised meanwhile. */
     readonly send: <Value>(
         order: (token: number) => Promise<Result<Value, OrderError>>,
@@ -29,9 +36,14 @@
 /** Creates the tokens of the holder with the given epoch. */
 export const createOrderTokens = (epoch: number): OrderTokens => {
     let raises = 0;
+    /** Number of tokens by which the next refusal raises. */
+    let outrunStep = 1;
     const current = (): number => epoch * tokensPerEpoch + raises;
+    const raiseBy = (count: number): void => {
+        raises = Math.min(raises + count, tokensPerEpoch - 1);
+    };
     const raise = (): void => {
-        raises = Math.min(raises + 1, tokensPerEpoch - 1);
+        raiseBy(1);
     };
     return {
         current,
@@ -41,6 +53,20 @@
                 raise();
             }
         },
+        outrun: sentToken => {
+            if (sentToken < current()) {
+                return true;
+            }
+            if (raises === tokensPerEpoch - 1) {
+                return false;
+            }
+            raiseBy(outrunStep);
+            outrunStep *= 2;
+            return true;
+        },
+        recordAccepted: () => {
+            outrunStep = 1;
+        },
         send: async order => {
             let token = current();
             let result = await order(token);
--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -22,7 +22,7 @@
 import type { RunRegistry } from "./run-registry.js";
 import type { Run } from "./run.js";
 import { createWorkerList } from "./worker-list.js";
-import type { SessionEvents } from "./worker-session.js";
+import type { SessionEvents, WorkerSession } from "./worker-session.js";
 import { createWorkerSession } from "./worker-session.js";
 
 /** The workers of a cell. Follows the platform's directory and stores the roster of workers on which tasks may run. */
@@ -69,6 +69,9 @@
 /** Milliseconds between writes of the roster while workers that answer again wait for one to get new leases. */
 const retryInterval = 100;
 
+/** Milliseconds for which the session of a worker is kept that has lapsed and is not listed; it may return. */
+const sessionRetention = 600_000;
+
 /** Creates a roster without workers. */
 export const createWorkerRoster = (options: WorkerRosterOptions): WorkerRoster => {
     const { workers, lease, store, directory, gateway, timing, logger, runRegistry, events, signal } = options;
@@ -80,6 +83,11 @@
     const storedEntries = new Map<WorkerId, RosterEntry>();
     /** Workers for which the stored roster may tell when their leases expire: they may get no new ones. */
     let boundedWorkers: ReadonlySet<WorkerId> = new Set();
+    /**
+     * Sessions of workers that have lapsed and are not listed, with the monotonic time in ms at which they were removed. A
+     * session knows the tokens that its worker has seen, and the orders that may still reach it.
+     */
+    const retiredSessions = new Map<WorkerId, { readonly session: WorkerSession; readonly removedAt: number; }>();
     let rosterVersion = 0;
     /** Whether the last write of the roster is known to have succeeded. */
     let isRosterStored = true;
@@ -109,10 +117,8 @@
             return { until, lateUntil: isIdle ? until : Math.max(storedLateUntil, until + lateUntil - anyUntil) };
         };
     };
-    const addWorker = (entry: RosterEntry): void => {
-        const isNew = !storedEntries.has(entry.id);
-        const sessionStop = createStopSignal(signal);
-        const session = createWorkerSession({
+    const createSession = (entry: RosterEntry, isNew: boolean): WorkerSession =>
+        createWorkerSession({
             entry,
             epoch,
             gateway,
@@ -128,6 +134,11 @@
             processDelay,
             pollBudget,
         });
+    const addWorker = (entry: RosterEntry): void => {
+        const isNew = !storedEntries.has(entry.id);
+        const sessionStop = createStopSignal(signal);
+        const session = retiredSessions.get(entry.id)?.session ?? createSession(entry, isNew);
+        retiredSessions.delete(entry.id);
         workers.set(entry.id, {
             session,
             resources: createResourceAccount(entry.capacity),
@@ -138,7 +149,14 @@
         });
         void session.run(sessionStop.signal);
     };
+    const dropRetired = (): void => {
+        const cutoff = performance.now() - sessionRetention;
+        [...retiredSessions].filter(([, { removedAt }]) => removedAt < cutoff).forEach(([id]) => {
+            retiredSessions.delete(id);
+        });
+    };
     const applyDirectory = (entries: readonly WorkerEntry[]): void => {
+        dropRetired();
         const listed = new Map(entries.filter(isOwn).map(entry => [entry.id, entry]));
         for (const entry of listed.values()) {
             const existing = workers.get(entry.id);
@@ -155,6 +173,7 @@
                 logger.info({ cell, worker: id }, "worker removed");
                 worker.stop();
                 workers.delete(id);
+                retiredSessions.set(id, { session: worker.session, removedAt: performance.now() });
                 continue;
             }
             worker.session.setEntry(entry);
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -66,11 +66,16 @@
      * them. Has no effect if that is not the one in contact, which numbers its own ends.
      */
     readonly recordEnds: (bornAt: number, number: number) => void;
+    /**
+     * Records that the worker has refused `token` although the cell has had no later holder: it has seen a higher token of
+     * this one, or one that no holder of the cell has used.
+     */
+    readonly recordFence: (token: number) => void;
     /** See `WorkerClock.beginProof`. */
     readonly beginProof: () => () => void;
     /** Sends a new deadline if the worker's current one expires soon. */
     readonly extendLease: () => Promise<void>;
-    /** Polls the worker until `signal` aborts, which ends the session. */
+    /** Polls the worker until `signal` aborts; may be called again after that. */
     readonly run: (signal: AbortSignal) => Promise<void>;
 }
 
@@ -88,8 +93,8 @@
      * its process has ended, and it had not announced that.
      */
     readonly onLapsed: (session: WorkerSession, hasCrashed: boolean) => void;
-    /** The worker refused an order because it has seen a higher token, such as that of a later holder. */
-    readonly onFenced: (session: WorkerSession) => void;
+    /** The worker refused an order with `token` because it has seen a higher one, such as that of a later holder. */
+    readonly onFenced: (session: WorkerSession, token: number) => void;
     /** The result of `contact` has changed. */
     readonly onContactChange: (session: WorkerSession) => void;
 }
@@ -278,17 +283,7 @@
      */
     const isReplaced = (error: OrderError, sentAt: number): boolean =>
         error.kind === "reborn" && sentAt > incarnationSeenAt && contact !== "lapsed";
-    const handleFailure = (error: OrderError, sentAt: number, sentToken: number): void => {
-        if (error.kind === "fenced") {
-            if (sentToken === tokens.current()) {
-                events.onFenced(session);
-            }
-            return;
-        }
-        if (isReplaced(error, sentAt)) {
-            markLapsed(true, { error: error.kind, reason: "another worker answers at its address" });
-            return;
-        }
+    const countFailure = (error: OrderError): void => {
         consecutiveFailures += 1;
         failingSince ??= performance.now();
         unansweredAt = error.kind === "unknown" ? performance.now() : unansweredAt;
@@ -300,6 +295,19 @@
         }
         lapseIfOver(error.kind);
     };
+    const handleFailure = (error: OrderError, sentAt: number, sentToken: number): void => {
+        if (error.kind === "fenced") {
+            if (sentToken === tokens.current()) {
+                events.onFenced(session, sentToken);
+            }
+            return;
+        }
+        if (isReplaced(error, sentAt)) {
+            markLapsed(true, { error: error.kind, reason: "another worker answers at its address" });
+            return;
+        }
+        countFailure(error);
+    };
     const updateEndList = ({ ended, hasAllEnds }: WorkerReport, isFirst: boolean): void => {
         lacksEnds = (isFirst || lacksEnds) && !hasAllEnds;
         if (hasAllEnds !== hadAllEnds) {
@@ -381,6 +389,7 @@
             return false;
         }
         confirmDeadline?.();
+        tokens.recordAccepted();
         leaseExpiry.recordToken(sentToken);
         acknowledgedEnd = Math.max(acknowledgedEnd, endToAcknowledge);
         if (deadline !== undefined) {
@@ -564,21 +573,25 @@
                 idleWakeUp.notify();
             }
             else if (result.error.kind === "fenced") {
-                events.onFenced(session);
+                events.onFenced(session, sentToken);
             }
             return result;
         },
         stop: async (task, run) => {
             let leavePlace: (() => void) | undefined;
             while (contact !== "lapsed" && endSignal?.aborted !== true) {
-                const result = await tokens.send(token => gateway.stop(entry, { task, run, token }));
+                let sentToken = tokens.current();
+                const result = await tokens.send(token => {
+                    sentToken = token;
+                    return gateway.stop(entry, { task, run, token });
+                });
                 leavePlace?.();
                 if (result.isOk) {
                     wake();
                     return true;
                 }
                 if (result.error.kind === "fenced") {
-                    events.onFenced(session);
+                    events.onFenced(session, sentToken);
                     return false;
                 }
                 await sleep(stopRetryInterval, endSignal);
@@ -601,6 +614,18 @@
             expectedStarts = [...expectedStarts, start.orderedAt];
             wake();
         },
+        recordFence: token => {
+            const hasHigher = tokens.outrun(token);
+            logger.warn(
+                { worker: entry.id, epoch, refused: token, next: tokens.current() },
+                hasHigher
+                    ? "the worker has seen a higher token, though this holder's lease goes on; raising the token"
+                    : "the worker refuses the highest token of this holder; it is used again under the next one",
+            );
+            if (!hasHigher) {
+                countFailure({ kind: "fenced", message: `the worker refuses token ${String(token)}` });
+            }
+        },
         recordEnds: (endsBornAt, number) => {
             if (endsBornAt === bornAt && number > recordedEnd) {
                 recordedEnd = number;
@@ -630,7 +655,9 @@
             while (!signal.aborted) {
                 await pause(await pollInTurn(signal), signal);
             }
-            gateway.disconnect(entry);
+            if (endSignal === signal) {
+                gateway.disconnect(entry);
+            }
         },
     };
     return session;
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -477,8 +477,13 @@
             runController.dropWorkerRuns(session, hasCrashed);
             health.removeWorker(session.id);
         },
-        onFenced: () => {
-            void lease.confirm();
+        onFenced: (session, token) => {
+            // The read follows the refusal: if it finds this holder, the higher token is not that of a later one.
+            void lease.confirm().then(isHeld => {
+                if (isHeld) {
+                    session.recordFence(token);
+                }
+            });
         },
         onContactChange: session => {
             const isKnown = session.contact() === "known";
--- a/packages/workflow/tests/worker-session.test.ts
+++ b/packages/workflow/tests/worker-session.test.ts
@@ -48,8 +48,12 @@
     let restarts: number[];
     /** Number of the next reports whose handling fails. */
     let failingReports: number;
+    /** The highest token that the worker has seen from elsewhere. */
+    let highestToken: number;
     /** Whether polls throw before they are sent. */
     let throwsPolls: boolean;
+    /** Whether the cell has no later holder. */
+    let isLeaseHeld: boolean;
     let session: WorkerSession;
     const report = (bornAt: number): Result<WorkerReport, OrderError> =>
         Result.ok({ clock: 500_000 + performance.now(), bornAt, running: [], ended: [], hasAllEnds: true });
@@ -74,6 +78,8 @@
         restarts = [];
         failingReports = 0;
         throwsPolls = false;
+        highestToken = 0;
+        isLeaseHeld = true;
         const lateOrderDetector = createLateOrderDetector();
         session = createWorkerSession({
             entry,
@@ -90,6 +96,9 @@
                     if (throwsPolls) {
                         throw new Error("the order can't be encoded");
                     }
+                    if (token < highestToken) {
+                        return Result.err({ kind: "fenced", message: "409 fence" });
+                    }
                     tokens.push(token);
                     deadlines.push(deadline);
                     waits.push(wait);
@@ -117,7 +126,11 @@
                     restarts.push(age);
                 },
                 onLapsed: () => undefined,
-                onFenced: () => undefined,
+                onFenced: (fenced, token) => {
+                    if (isLeaseHeld) {
+                        fenced.recordFence(token);
+                    }
+                },
                 onContactChange: () => undefined,
             },
             isBusy: () => true,
@@ -293,6 +306,25 @@
     });
 
     // Guards against tasks that wait for the leases of a worker whose address now belongs to another one.
+    // Guards against a worker that is fenced out for good, since the holder took each refusal for that of a later holder
+    // (review/8).
+    it.each([[true, "known"], [false, "unknown"]] as const)(
+        "raises its tokens above those that the worker has seen if the lease goes on: %s",
+        async (isHeld, contact) => {
+            isLeaseHeld = isHeld;
+            session.setEntry({ ...entry, bornAt: 2 });
+            answer = report(2);
+            highestToken = 3 * 1_024 + 700;
+            await jest.advanceTimersByTimeAsync(8_000);
+            expect(session.contact()).toBe(contact);
+        },
+    );
+    it("gives a worker up that refuses its highest token", async () => {
+        highestToken = 4 * 1_024;
+        await jest.advanceTimersByTimeAsync(40_000);
+        expect(session.contact()).toBe("lapsed");
+    });
+
     it("marks a worker as lapsed at once if another one answers at its address", async () => {
         answer = silent;
         await jest.advanceTimersByTimeAsync(1_000);
