--- a/packages/bench/src/workflow/planted-faults.ts
+++ b/packages/bench/src/workflow/planted-faults.ts
@@ -33,7 +33,10 @@
         }),
     },
     "a worker's clock is sampled after the renewal": {
-        gateway: gateway => withReport(gateway, report => ({ ...report, clock: report.clock + timeShift })),
+        gateway: gateway => ({
+            ...withReport(gateway, report => ({ ...report, clock: report.clock + timeShift })),
+            start: async (worker, order) => (await gateway.start(worker, order)).map(clock => clock + timeShift),
+        }),
     },
     "a task starts again before an unanswered start is resolved": {
         gateway: gateway => ({
--- a/packages/platform-stand-in/src/protocol/protocol-worker.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-worker.ts
@@ -85,8 +85,8 @@
     readonly waitMs?: number;
 }
 
-/** Milliseconds by which a worker's clock is ahead of monotonic time, so that a mix-up of the two shows in tests. */
-const clockOffset = 400_000;
+/** Reading in ms of a worker's clock at the start of each incarnation; a mix-up with monotonic time shows in tests. */
+const firstReading = 400_000;
 /** Milliseconds from the start of a task that crashes its worker to the crash. */
 const timeToCrash = 10;
 /** Default run time of a task in milliseconds. */
@@ -122,7 +122,9 @@
     let stallsEverything = false;
     let wake: (() => void) | undefined;
 
-    const clock = (): number => Math.round(performance.now() + clockOffset);
+    let startedAt = performance.now();
+
+    const clock = (): number => Math.round(performance.now() - startedAt + firstReading);
     const answer = (status: number, body: object = {}): ProtocolAnswer => ({
         status,
         body: { clockMs: clock(), ...body },
@@ -326,6 +328,7 @@
         restart: () => {
             endAll();
             bornAt = Date.now();
+            startedAt = performance.now();
         },
         kill: () => {
             endAll();
--- a/packages/workflow/src/cell/lease-expiry.ts
+++ b/packages/workflow/src/cell/lease-expiry.ts
@@ -1,33 +1,52 @@
 /**
  * Tracks when the last lease of a worker expires, derived from the deadlines that were sent to it. After that time the
  * worker can't run anything. If the monotonic clock of this process stands still, the expiry only comes later.
+ *
+ * A deadline is a time on the clock of one incarnation of the worker. Orders reach whichever incarnation has the id, and
+ * the clock of a later one starts anew, so that the same deadline lies far ahead there and lasts as long as any may.
  */
 export interface LeaseExpiry {
     /**
-     * Records that a deadline `length` ms from now is being sent with this token; returns a callback for the worker's
-     * answer.
+     * Records that a deadline `length` ms from now is being sent with this token; returns a callback for the end of the
+     * call, which takes whether the worker has answered. Without an answer it may have arrived, or may arrive late.
+     */
+    readonly recordDeadlineSent: (length: number, token: number) => (isAnswered?: boolean) => void;
+    /**
+     * Records that the worker's present incarnation has carried out an order with this token: it refuses those that come
+     * with lower ones.
      */
-    readonly recordDeadlineSent: (length: number, token: number) => () => void;
-    /** Records that the worker has carried out an order with this token: it refuses those that come with lower ones. */
     readonly recordToken: (token: number) => void;
-    /** Records that the worker has restarted, so that it has seen no token and its clock counts anew. */
-    readonly recordRestart: () => void;
+    /** Records that the present incarnation has answered a call that was sent at `sentAt` (monotonic time in ms). */
+    readonly recordAlive: (sentAt: number) => void;
+    /**
+     * Records that the worker has restarted, so that it has seen no token and its clock counts anew. Returns the deadlines
+     * of the former incarnation that may have reached the present one.
+     */
+    readonly recordRestart: () => FormerDeadlines;
+    /** Records that the present incarnation, which has not answered this holder yet, started at `bornAt` (monotonic ms). */
+    readonly recordBirth: (bornAt: number) => void;
     /** Monotonic time in ms. */
     readonly expiresAt: () => number;
     /** As `expiresAt`, if no deadline arrives late. */
     readonly expiresIfPrompt: () => number;
 }
 
+/** Numbers of the deadlines of a former incarnation that may have reached the next one. */
+export interface FormerDeadlines {
+    readonly answered: number;
+    readonly unanswered: number;
+}
+
 /** Leases that earlier holders of a cell granted to a worker; both in ms of monotonic time. */
 export interface InheritedLeases {
-    /** Until which they may last if no deadline arrives late. */
+    /** Until which they may last if no deadline arrives late and the worker has not restarted. */
     readonly until: number;
     /** Until which they may last, since deadlines may arrive late; `until` if they don't. */
     readonly lateUntil: number;
 }
 
 /** The leases of a worker on which nothing of an earlier holder can run. */
-export const noLeases: InheritedLeases = { until: 0, lateUntil: 0 };
+export const noLeases: InheritedLeases = { until: -Infinity, lateUntil: -Infinity };
 
 /** Options of {@link createLeaseExpiry}. */
 export interface LeaseExpiryOptions {
@@ -48,78 +67,139 @@
     readonly isGone: () => boolean;
 }
 
-/** A deadline that was sent and has no answer. */
+/** A deadline that was sent. */
 interface SentDeadline {
     readonly token: number;
     /** Longest time in milliseconds for which it may extend the lease from its arrival. */
     length: number;
     /** Monotonic time in ms. */
     readonly sentAt: number;
-    /** Monotonic time in ms at which the lease ends if the deadline arrives without delay. */
-    readonly until: number;
+    /** Monotonic time in ms at which the call ended; undefined while it is under way. */
+    endedAt: number | undefined;
     /** Whether the worker would refuse it. */
     isVoid: boolean;
+    /** Whether the incarnation is over for whose clock it was computed. */
+    isForFormer: boolean;
 }
 
-/** Milliseconds after its end for which a deadline without answer is kept; longer than any order takes. */
+/** Milliseconds for which a deadline is kept after its call has ended; longer than any order takes. */
 const sentRetention = 30_000;
+/**
+ * Milliseconds after the start of an incarnation within which an earlier holder that goes on notices it, and sends no
+ * more deadlines of the former one: it polls workers that don't answer, and reads the directory each second.
+ */
+const noticeTime = 2_000;
 
 /** Creates the lease expiry of one worker. */
 export const createLeaseExpiry = (options: LeaseExpiryOptions): LeaseExpiry => {
-    const { longestLease, grantedLease, clockDrift, maxDeliveryDelay, inherited, isGone } = options;
+    const { longestLease, clockDrift, maxDeliveryDelay, inherited, isGone } = options;
+    const longestLength = longestLease / (1 - clockDrift);
+    const grantedLength = options.grantedLease / (1 - clockDrift);
     let until = inherited().until;
     /** Whether the worker may still accept deadlines of earlier holders. */
     let acceptsInherited = true;
-    const longestLength = longestLease / (1 - clockDrift);
+    /**
+     * Milliseconds by which deadlines of earlier holders may last longer than `inherited` tells, since they may have reached
+     * an incarnation for whose clock they were not computed.
+     */
+    let inheritedExcess = 0;
+    /** Monotonic time in ms at which the incarnation that reported last was certainly alive. */
+    let aliveAt = -Infinity;
+    /** Deadlines without an answer. */
     const unanswered = new Set<SentDeadline>();
-    /** Counts a deadline that may have arrived at any time until now. */
-    const countArrival = ({ length }: SentDeadline): void => {
-        until = Math.max(until, performance.now() + length);
+    /** Deadlines that may have been answered by an incarnation which this holder doesn't know yet. */
+    let answered: readonly SentDeadline[] = [];
+    const extendUntil = (time: number): void => {
+        until = Math.max(until, time);
     };
+    /** Whether a deadline may reach an incarnation that starts after `aliveAt`. */
+    const mayReachNext = ({ endedAt = Infinity, sentAt }: SentDeadline): boolean =>
+        Math.max(endedAt, sentAt + maxDeliveryDelay(sentAt)) > aliveAt;
+    const latestArrival = ({ endedAt = performance.now() }: SentDeadline): number => endedAt;
+    const expiryOf = (sent: SentDeadline, delay: number): number =>
+        sent.isForFormer
+            ? Math.max(latestArrival(sent), sent.sentAt + delay) + sent.length
+            : sent.sentAt + sent.length + delay;
     const dropOld = (): void => {
         const now = performance.now();
-        [...unanswered].filter(sent => now - sent.until > sentRetention).forEach(sent => unanswered.delete(sent));
+        [...unanswered].filter(({ endedAt = now, length }) => now - endedAt - length > sentRetention)
+            .forEach(sent => unanswered.delete(sent));
     };
+    const inheritedLateUntil = (): number => inherited().lateUntil + inheritedExcess;
+    const latest = (delayOf: (sent: SentDeadline) => number): number =>
+        Math.max(until, ...[...unanswered].filter(({ isVoid }) => !isVoid).map(sent => expiryOf(sent, delayOf(sent))));
     return {
         recordDeadlineSent: (length, token) => {
             const bounded = Math.min(Math.max(0, length), longestLease) / (1 - clockDrift);
-            const sentAt = performance.now();
-            const sent = { token, length: bounded, sentAt, until: sentAt + bounded, isVoid: false };
+            const sent: SentDeadline = {
+                token,
+                length: bounded,
+                sentAt: performance.now(),
+                endedAt: undefined,
+                isVoid: false,
+                isForFormer: false,
+            };
             dropOld();
             unanswered.add(sent);
-            return () => {
-                unanswered.delete(sent);
-                countArrival(sent);
+            return (isAnswered = true) => {
+                sent.endedAt = performance.now();
+                if (isAnswered) {
+                    unanswered.delete(sent);
+                    extendUntil(sent.endedAt + sent.length);
+                    answered = [...answered, sent];
+                }
             };
         },
         recordToken: token => {
-            const { lateUntil } = inherited();
             if (acceptsInherited && !isGone()) {
-                until = Math.max(until, Math.min(lateUntil, performance.now() + grantedLease / (1 - clockDrift)));
+                const length = inheritedExcess > 0 ? longestLength : grantedLength;
+                extendUntil(Math.min(inheritedLateUntil(), performance.now() + length));
             }
             acceptsInherited = false;
             for (const sent of unanswered) {
                 if (!sent.isVoid && sent.token < token) {
                     sent.isVoid = true;
-                    countArrival(sent);
+                    // It may have arrived at any time until now.
+                    const arrival = sent.isForFormer
+                        ? Math.max(latestArrival(sent), sent.sentAt + maxDeliveryDelay(sent.sentAt))
+                        : Infinity;
+                    extendUntil(Math.min(arrival, performance.now()) + sent.length);
                 }
             }
         },
+        recordAlive: sentAt => {
+            aliveAt = Math.max(aliveAt, sentAt);
+            answered = answered.filter(({ endedAt = Infinity }) => endedAt > aliveAt);
+        },
         recordRestart: () => {
+            const former = answered;
+            answered = [];
+            former.forEach(sent => {
+                extendUntil(latestArrival(sent) + longestLength);
+            });
+            [...unanswered].filter(sent => !mayReachNext(sent)).forEach(sent => unanswered.delete(sent));
             for (const sent of unanswered) {
                 sent.isVoid = false;
+                sent.isForFormer = true;
                 sent.length = longestLength;
             }
+            inheritedExcess = longestLength - grantedLength;
+            acceptsInherited = true;
+            return { answered: former.length, unanswered: unanswered.size };
         },
-        expiresAt: () => {
-            const valid = [...unanswered].filter(({ isVoid }) => !isVoid);
-            return Math.max(
-                until,
-                acceptsInherited && !isGone() ? inherited().lateUntil : -Infinity,
-                ...valid.map(sent => sent.until + maxDeliveryDelay(sent.sentAt)),
-            );
+        recordBirth: bornAt => {
+            const { until: usualUntil } = inherited();
+            if (usualUntil > bornAt) {
+                const latestOrder = Math.min(usualUntil - grantedLength, bornAt + noticeTime);
+                inheritedExcess = Math.max(inheritedExcess, latestOrder + longestLength - usualUntil);
+                extendUntil(usualUntil + inheritedExcess);
+            }
         },
-        expiresIfPrompt: () =>
-            Math.max(until, ...[...unanswered].filter(({ isVoid }) => !isVoid).map(sent => sent.until)),
+        expiresAt: () =>
+            Math.max(
+                latest(({ sentAt }) => maxDeliveryDelay(sentAt)),
+                acceptsInherited && !isGone() ? inheritedLateUntil() : -Infinity,
+            ),
+        expiresIfPrompt: () => latest(() => 0),
     };
 };
--- a/packages/workflow/src/cell/worker-clock.ts
+++ b/packages/workflow/src/cell/worker-clock.ts
@@ -13,6 +13,11 @@
 export interface WorkerClock {
     /** Records a reading of the worker's clock that has just arrived, in ms. */
     readonly recordReading: (clock: number) => void;
+    /**
+     * Whether a reading that answers a call sent at `sentAt` (monotonic time in ms) is too early for the incarnation of the
+     * latest reading, so that another one has answered. The clock of a new incarnation starts anew.
+     */
+    readonly isOfOtherIncarnation: (clock: number, sentAt: number) => boolean;
     /** To be called before a proof of the cell's lease is sent; returns a callback for when the lease is proved. */
     readonly beginProof: () => () => void;
     /** Deadline in ms on the worker's clock; undefined until the lease has been proved after a first reading. */
@@ -23,6 +28,9 @@
     readonly reset: () => void;
 }
 
+/** Milliseconds by which two readings may be off, which are rounded. */
+const readingPrecision = 2;
+
 /**
  * Creates a clock without readings. `lease`: length of a lease in ms. `clockDrift`: share by which the worker's clock
  * may be slow.
@@ -37,6 +45,14 @@
         recordReading: clock => {
             latestReading = { clock, receivedAt: performance.now() };
         },
+        isOfOtherIncarnation: (clock, sentAt) => {
+            if (latestReading === undefined) {
+                return false;
+            }
+            const elapsed = sentAt - latestReading.receivedAt;
+            const leastElapsed = elapsed * (elapsed > 0 ? 1 - clockDrift : 1 + clockDrift);
+            return clock < latestReading.clock + leastElapsed - readingPrecision;
+        },
         beginProof: () => {
             const reading = latestReading;
             const sentAt = performance.now();
--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -8,6 +8,7 @@
 import type { WorkerGateway } from "../port/worker-gateway.js";
 import type { CellLease } from "./cell-lease.js";
 import type { CellTiming } from "./cell-timing.js";
+import { leaseDuration } from "./cell-timing.js";
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
 import { isListed } from "./cell-workers.js";
 import type { LateOrderDetector } from "./late-order-detector.js";
@@ -108,7 +109,9 @@
             return inheritedLeases;
         }
         const now = performance.now();
-        const until = Math.min(inheritedLeases().until, now + leasedFor);
+        // A deadline for a former incarnation of the worker may last longer than those that holders grant.
+        const longer = Math.max(0, leasedFor - leaseDuration(timing) / (1 - timing.clockDrift));
+        const until = Math.min(inheritedLeases().until + longer, now + leasedFor);
         const storedLateUntil = Math.max(until, now + (lateFor ?? leasedFor));
         return () => {
             const { until: anyUntil, lateUntil } = inheritedLeases();
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -240,6 +240,19 @@
         grantedDeadline = 0;
         requestedDeadline = undefined;
     };
+    /** Records that another incarnation has answered than the one in contact. */
+    const recordRestart = (details: object): void => {
+        setContact("unknown", details);
+        resetIncarnation();
+        const formerDeadlines = leaseExpiry.recordRestart();
+        logger.info({
+            worker: entry.id,
+            epoch,
+            formerDeadlines,
+            leasedFor: Math.round(leaseExpiry.expiresAt() - performance.now()),
+        }, "deadlines of a worker's former incarnation may have reached the present one");
+        wake();
+    };
     /**
      * Handles a possible restart of the worker. The registered runs may run in the new incarnation all the same, since
      * orders reach whichever incarnation has the id; the next report shows it. An older time of the worker's start
@@ -249,16 +262,20 @@
         if (latestBirth !== undefined && newBornAt > latestBirth) {
             // Without contact to the previous incarnation, it may have ended long ago.
             const age = bornAt === undefined ? Math.max(0, Date.now() - newBornAt) : 0;
-            setContact("unknown", { reason: "the worker has restarted", bornAt: latestBirth, newBornAt });
-            resetIncarnation();
-            leaseExpiry.recordRestart();
+            recordRestart({ reason: "the worker has restarted", bornAt: latestBirth, newBornAt });
             bornAt = newBornAt;
             latestBirth = newBornAt;
             incarnationSeenAt = performance.now();
             events.onRestarted(session, age);
-            wake();
         }
     };
+    /** Tells the lease expiry when the incarnation that an entry names started, while it has not answered this holder. */
+    const recordUnknownBirth = (unixTime: number): void => {
+        if (contact === "unknown" && bornAt === undefined) {
+            leaseExpiry.recordBirth(performance.now() - Math.max(0, Date.now() - unixTime));
+        }
+    };
+    recordUnknownBirth(entry.bornAt);
     const markLapsed = (hasProcessEnded: boolean, details: object): void => {
         setContact("lapsed", details);
         lapsedAt = performance.now();
@@ -320,13 +337,15 @@
             );
         }
     };
-    const applyReport = (report: WorkerReport, sentAt: number): void => {
+    const applyReport = (report: WorkerReport, sentAt: number, sentToken: number): void => {
         updateIncarnation(report.bornAt);
         if (report.bornAt < (bornAt ?? 0)) {
             return;
         }
         bornAt = report.bornAt;
         latestBirth = report.bornAt;
+        leaseExpiry.recordToken(sentToken);
+        leaseExpiry.recordAlive(sentAt);
         incarnationSeenAt = performance.now();
         reportSentAt = sentAt;
         requestedDeadline = undefined;
@@ -362,7 +381,7 @@
     const poll = async (wait: number, deadline?: number): Promise<boolean> => {
         const sentAt = performance.now();
         const sentToken = tokens.current();
-        const confirmDeadline = deadline === undefined
+        const endDeadline = deadline === undefined
             ? undefined
             : leaseExpiry.recordDeadlineSent(clock.timeUntil(deadline), sentToken);
         requestedDeadline = deadline ?? requestedDeadline;
@@ -375,8 +394,10 @@
             recordedEnd: endToAcknowledge,
             ...(wait > 0 ? { wait } : {}),
             ...(deadline === undefined ? {} : { deadline }),
+        }).finally(() => {
+            clearTimeout(supersedeTimer);
+            endDeadline?.(false);
         });
-        clearTimeout(supersedeTimer);
         if (report.isErr) {
             if (report.error.kind === "unknown" && (endToAcknowledge > 0 || deadline !== undefined)) {
                 tokens.supersede(sentToken);
@@ -388,14 +409,13 @@
             // What it reports ended with the leases, which have expired since.
             return false;
         }
-        confirmDeadline?.();
+        endDeadline?.();
         tokens.recordAccepted();
-        leaseExpiry.recordToken(sentToken);
         acknowledgedEnd = Math.max(acknowledgedEnd, endToAcknowledge);
         if (deadline !== undefined) {
             grantedDeadline = Math.max(grantedDeadline, deadline);
         }
-        applyReport(report.value, sentAt);
+        applyReport(report.value, sentAt, sentToken);
         return true;
     };
     /**
@@ -535,6 +555,9 @@
                 if (bornAt !== undefined) {
                     updateIncarnation(next.bornAt);
                 }
+                else if (next.bornAt > (latestBirth ?? 0)) {
+                    recordUnknownBirth(next.bornAt);
+                }
             }
         },
         deadline: () => {
@@ -549,24 +572,29 @@
             const deadline = clock.deadline() ?? 0;
             startedUntil = performance.now();
             let sentToken = tokens.current();
-            let confirmDeadline = (): void => undefined;
+            let sentAt = performance.now();
+            let endDeadline = (...[]: [isAnswered?: boolean]): void => undefined;
             const result = await tokens.send(token => {
                 sentToken = token;
-                confirmDeadline();
-                confirmDeadline = leaseExpiry.recordDeadlineSent(clock.timeUntil(deadline), token);
+                sentAt = performance.now();
+                endDeadline();
+                endDeadline = leaseExpiry.recordDeadlineSent(clock.timeUntil(deadline), token);
                 return gateway.start(entry, { ...order, token, deadline });
             });
             startedUntil = performance.now();
-            if (result.isOk || result.error.kind !== "unknown") {
-                confirmDeadline();
-            }
-            else {
+            const isAnswered = result.isOk || result.error.kind !== "unknown";
+            endDeadline(isAnswered);
+            if (!isAnswered) {
                 unansweredAt = performance.now();
                 pendingStarts.add({ task: order.task, run: order.run, orderedAt: unansweredAt });
                 tokens.supersede(sentToken);
                 wake();
             }
-            if (result.isOk) {
+            if (result.isOk && clock.isOfOtherIncarnation(result.value, sentAt)) {
+                // The next report tells when it started, and what runs there.
+                recordRestart({ reason: "the worker's clock has started anew", clock: result.value });
+            }
+            else if (result.isOk) {
                 clock.recordReading(result.value);
                 grantedDeadline = Math.max(grantedDeadline, deadline);
                 // A poll of a worker whose ends are being stored would only list them again.
