--- a/packages/platform-stand-in/src/protocol/protocol-platform.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-platform.ts
@@ -25,6 +25,8 @@
     readonly crashWorker: (worker: string) => void;
     /** Sets the millicores of a worker, which its next entry shows; what runs there goes on. */
     readonly resizeWorker: (worker: string, cpu: number) => void;
+    /** Restarts a worker at once under its id, as one of another kind; its entry is written before it answers. */
+    readonly restartAs: (worker: string, kind: string) => void;
     /** Writes the operator's configuration. */
     readonly configure: (document: object) => void;
     /** Stops the heartbeats. */
@@ -85,6 +87,8 @@
     const crashed = new Set<string>();
     /** Millicores of the workers that were resized. */
     const resized = new Map<string, number>();
+    /** Kinds of the workers that are not of kind a. */
+    const kinds = new Map<string, string>();
     let sequence = 0;
 
     const addressOf = (worker: string): string =>
@@ -106,7 +110,7 @@
             state: listed.state,
             coldRemainingMs: 0,
             capacity: { cpu: resized.get(id) ?? cpu, memoryRequestMb: 64_000, gpu: 0 },
-            labels: ["a", listed.rack],
+            labels: [kinds.get(id) ?? "a", listed.rack],
             born: worker.bornAt(),
             sequence,
             ...(listed.state === "draining"
@@ -205,6 +209,11 @@
             resized.set(id, millicores);
             writeEntry(id);
         },
+        restartAs: (id, kind) => {
+            workers.get(id)?.restart();
+            kinds.set(id, kind);
+            writeEntry(id);
+        },
         configure: document => {
             store.put("op", "config", document);
         },
--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -67,6 +67,10 @@
 
 /** Milliseconds between reads of the directory; two fifths of the time in which tasks must leave a draining worker. */
 const directoryInterval = 1_000;
+/** Milliseconds between reads of the directory after a worker has restarted, for the labels of its new incarnation. */
+const restartReadInterval = 200;
+/** Milliseconds after a restart within which the new incarnation writes its entry. */
+const entryWriteTime = 2_000;
 /** Milliseconds between writes of the roster while workers that answer again wait for one to get new leases. */
 const retryInterval = 100;
 
@@ -93,8 +97,18 @@
     /** Whether the last write of the roster is known to have succeeded. */
     let isRosterStored = true;
 
+    /** Monotonic time in ms at which a worker last restarted. */
+    let restartedAt = -Infinity;
+    const readInterval = (): number =>
+        performance.now() - restartedAt < entryWriteTime ? restartReadInterval : directoryInterval;
+
     const sessionEvents: SessionEvents = {
         ...events,
+        onRestarted: (session, age) => {
+            restartedAt = performance.now();
+            wakeUp.notify();
+            events.onRestarted(session, age);
+        },
         onContactChange: session => {
             if (session.leasedFor() !== undefined || boundedWorkers.has(session.id)) {
                 wakeUp.notify();
@@ -292,7 +306,7 @@
             let readAt = -Infinity;
             let isRead = false;
             while (!stopSignal.aborted) {
-                if (performance.now() - readAt >= directoryInterval) {
+                if (performance.now() - readAt >= readInterval()) {
                     const read = await list.update();
                     readAt = performance.now();
                     isRead ||= read.isOk;
@@ -303,7 +317,7 @@
                 if (isRead && !stopSignal.aborted) {
                     await writeRoster();
                 }
-                const untilRead = readAt + directoryInterval - performance.now();
+                const untilRead = readAt + readInterval() - performance.now();
                 await wakeUp.wait(hasBoundedContact() ? Math.min(retryInterval, untilRead) : untilRead, stopSignal);
             }
         },
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -240,6 +240,9 @@
         grantedDeadline = 0;
         requestedDeadline = undefined;
     };
+    /** The entry without its labels if it is that of an earlier incarnation: a later one may be of another kind. */
+    const withValidLabels = (next: WorkerEntry): WorkerEntry =>
+        next.bornAt > 0 && next.bornAt < (bornAt ?? 0) ? { ...next, labels: [] } : next;
     /** Records that another incarnation has answered than the one in contact. */
     const recordRestart = (details: object): void => {
         setContact("unknown", details);
@@ -266,6 +269,7 @@
             bornAt = newBornAt;
             latestBirth = newBornAt;
             incarnationSeenAt = performance.now();
+            entry = withValidLabels(entry);
             events.onRestarted(session, age);
         }
     };
@@ -551,13 +555,13 @@
             if (next !== undefined) {
                 // An unchanged `remaining` still counts from the time at which it was first read.
                 entryAt = next.remaining === entry.remaining ? entryAt : performance.now();
-                entry = next;
                 if (bornAt !== undefined) {
                     updateIncarnation(next.bornAt);
                 }
                 else if (next.bornAt > (latestBirth ?? 0)) {
                     recordUnknownBirth(next.bornAt);
                 }
+                entry = withValidLabels(next);
             }
         },
         deadline: () => {
