--- a/packages/workflow/src/cell/lease-expiry.ts
+++ b/packages/workflow/src/cell/lease-expiry.ts
@@ -184,6 +184,7 @@
                 sent.length = longestLength;
             }
             inheritedExcess = longestLength - grantedLength;
+            // The new incarnation has seen no token of this holder.
             acceptsInherited = true;
             return { answered: former.length, unanswered: unanswered.size };
         },
--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -73,7 +73,6 @@
 const entryWriteTime = 2_000;
 /** Milliseconds between writes of the roster while workers that answer again wait for one to get new leases. */
 const retryInterval = 100;
-
 /** Milliseconds for which the session of a worker is kept that has lapsed and is not listed; it may return. */
 const sessionRetention = 600_000;
 
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -245,15 +245,10 @@
         next.bornAt > 0 && next.bornAt < (bornAt ?? 0) ? { ...next, labels: [] } : next;
     /** Records that another incarnation has answered than the one in contact. */
     const recordRestart = (details: object): void => {
-        setContact("unknown", details);
-        resetIncarnation();
         const formerDeadlines = leaseExpiry.recordRestart();
-        logger.info({
-            worker: entry.id,
-            epoch,
-            formerDeadlines,
-            leasedFor: Math.round(leaseExpiry.expiresAt() - performance.now()),
-        }, "deadlines of a worker's former incarnation may have reached the present one");
+        resetIncarnation();
+        const leasedFor = Math.max(0, Math.round(leaseExpiry.expiresAt() - performance.now()));
+        setContact("unknown", { ...details, formerDeadlines, leasedFor });
         wake();
     };
     /**
@@ -311,7 +306,7 @@
         if (consecutiveFailures >= 2 && contact === "known") {
             setContact("silent", {
                 error: error.kind,
-                leasedFor: Math.round(leaseExpiry.expiresAt() - performance.now()),
+                leasedFor: Math.max(0, Math.round(leaseExpiry.expiresAt() - performance.now())),
             });
         }
         lapseIfOver(error.kind);
@@ -577,7 +572,7 @@
             startedUntil = performance.now();
             let sentToken = tokens.current();
             let sentAt = performance.now();
-            let endDeadline = (...[]: [isAnswered?: boolean]): void => undefined;
+            let endDeadline: (isAnswered?: boolean) => void = () => undefined;
             const result = await tokens.send(token => {
                 sentToken = token;
                 sentAt = performance.now();
