--- a/packages/workflow/src/cell/lease-expiry.ts
+++ b/packages/workflow/src/cell/lease-expiry.ts
@@ -107,19 +107,20 @@
     let aliveAt = -Infinity;
     /** Deadlines without an answer. */
     const unanswered = new Set<SentDeadline>();
-    /** Deadlines that may have been answered by an incarnation which this holder doesn't know yet. */
-    let answered: readonly SentDeadline[] = [];
+    /** Monotonic times in ms of the answers that may be those of an incarnation which this holder doesn't know yet. */
+    let answeredAt: readonly number[] = [];
     const extendUntil = (time: number): void => {
         until = Math.max(until, time);
     };
+    /** Monotonic time in ms until which a deadline may arrive if it may be delayed by `delay` ms; as of now while it is sent. */
+    const latestArrival = (
+        { endedAt = performance.now(), sentAt }: SentDeadline,
+        delay = maxDeliveryDelay(sentAt),
+    ): number => Math.max(endedAt, sentAt + delay);
     /** Whether a deadline may reach an incarnation that starts after `aliveAt`. */
-    const mayReachNext = ({ endedAt = Infinity, sentAt }: SentDeadline): boolean =>
-        Math.max(endedAt, sentAt + maxDeliveryDelay(sentAt)) > aliveAt;
-    const latestArrival = ({ endedAt = performance.now() }: SentDeadline): number => endedAt;
+    const mayReachNext = (sent: SentDeadline): boolean => sent.endedAt === undefined || latestArrival(sent) > aliveAt;
     const expiryOf = (sent: SentDeadline, delay: number): number =>
-        sent.isForFormer
-            ? Math.max(latestArrival(sent), sent.sentAt + delay) + sent.length
-            : sent.sentAt + sent.length + delay;
+        (sent.isForFormer ? latestArrival(sent, delay) : sent.sentAt + delay) + sent.length;
     const dropOld = (): void => {
         const now = performance.now();
         [...unanswered].filter(({ endedAt = now, length }) => now - endedAt - length > sentRetention)
@@ -146,7 +147,7 @@
                 if (isAnswered) {
                     unanswered.delete(sent);
                     extendUntil(sent.endedAt + sent.length);
-                    answered = [...answered, sent];
+                    answeredAt = [...answeredAt, sent.endedAt];
                 }
             };
         },
@@ -160,23 +161,19 @@
                 if (!sent.isVoid && sent.token < token) {
                     sent.isVoid = true;
                     // It may have arrived at any time until now.
-                    const arrival = sent.isForFormer
-                        ? Math.max(latestArrival(sent), sent.sentAt + maxDeliveryDelay(sent.sentAt))
-                        : Infinity;
+                    const arrival = sent.isForFormer ? latestArrival(sent) : Infinity;
                     extendUntil(Math.min(arrival, performance.now()) + sent.length);
                 }
             }
         },
         recordAlive: sentAt => {
             aliveAt = Math.max(aliveAt, sentAt);
-            answered = answered.filter(({ endedAt = Infinity }) => endedAt > aliveAt);
+            answeredAt = answeredAt.filter(time => time > aliveAt);
         },
         recordRestart: () => {
-            const former = answered;
-            answered = [];
-            former.forEach(sent => {
-                extendUntil(latestArrival(sent) + longestLength);
-            });
+            const answered = answeredAt.length;
+            extendUntil(Math.max(-Infinity, ...answeredAt) + longestLength);
+            answeredAt = [];
             [...unanswered].filter(sent => !mayReachNext(sent)).forEach(sent => unanswered.delete(sent));
             for (const sent of unanswered) {
                 sent.isVoid = false;
@@ -186,7 +183,7 @@
             inheritedExcess = longestLength - grantedLength;
             // The new incarnation has seen no token of this holder.
             acceptsInherited = true;
-            return { answered: former.length, unanswered: unanswered.size };
+            return { answered, unanswered: unanswered.size };
         },
         recordBirth: bornAt => {
             const { until: usualUntil } = inherited();
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -90,6 +90,14 @@
     readonly otherCellsRoom: () => CpuRoom;
 }
 
+/** Expected times of a workflow, in milliseconds. */
+interface ExpectedTimes {
+    /** See `remainingPaths`. */
+    readonly paths: readonly number[];
+    /** Time from its due time in which the workflow should end. */
+    readonly objective: number;
+}
+
 /** Properties that tell in the log what excludes the workers with room. */
 interface WaitDetails {
     /**
@@ -182,20 +190,22 @@
     /** Workers that accept new tasks, by service. */
     const openWorkers = new Map<ServiceId, readonly CellWorker[]>();
 
-    const pathsOf = (ledger: WorkflowLedger, queue: Queue): readonly number[] =>
-        remainingPaths(
-            ledger.workflow.steps,
-            (step, number) => runTime(ledger.workflow.id, queue, step, number),
+    /** The remaining paths of the workflow's steps, and the time that it may take in all; both in milliseconds. */
+    const expectedTimesOf = ({ workflow }: WorkflowLedger, queue: Queue): ExpectedTimes => {
+        const paths = remainingPaths(
+            workflow.steps,
+            (step, number) => runTime(workflow.id, queue, step, number),
         );
+        return { paths, objective: queue.slackFactor * Math.max(0, ...paths) + queue.latencyTarget };
+    };
     const urgencyOf = (
         ledger: WorkflowLedger,
         stage: Stage,
         queue: Queue,
-        paths: readonly number[],
+        { paths, objective }: ExpectedTimes,
     ): Omit<Urgency, "lasting"> => {
         const { acceptedAt, schedule } = ledger.workflow;
         const dueAt = schedule === undefined ? acceptedAt : schedule.firstDue + stage.occurrence * schedule.interval;
-        const objective = queue.slackFactor * Math.max(0, ...paths) + queue.latencyTarget;
         const spareTime = dueAt - Date.now() - (paths[stage.stepIndex] ?? 0);
         return {
             priority: queue.priority,
@@ -226,9 +236,9 @@
         if (waiting.length === 0) {
             return [];
         }
-        const paths = pathsOf(ledger, queue);
+        const expectedTimes = expectedTimesOf(ledger, queue);
         return waiting.flatMap(({ stage, indices: startable }) => {
-            const urgency = urgencyOf(ledger, stage, queue, paths);
+            const urgency = urgencyOf(ledger, stage, queue, expectedTimes);
             return groupWaiting(stage, startable).flatMap(([lasting, indices]) =>
                 groupBySuspicion(ledger, stage, indices).map(group => ({
                     ledger,
@@ -247,7 +257,7 @@
         lasting: Urgency["lasting"],
     ): StageCandidate => {
         const queue = queueOf(ledger);
-        const urgency = urgencyOf(ledger, stage, queue, pathsOf(ledger, queue));
+        const urgency = urgencyOf(ledger, stage, queue, expectedTimesOf(ledger, queue));
         return { ledger, stage, queue, urgency: { ...urgency, lasting }, indices, isSuspect: false };
     };
     /** Long-running tasks that run on draining workers and have no place on another one, by step. */
--- a/packages/workflow/src/cell/worker-session.ts
+++ b/packages/workflow/src/cell/worker-session.ts
@@ -422,8 +422,6 @@
      * whose polls always throw lapses.
      */
     const pollSafely = async (wait: number, deadline?: number): Promise<boolean> => {
-        const sentAt = performance.now();
-        const sentToken = tokens.current();
         try {
             return await poll(wait, deadline);
         }
@@ -433,7 +431,7 @@
                 { worker: entry.id, epoch, contact, error: String(error), stack },
                 "a poll failed with an exception and counts as unanswered; report it as a bug",
             );
-            handleFailure({ kind: "unknown", message: String(error) }, sentAt, sentToken);
+            countFailure({ kind: "unknown", message: String(error) });
             return false;
         }
     };
