--- a/packages/platform-stand-in/src/index.ts
+++ b/packages/platform-stand-in/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./live-list-service.js";
 export * from "./protocol/desk-configuration.js";
 export * from "./protocol/find-breach.js";
+export * from "./protocol/find-late-start.js";
 export * from "./protocol/is-deadline-call.js";
 export * from "./protocol/is-write-call.js";
 export * from "./protocol/protocol-answer.js";
--- a/packages/platform-stand-in/src/protocol/protocol-answer.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-answer.ts
@@ -16,6 +16,8 @@
     /** The decoded JSON body; undefined if the call has none. */
     readonly body: unknown;
     readonly headers: Readonly<Record<string, string>>;
+    /** Monotonic time in milliseconds at which the call was sent, if a fault has delayed it since. */
+    readonly sentAt?: number;
 }
 
 /** Handles a call to the store or a worker. */
--- a/packages/platform-stand-in/src/protocol/protocol-journal.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-journal.ts
@@ -6,6 +6,10 @@
         readonly worker: string;
         readonly task: string;
         readonly run: number;
+        /** Failure domain of the worker. */
+        readonly failureDomain?: string;
+        /** Monotonic time in milliseconds at which the order was sent, if the stand-in carried it out late. */
+        readonly sentAt?: number;
     }
     | {
         readonly kind: "ended";
@@ -30,10 +34,20 @@
         readonly hasLapsed: boolean;
     };
 
-/** The events on all workers, in order. */
+/** The operator's request that nothing more start in a failure domain. Times are monotonic, in milliseconds. */
+export interface EvacuationPeriod {
+    readonly failureDomain: string;
+    /** Time at which the store acknowledged the request. */
+    readonly from: number;
+    /** Time at which the request was removed; Infinity while it stands. */
+    until: number;
+}
+
+/** The events on all workers, and the operator's requests, each in order. */
 export interface ProtocolJournal {
     readonly events: readonly ProtocolEvent[];
     readonly record: (event: ProtocolEvent) => void;
+    readonly evacuations: EvacuationPeriod[];
 }
 
 /** Creates an empty journal. */
@@ -41,6 +55,7 @@
     const events: ProtocolEvent[] = [];
     return {
         events,
+        evacuations: [],
         record: event => {
             events.push(event);
         },
--- a/packages/platform-stand-in/src/protocol/protocol-network.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-network.ts
@@ -84,7 +84,8 @@
     const faults = new Set<NetworkFault>();
     const counts = new Map<string, number>();
 
-    const execute = async (call: NetworkCall): Promise<NetworkAnswer> => {
+    /** `sentAt`: see `ProtocolCall.sentAt`. */
+    const execute = async (call: NetworkCall, sentAt?: number): Promise<NetworkAnswer> => {
         const [path = "", query = ""] = call.path.split("?");
         const handler = servers.get(call.address);
         // Encodes and decodes the body, so that caller and handler never share an object.
@@ -95,6 +96,7 @@
             query: new URLSearchParams(query),
             body,
             headers: call.headers ?? {},
+            ...(sentAt === undefined ? {} : { sentAt }),
         });
         return { status: answer?.status ?? 404, body: answer?.body, retryAfter: undefined };
     };
@@ -110,6 +112,7 @@
         fault: NetworkFault,
         call: NetworkCall,
     ): Promise<Result<NetworkAnswer, NetworkFailure>> => {
+        const sentAt = performance.now();
         if (fault.action === "refuse-connection") {
             return refuseConnection(call);
         }
@@ -119,16 +122,16 @@
         }
         if (fault.action === "slow" && (fault.delay ?? 0) < call.timeout) {
             await pause(fault.delay ?? 0);
-            return Result.ok(await execute(call));
+            return Result.ok(await execute(call, sentAt));
         }
         if (fault.action === "lose-answer") {
             void execute(call);
         }
         if (fault.action === "late-grant") {
-            setTimeout(() => void execute(postponeDeadline(call, fault.delay ?? 0)), fault.delay ?? 0);
+            setTimeout(() => void execute(postponeDeadline(call, fault.delay ?? 0), sentAt), fault.delay ?? 0);
         }
         if (fault.action === "late" || fault.action === "slow") {
-            setTimeout(() => void execute(call), fault.delay ?? 0);
+            setTimeout(() => void execute(call, sentAt), fault.delay ?? 0);
         }
         return timeOut(call.timeout);
     };
--- a/packages/platform-stand-in/src/protocol/protocol-platform.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-platform.ts
@@ -1,5 +1,5 @@
 import { createProtocolJournal } from "./protocol-journal.js";
-import type { ProtocolJournal } from "./protocol-journal.js";
+import type { EvacuationPeriod, ProtocolJournal } from "./protocol-journal.js";
 import type { ProtocolNetwork } from "./protocol-network.js";
 import { createProtocolNetwork } from "./protocol-network.js";
 import type { ProtocolStore } from "./protocol-store.js";
@@ -29,6 +29,8 @@
     readonly restartAs: (worker: string, kind: string) => void;
     /** Writes the operator's configuration. */
     readonly configure: (document: object) => void;
+    /** Writes the operator's request that nothing more start in the failure domain; the returned function removes it. */
+    readonly evacuate: (failureDomain: string) => () => void;
     /** Stops the heartbeats. */
     readonly stop: () => void;
 }
@@ -122,6 +124,7 @@
     const addWorker = (id: string, state: WorkerState): void => {
         const worker = createProtocolWorker({
             id,
+            failureDomain: state.zone,
             journal,
             cpu,
             startCounts,
@@ -217,6 +220,16 @@
         configure: document => {
             store.put("op", "config", document);
         },
+        evacuate: failureDomain => {
+            const key = `evacuate/${failureDomain}`;
+            store.put("op", key, {});
+            const period: EvacuationPeriod = { failureDomain, from: performance.now(), until: Infinity };
+            journal.evacuations.push(period);
+            return () => {
+                store.put("op", key, undefined);
+                period.until = performance.now();
+            };
+        },
         stop: () => {
             clearInterval(timer);
         },
--- a/packages/platform-stand-in/src/protocol/protocol-store.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-store.ts
@@ -158,12 +158,14 @@
     };
     const read = ({ query }: ProtocolCall): ProtocolAnswer => {
         const from = query.get("from") ?? "";
+        const to = query.get("to");
         const limit = Math.min(pageSize, Number(query.get("limit") ?? pageSize));
         const page: WireRow[] = [];
         let bytes = 0;
         const found = [...rows.values()]
             .filter(row =>
                 row.table === query.get("table") && row.part === (query.get("part") ?? "") && row.key >= from
+                && (to === null || row.key < to)
             )
             .sort((left, right) => left.key < right.key ? -1 : 1);
         for (const row of found) {
--- a/packages/platform-stand-in/src/protocol/protocol-worker.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-worker.ts
@@ -21,6 +21,7 @@
 /** Options of {@link createProtocolWorker}. */
 export interface ProtocolWorkerOptions {
     readonly id: string;
+    readonly failureDomain?: string;
     readonly journal: ProtocolJournal;
     /** Millicores that tasks may take together. */
     readonly cpu: number;
@@ -76,6 +77,8 @@
     readonly specification?: string;
     readonly deadlineMs?: number;
     readonly fencingToken?: number;
+    /** See `ProtocolCall.sentAt`. */
+    readonly sentAt?: number;
 }
 
 interface PollBody {
@@ -101,7 +104,7 @@
 
 /** Creates a worker that runs nothing. */
 export const createProtocolWorker = (options: ProtocolWorkerOptions): ProtocolWorker => {
-    const { id, journal, cpu, cpuOf = () => 0, longestLease, stopTime } = options;
+    const { id, failureDomain, journal, cpu, cpuOf = () => 0, longestLease, stopTime } = options;
     const startCounts = options.startCounts ?? new Map<string, number>();
     const running = new Map<string, RunningTask>();
     /** By task, the highest run that has ended or was stopped before it started; starts up to it are refused. */
@@ -158,7 +161,7 @@
         wake?.();
     };
     const usedCpu = (): number => [...running.keys()].reduce((sum, task) => sum + cpuOf(task), 0);
-    const beginRun = ({ task, runNumber, specification = "" }: StartBody): void => {
+    const beginRun = ({ task, runNumber, specification = "", sentAt }: StartBody): void => {
         const script = JSON.parse(specification === "" ? "{}" : specification) as TaskScript;
         const earlierRuns = startCounts.get(task) ?? 0;
         const willFail = failsEverything || earlierRuns < (script.failures ?? 0);
@@ -181,7 +184,15 @@
             },
         };
         running.set(task, started);
-        journal.record({ kind: "started", at: performance.now(), worker: id, task, run: runNumber });
+        journal.record({
+            kind: "started",
+            at: performance.now(),
+            worker: id,
+            task,
+            run: runNumber,
+            ...(failureDomain === undefined ? {} : { failureDomain }),
+            ...(sentAt === undefined ? {} : { sentAt }),
+        });
         if (script.crashing?.includes(Number(task.split(".").at(-1))) === true) {
             setTimeout(() => {
                 if (bornAtStart === bornAt) {
@@ -314,14 +325,14 @@
     const noAnswer = new Promise<ProtocolAnswer>(() => undefined);
     return {
         id,
-        handler: ({ path, body, headers }: ProtocolCall) => {
+        handler: ({ path, body, headers, sentAt }: ProtocolCall) => {
             if (!isUp) {
                 return noAnswer;
             }
             const expected = headers["x-expected-instance"];
             return expected !== undefined && expected !== id
                 ? { status: 421 }
-                : handlers[path]?.(body as never) ?? { status: 404 };
+                : handlers[path]?.({ ...body as object, sentAt } as never) ?? { status: 404 };
         },
         bornAt: () => bornAt,
         running: () => [...running.keys()],
