--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -4,6 +4,7 @@
 import {
     createPlatformConfiguration,
     createPlatformDirectory,
+    createPlatformEvacuations,
     createPlatformStore,
     createPlatformWorkers,
 } from "@jayfront/platform-adapter";
@@ -105,6 +106,8 @@
     readonly hostWork?: HostWork;
     /** Protocol fault of all hosts. Default: none. */
     readonly plantedFault?: PlantedFault;
+    /** Milliseconds after an evacuation request in which the hosts may start tasks there. Default: requests have no effect. */
+    readonly evacuationTime?: number;
 }
 
 /** Milliseconds. */
@@ -339,6 +342,9 @@
                 logger: hostLogger,
                 storeHeardAt: store.heardAt,
                 ...(options.largestCell === undefined ? {} : { largestCell: options.largestCell }),
+                ...(options.evacuationTime === undefined
+                    ? {}
+                    : { evacuation: { source: createPlatformEvacuations(store), bound: options.evacuationTime } }),
             });
         const host = processor === undefined ? createHost() : processor.enter(createHost);
         hosts.set(id, {
--- a/packages/workflow/src/cell/cell-room.ts
+++ b/packages/workflow/src/cell/cell-room.ts
@@ -17,6 +17,8 @@
     /** Share of the workflow's tasks for which the cell has room; at least 1 where all fit. */
     readonly shareFor: (steps: readonly Step[]) => number;
     readonly load: () => CellLoad;
+    /** Whether nothing may start in the cell, since all workers that it could use are to be evacuated. */
+    readonly isClosed: () => boolean;
     /** Room for long-running tasks of other cells; tasks that have found no room take none of it. */
     readonly forTransfers: () => LongRunningCapacity;
 }
@@ -89,6 +91,9 @@
                 longRunningCpu: sumRequested(acceptedLongRunningCpu, longRunningCpu),
             };
         },
+        isClosed: () =>
+            [...workers.values()].some(({ isEvacuated }) => isEvacuated())
+            && usableWorkers(workers.values()).length === 0,
         forTransfers: () => ({
             ...measureWorkers(),
             waitingCpu: sumRequested(
--- a/packages/workflow/src/cell/cell-workers.ts
+++ b/packages/workflow/src/cell/cell-workers.ts
@@ -14,6 +14,10 @@
     unlistedSince: number | undefined;
     /** Monotonic time in ms at which the worker was first seen draining; undefined while it is not. */
     drainingSince: number | undefined;
+    /** Whether a start may be sent to the worker's failure domain now; see `Evacuations.mayStartIn`. */
+    readonly isDomainOpen: () => boolean;
+    /** Whether the worker's failure domain is to be evacuated. */
+    readonly isEvacuated: () => boolean;
     /** Ends the session. */
     readonly stop: () => void;
 }
@@ -25,9 +29,11 @@
 export const isListed = ({ unlistedSince }: CellWorker): boolean =>
     unlistedSince === undefined || performance.now() - unlistedSince < unlistedUseTime;
 
-/** The workers that count for the cell's capacity: those that are in contact and not draining. */
+/** The workers that count for the cell's capacity: those in contact that are neither draining nor evacuated. */
 export const usableWorkers = (workers: Iterable<CellWorker>): readonly CellWorker[] =>
-    [...workers].filter(({ session }) => session.contact() === "known" && !session.entry().isDraining);
+    [...workers].filter(({ session, isEvacuated }) =>
+        session.contact() === "known" && !session.entry().isDraining && !isEvacuated()
+    );
 
 /** Whether the worker may get new tasks of a service, regardless of their resource requirements. */
 export const isOpenTo = (worker: CellWorker, service: ServiceId): boolean => {
@@ -35,6 +41,7 @@
     const entry = session.entry();
     return entry.service === service
         && worker.isOnRoster
+        && worker.isDomainOpen()
         && isListed(worker)
         && !entry.isDraining
         && session.deadline() !== undefined;
--- a/packages/workflow/src/cell/free-room.ts
+++ b/packages/workflow/src/cell/free-room.ts
@@ -25,7 +25,7 @@
         let freeCpu = 0;
         let capacityCpu = 0;
         for (const worker of workers.values()) {
-            if (isListed(worker) && worker.session.contact() === "known") {
+            if (isListed(worker) && worker.session.contact() === "known" && !worker.isEvacuated()) {
                 freeCpu += worker.resources.freeCpu();
                 capacityCpu += worker.resources.capacity().cpu;
             }
--- a/packages/workflow/src/cell/long-running-admission.ts
+++ b/packages/workflow/src/cell/long-running-admission.ts
@@ -121,8 +121,8 @@
     let freeForUrgent: number | undefined;
     const sumFreeForUrgent = (): number => {
         let sum = 0;
-        for (const { resources } of workers.values()) {
-            sum += Math.floor(resources.freeCpu() / urgentTaskCpu) * urgentTaskCpu;
+        for (const { resources, isEvacuated } of workers.values()) {
+            sum += isEvacuated() ? 0 : Math.floor(resources.freeCpu() / urgentTaskCpu) * urgentTaskCpu;
         }
         return sum;
     };
--- a/packages/workflow/src/cell/worker-roster.ts
+++ b/packages/workflow/src/cell/worker-roster.ts
@@ -2,6 +2,7 @@
 import { createStopSignal, createWakeUp } from "@jayfront/world";
 import type { Logger } from "pino";
 
+import type { Evacuations } from "../evacuation/evacuation-watch.js";
 import type { WorkerEntry } from "../model/worker-entry.js";
 import type { StateStore } from "../port/state-store.js";
 import type { WorkerDirectory } from "../port/worker-directory.js";
@@ -61,6 +62,7 @@
     readonly processDelay: () => number;
     /** Shared by all cells of the host. */
     readonly pollBudget: PollBudget;
+    readonly evacuations: Pick<Evacuations, "mayStartIn" | "isEvacuated">;
     /** Called when waiting tasks may have become able to start. */
     readonly onChange: () => void;
 }
@@ -80,7 +82,8 @@
 export const createWorkerRoster = (options: WorkerRosterOptions): WorkerRoster => {
     const { workers, lease, store, directory, gateway, timing, logger, runRegistry, events, signal } = options;
     const list = createWorkerList({ store, directory });
-    const { isOwn, mayInterfere, lateOrderDetector, inheritedLeases, processDelay, pollBudget, onChange } = options;
+    const { isOwn, mayInterfere, lateOrderDetector, inheritedLeases, processDelay, pollBudget, evacuations, onChange } =
+        options;
     const { cell, epoch } = lease;
     const wakeUp = createWakeUp();
     /** The entries of the workers on the roster, as they are stored. */
@@ -161,6 +164,8 @@
             isOnRoster: !isNew,
             unlistedSince: undefined,
             drainingSince: undefined,
+            isDomainOpen: () => evacuations.mayStartIn(session.entry().failureDomain),
+            isEvacuated: () => evacuations.isEvacuated(session.entry().failureDomain),
             stop: sessionStop.abort,
         });
         void session.run(sessionStop.signal);
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -2,6 +2,8 @@
 import { createStopSignal, createWakeUp, sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 
+import { createEvacuationMonitor } from "../evacuation/evacuation-monitor.js";
+import type { Evacuations } from "../evacuation/evacuation-watch.js";
 import type { TaskPosition, WorkflowLedger } from "../ledger/workflow-ledger.js";
 import { createWorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { Configuration } from "../model/configuration.js";
@@ -128,6 +130,7 @@
     readonly pollBudget: PollBudget;
     readonly onLost: (reason: string) => void;
     readonly otherCells: OtherCells;
+    readonly evacuations: Evacuations;
     /** Whether another host receives heartbeats of a holder of the cell with a later epoch. */
     readonly hasSuccessor: (epoch: number) => Promise<boolean>;
     /** Called once the workflows and the roster of earlier holders have been loaded. */
@@ -176,6 +179,7 @@
         onLost,
         onActive,
         otherCells,
+        evacuations,
     } = options;
     const epoch = row.holder?.epoch ?? 0;
     const stop = createStopSignal();
@@ -516,6 +520,7 @@
         }),
         processDelay,
         pollBudget: options.pollBudget,
+        evacuations,
         onChange: passWakeUp.notify,
     });
     const runRenewals = async (): Promise<void> => {
@@ -623,6 +628,7 @@
                 reviewAbsentTasks();
                 outgoingTransfers.review();
                 incomingTransfers.review();
+                evacuationMonitor.review();
             }
         }
     };
@@ -737,6 +743,17 @@
         pendingWorkflows: intake.pendingWorkflows,
     });
     const transferOffers = createTransferOffers({ workers, runRegistry, capacity: room.forTransfers });
+    const evacuationMonitor = createEvacuationMonitor({
+        cell,
+        epoch,
+        workers,
+        runRegistry,
+        evacuations,
+        countWaiting: () => [...ledgers.values(), ...incomingTransfers.ledgers.values()].filter(hasWaitingTasks).length,
+        metrics,
+        logger,
+    });
+    signal.addEventListener("abort", evacuationMonitor.stop);
     /** Whether accepted tasks wait for placement. */
     const hasWaitingWork = (): boolean =>
         intake.pendingWorkflows().length > 0
@@ -768,6 +785,10 @@
                 return { kind: "not-holder" };
             }
             const isNew = !ledgers.has(workflow.id) && !intake.hasPendingSubmission(workflow.id);
+            if (isNew && room.isClosed()) {
+                metrics.submissions.inc({ outcome: "evacuated" });
+                return { kind: "full", roomShare: 0 };
+            }
             if (isNew && declinesWork()) {
                 metrics.submissions.inc({ outcome: "behind" });
                 return { kind: "behind" };
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -7,6 +7,8 @@
 import { createPollBudget } from "../cell/poll-budget.js";
 import { rowKeys } from "../cell/row-keys.js";
 import { createWorkflowCell } from "../cell/workflow-cell.js";
+import { createGuardedGateway } from "../evacuation/create-guarded-gateway.js";
+import { createEvacuationWatch, noEvacuations } from "../evacuation/evacuation-watch.js";
 import type { Configuration } from "../model/configuration.js";
 import type { EntryHostRecord } from "../peer/host-registry.js";
 import { createHostRegistry } from "../peer/host-registry.js";
@@ -18,6 +20,7 @@
 } from "../peer/workflow-message.js";
 import type { WorkflowNetwork } from "../peer/workflow-network.js";
 import type { ConfigurationSource } from "../port/configuration-source.js";
+import type { EvacuationSource } from "../port/evacuation-source.js";
 import type { StateStore } from "../port/state-store.js";
 import type { WorkerDirectory } from "../port/worker-directory.js";
 import type { WorkerGateway } from "../port/worker-gateway.js";
@@ -74,6 +77,12 @@
      * processors of its holder can manage, 200 at most.
      */
     readonly largestCell?: number;
+    /** Evacuation of failure domains; absent if the deployment has none. */
+    readonly evacuation?: {
+        readonly source: EvacuationSource;
+        /** Milliseconds from the acknowledgement of a request after which nothing may start in its failure domain. */
+        readonly bound: number;
+    };
 }
 
 /**
@@ -97,7 +106,7 @@
 
 /** Creates a host that is not started. */
 export const createWorkflowHost = (options: WorkflowHostOptions): WorkflowHost => {
-    const { self, regions, timing, gateway, directory, metrics, logger, storeHeardAt } = options;
+    const { self, regions, timing, directory, metrics, logger, storeHeardAt } = options;
     const largestCell = (processors: number): number =>
         options.largestCell ?? Math.min(maxCellSize, processors * workersPerProcessor);
     const store = createAdaptiveTimeoutStore({ store: options.store, metrics });
@@ -139,6 +148,14 @@
             heartbeats.sendTo(host);
         },
     });
+    const evacuationWatch = options.evacuation === undefined ? undefined : createEvacuationWatch({
+        ...options.evacuation,
+        isNeeded: () => cellManager.allHeld().length > 0,
+        logger,
+    });
+    const gateway = evacuationWatch === undefined
+        ? options.gateway
+        : createGuardedGateway(options.gateway, evacuationWatch, metrics);
     let plan: CellPlan | undefined;
     const domainsOf = (cell: CellId): readonly FailureDomainId[] =>
         plan?.cells.find(planned => planned.cell === cell)?.failureDomains ?? [];
@@ -174,6 +191,7 @@
                 pollBudget,
                 onLost,
                 otherCells: otherCellsOf(cell),
+                evacuations: evacuationWatch ?? noEvacuations,
                 hasSuccessor: epoch => cellManager.hasSuccessor(cell, epoch),
                 onActive: () => {
                     heartbeats.sendToAll();
@@ -183,6 +201,7 @@
                 },
             }),
         onChange: () => {
+            evacuationWatch?.readNow();
             heartbeats.sendToAll();
         },
         onSilentHolder: holder => {
@@ -288,6 +307,7 @@
                 return cellManager.run(stop.signal);
             });
             void heartbeats.run(stop.signal);
+            void evacuationWatch?.run(stop.signal);
         },
         drain: async () => {
             isDraining = true;
--- a/packages/workflow/src/workflow-metrics.ts
+++ b/packages/workflow/src/workflow-metrics.ts
@@ -36,6 +36,10 @@
     readonly cellChanges: Counter<"change">;
     /** Version of the configuration in force. */
     readonly configurationVersion: Gauge;
+    /** Tasks that still run in failure domains that are to be evacuated, by domain; without a request no value. */
+    readonly evacuatedDomainTasks: Gauge<"domain">;
+    /** Starts that were not sent, since their failure domain is to be evacuated, or since that is not known. */
+    readonly withdrawnStarts: Counter;
 }
 
 /** Upper bounds in seconds. */
@@ -154,5 +158,16 @@
             help: "Version of the configuration in force",
             registers,
         }),
+        evacuatedDomainTasks: new Gauge({
+            name: "jayfront_evacuated_domain_tasks",
+            help: "Tasks that still run in failure domains that are to be evacuated",
+            labelNames: ["domain"],
+            registers,
+        }),
+        withdrawnStarts: new Counter({
+            name: "jayfront_withdrawn_starts_total",
+            help: "Starts not sent, since their failure domain is to be evacuated, or since that is not known",
+            registers,
+        }),
     };
 };
--- a/packages/workflow/tests/placement-faults.test.ts
+++ b/packages/workflow/tests/placement-faults.test.ts
@@ -21,6 +21,8 @@
     isOnRoster: true,
     unlistedSince: undefined,
     drainingSince: undefined,
+    isDomainOpen: () => true,
+    isEvacuated: () => false,
     stop: () => undefined,
 });
 const longRunning = createStep({ count: 1, cpu: 8_000, isLasting: true });
--- a/packages/workflow/tests/test-cell.ts
+++ b/packages/workflow/tests/test-cell.ts
@@ -102,6 +102,8 @@
     isOnRoster: true,
     unlistedSince: undefined,
     drainingSince: undefined,
+    isDomainOpen: () => true,
+    isEvacuated: () => false,
     stop: () => undefined,
 });
 
--- a/packages/workflow/tests/transfer-offers.test.ts
+++ b/packages/workflow/tests/transfer-offers.test.ts
@@ -35,6 +35,8 @@
         isOnRoster: true,
         unlistedSince: undefined,
         drainingSince: undefined,
+        isDomainOpen: () => true,
+        isEvacuated: () => false,
         stop: () => undefined,
     };
 };
