--- a/packages/workflow/src/cell/run-statistics.ts
+++ b/packages/workflow/src/cell/run-statistics.ts
@@ -10,6 +10,7 @@
 import { createRunTimeEstimate } from "../policy/run-time-estimate.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { RunEnd } from "./run-controller.js";
+import type { Run } from "./run.js";
 
 /** Predicts the run time of one task of a step, in milliseconds; see {@link RunStatistics.runTime}. */
 export type RunTimePredictor = (job: JobId, queue: Queue, step: Step, number: number) => number;
@@ -30,6 +31,8 @@
     readonly metrics: WorkflowMetrics;
     /** The queue of a workflow, with its settings as configured now. */
     readonly queueOf: (ledger: WorkflowLedger) => Queue;
+    /** See `NearWaits.factorOf`; run times are recorded without it. Default: 1. */
+    readonly factorOf?: (run: Run) => number;
 }
 
 /** Milliseconds of a worker's first quarantine; a few typical run times. */
@@ -50,7 +53,9 @@
     `${queue.name}/${String(number)}/${String(step.isGang)}`;
 
 /** Creates statistics without any recorded run. */
-export const createRunStatistics = ({ metrics, queueOf }: RunStatisticsOptions): RunStatistics => {
+export const createRunStatistics = (
+    { metrics, queueOf, factorOf = () => 1 }: RunStatisticsOptions,
+): RunStatistics => {
     const runTimes = createRunTimeEstimate();
     /** Subjects by step, with what they were created of; each search for a worker looks up that of its step many times. */
     const subjects = new WeakMap<Step, {
@@ -95,7 +100,8 @@
             health.recordEnd(worker, position.job, false);
             const queue = queueOf(ledger);
             if (run.hasFullRunTime) {
-                runTimes.record(subjectOf(position.job, queue, step, position.step), performance.now() - run.startedAt);
+                const time = (performance.now() - run.startedAt) / factorOf(run);
+                runTimes.record(subjectOf(position.job, queue, step, position.step), time);
             }
         }
     };
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -22,6 +22,7 @@
 import { createFreeRoom } from "./free-room.js";
 import type { InterferenceController, ServingSummary } from "./interference-controller.js";
 import { createLongRunningAdmission } from "./long-running-admission.js";
+import type { NearWaits } from "./near-waits.js";
 import type { CandidateVisit } from "./pass-rounds.js";
 import { createPassRounds } from "./pass-rounds.js";
 import type { ReplacementPlace, ReplacementPlaces } from "./replacement-places.js";
@@ -84,6 +85,8 @@
     readonly replacementPlaces: ReplacementPlaces;
     readonly workerCrashes: Pick<WorkerCrashes, "isRecent">;
     readonly interference: Pick<InterferenceController, "summarizeServing" | "slackWith" | "compatibleShareLoss">;
+    /** Waits for places where tasks run faster. */
+    readonly nearWaits: NearWaits;
     /** Milliseconds of a pass after which the next one goes on; see `PassRounds`. */
     readonly passTime: number;
     /** See `OtherCells.cpuRoom`. */
@@ -169,6 +172,7 @@
         replacementPlaces,
         workerCrashes,
         interference,
+        nearWaits,
         passTime,
         otherCellsRoom,
     } = options;
@@ -456,6 +460,9 @@
             freeCpu: worker.resources.freeCpu(),
             spareCpu: worker.resources.spareCpu(),
         }, "start ordered");
+        if (stage.step.preferredRack !== undefined && !stage.step.isGang) {
+            nearWaits.recordStart(candidate, index, worker.session.entry().rack === stage.step.preferredRack);
+        }
         runController.start(ledger, stage, index, worker.session, number);
         if (stage.record.waiting.size === 0) {
             stage.record.noRoomSince = undefined;
@@ -503,6 +510,9 @@
             logWait(candidate, () => countExcluded(candidate, first, eligibleWorkersFor(candidate)));
             return;
         }
+        if (oneRackPlan === undefined && method === "choose" && nearWaits.gangWaits(candidate)) {
+            return;
+        }
         const indices = [...record.waiting];
         const numbers = indices.map(index => runController.nextNumber(taskOf(candidate, index)));
         const number = Math.max(...numbers);
@@ -510,6 +520,7 @@
             const worker = plan[member];
             if (worker !== undefined) {
                 startOne(candidate, index, worker, number);
+                nearWaits.recordStart(candidate, index, oneRackPlan !== undefined);
             }
         });
     };
@@ -616,6 +627,9 @@
                 logWait(candidate, () => countExcluded(candidate, index, eligibleWorkersFor(candidate)));
                 return true;
             }
+            if (nearWaits.waitsUnsearched(candidate, index)) {
+                continue;
+            }
             const eligible = eligibleWorkers ??= eligibleWorkersFor(candidate);
             const worker = eligible.choose(taskOf(candidate, index));
             if (worker === undefined && constraintOf(taskOf(candidate, index)) !== undefined) {
@@ -629,6 +643,9 @@
                 reserveWorkers(candidate, indices.slice(position));
                 return true;
             }
+            if (nearWaits.waits(candidate, index, worker)) {
+                continue;
+            }
             place(candidate, index, worker);
             if (position + 1 < indices.length && isTimeOver()) {
                 return false;
@@ -764,6 +781,7 @@
             const candidates = findCandidates();
             admission.beginPass(candidates);
             suspectPlacement.beginPass();
+            nearWaits.beginPass(rounds.isUnfinished());
             reservations.beginPass(rounds.isUnfinished());
             startStarving(candidates);
             rounds.visit(candidates, visitCandidate);
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -30,6 +30,7 @@
 import { createLateOrderDetector } from "./late-order-detector.js";
 import { loadCell } from "./load-cell.js";
 import { createLongRunningAbsences } from "./long-running-absences.js";
+import { createNearWaits } from "./near-waits.js";
 import type { OtherCells } from "./other-cells.js";
 import { createOutgoingTransfers } from "./outgoing-transfers.js";
 import { createPassMonitor } from "./pass-monitor.js";
@@ -118,6 +119,8 @@
     /** Whether the worker belongs to this cell. */
     readonly isOwn: (worker: WorkerEntry) => boolean;
     readonly timing: CellTiming;
+    /** See `NearWaitsOptions.farRunFactor`. */
+    readonly farRunFactor: number;
     readonly logger: Logger;
     readonly metrics: WorkflowMetrics;
     /** Processor cores of this host; may be a fraction. */
@@ -255,7 +258,12 @@
     });
     const findQueue = createQueueLookup(configuration);
     const queueOf = (ledger: WorkflowLedger): Queue => findQueue(ledger.workflow.queue.name) ?? ledger.workflow.queue;
-    const { recordEnd, runTime, health, hasFailedOn } = createRunStatistics({ metrics, queueOf });
+    const { recordEnd, runTime, health, hasFailedOn } = createRunStatistics({
+        metrics,
+        queueOf,
+        factorOf: run => nearWaits.factorOf(run),
+    });
+    const nearWaits = createNearWaits({ workers, runTime, farRunFactor: options.farRunFactor, metrics, logger });
     const unansweredStarts = createUnansweredStarts({
         lateOrderTime: timing.lateOrderTime,
         lateOrderDetector,
@@ -349,6 +357,7 @@
         onRunRemoved: end => {
             workers.get(end.run.worker)?.resources.remove(end.run.step);
             recordEnd(end);
+            nearWaits.recordEnd(end);
             absences.recordEnd(end.run);
         },
         onCrash: taskCrashes.record,
@@ -430,6 +439,7 @@
         isHeldBack,
         accountedTasks,
         interference: interferenceController,
+        nearWaits,
         replacementPlaces,
         workerCrashes,
         constraintOf,
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -60,6 +60,8 @@
     /** Regions by failure domain. */
     readonly regions: Readonly<Record<string, string>>;
     readonly timing: CellTiming;
+    /** See `NearWaitsOptions.farRunFactor`. Default: 1. */
+    readonly farRunFactor?: number;
     readonly store: StateStore;
     readonly gateway: WorkerGateway;
     readonly directory: WorkerDirectory;
@@ -167,6 +169,7 @@
                 configuration: configurationWatch.current,
                 isOwn: worker => domainsOf(cell).includes(worker.failureDomain),
                 timing,
+                farRunFactor: options.farRunFactor ?? 1,
                 logger,
                 metrics,
                 processors: self.processors,
--- a/packages/workflow/src/workflow-metrics.ts
+++ b/packages/workflow/src/workflow-metrics.ts
@@ -14,6 +14,11 @@
     readonly refusedSubmissions: Counter<"reason">;
     /** Runs of tasks that ended or were not started, by queue and outcome. */
     readonly runEnds: Counter<"queue" | "outcome">;
+    /**
+     * Tasks that have waited for a place where they run faster, by queue and outcome: `near` if they got it, else why they
+     * started elsewhere (see `NearWaitDecision`; `other`: not by their own decision).
+     */
+    readonly nearWaits: Counter<"queue" | "outcome">;
     /** Long-running tasks that cells held by this host have transferred to other cells, by queue. */
     readonly transferredTasks: Counter<"queue">;
     /** Calls to the store, by operation and outcome. */
@@ -86,6 +91,12 @@
             labelNames: ["queue", "outcome"],
             registers,
         }),
+        nearWaits: new Counter({
+            name: "jayfront_near_waits_total",
+            help: "Tasks that have waited for a place where they run faster, by outcome",
+            labelNames: ["queue", "outcome"],
+            registers,
+        }),
         transferredTasks: new Counter({
             name: "jayfront_transferred_tasks_total",
             help: "Long-running tasks transferred to other cells, since their own had no room for them",
--- a/packages/workflow/tests/test-cell.ts
+++ b/packages/workflow/tests/test-cell.ts
@@ -1,12 +1,14 @@
 import { createWorkerHealth } from "@jayfront/policy";
 import type { FailureDomainId, JobId, WorkerId } from "@jayfront/world";
 import pino from "pino";
+import { Registry } from "prom-client";
 
 import type { CellWorker, CellWorkers } from "../src/cell/cell-workers.js";
 import type { CpuRoom } from "../src/cell/cpu-room.js";
 import { createRun } from "../src/cell/create-run.js";
 import type { InterferenceController } from "../src/cell/interference-controller.js";
 import { createInterferenceController } from "../src/cell/interference-controller.js";
+import { createNearWaits } from "../src/cell/near-waits.js";
 import type { ReplacementPlaces } from "../src/cell/replacement-places.js";
 import { createReplacementPlaces } from "../src/cell/replacement-places.js";
 import { createResourceAccount } from "../src/cell/resource-account.js";
@@ -27,11 +29,14 @@
 import { taskName } from "../src/model/task-name.js";
 import type { WorkerEntry } from "../src/model/worker-entry.js";
 import { createInterferenceModel } from "../src/policy/interference-model.js";
+import type { WorkflowMetrics } from "../src/workflow-metrics.js";
+import { createWorkflowMetrics } from "../src/workflow-metrics.js";
 import { testQueue } from "./test-queue.js";
 
 /** A cell's scheduler with its workers and runs, without communication with workers. */
 export interface TestCell {
     readonly scheduler: StageScheduler;
+    readonly metrics: WorkflowMetrics;
     readonly runRegistry: RunRegistry;
     readonly workers: CellWorkers;
     /**
@@ -65,6 +70,10 @@
     readonly startLimit?: number;
     /** See `UnansweredStarts.constraintOf`; no task is constrained by default. */
     readonly constraintOf?: UnansweredStarts["constraintOf"];
+    /** Rack of the worker with this number; all are on `r-1` by default. */
+    readonly rackOf?: (number: number) => string;
+    /** See `NearWaitsOptions.farRunFactor`; 1 by default. */
+    readonly farRunFactor?: number;
     /** Milliseconds of a pass; unlimited by default. */
     readonly passTime?: number;
     /** Processor time of the other cells; there are none by default. */
@@ -73,13 +82,13 @@
     readonly onWork?: () => void;
 }
 
-const openSession = (id: WorkerId, cpu: number, deadline: () => number): WorkerSession => {
+const openSession = (id: WorkerId, cpu: number, rack: string, deadline: () => number): WorkerSession => {
     let entry: WorkerEntry = {
         id,
         address: `${id}:1`,
         service: testQueue.service,
         failureDomain: "east-a" as FailureDomainId,
-        rack: "r-1",
+        rack,
         labels: [],
         capacity: { cpu, memory: 64_000, accelerators: 0 },
         isDraining: false,
@@ -96,8 +105,8 @@
     };
     return session as WorkerSession;
 };
-const createWorker = (id: WorkerId, cpu: number, deadline: () => number): CellWorker => ({
-    session: openSession(id, cpu, deadline),
+const createWorker = (id: WorkerId, cpu: number, rack: string, deadline: () => number): CellWorker => ({
+    session: openSession(id, cpu, rack, deadline),
     resources: createResourceAccount({ cpu, memory: 64_000, accelerators: 0 }),
     isOnRoster: true,
     unlistedSince: undefined,
@@ -113,6 +122,8 @@
         runTime,
         startLimit = 1_000,
         constraintOf = () => undefined,
+        rackOf = () => "r-1",
+        farRunFactor = 1,
         passTime = Infinity,
         otherCellsRoom = { freeCpu: 0, capacityCpu: 0 },
         onWork = () => undefined,
@@ -130,7 +141,9 @@
         counts.deadlines += 1;
         return 1;
     };
-    const workers: CellWorkers = new Map(ids.map(id => [id, createWorker(id, cpu, deadline)]));
+    const workers: CellWorkers = new Map(
+        ids.map((id, number) => [id, createWorker(id, cpu, rackOf(number), deadline)]),
+    );
     const runRegistry = createRunRegistry();
     const ledgers: WorkflowLedger[] = [];
     const model = createInterferenceModel();
@@ -163,16 +176,19 @@
     const runController: Partial<RunController> = { start, nextNumber: () => 1 };
     const replacementPlaces = createReplacementPlaces();
     const constrainedTasks = new Set<TaskName>();
+    const metrics = createWorkflowMetrics(new Registry());
+    const runTimeOf = (): number => {
+        counts.runTimes += 1;
+        onWork();
+        return runTime;
+    };
+    const nearWaits = createNearWaits({ workers, runTime: runTimeOf, farRunFactor, metrics, logger });
     const scheduler = createStageScheduler({
         ledgers: () => ledgers,
         workers,
         runRegistry,
         runController: runController as RunController,
-        runTime: () => {
-            counts.runTimes += 1;
-            onWork();
-            return runTime;
-        },
+        runTime: runTimeOf,
         health: createWorkerHealth({ initialStartLimit: startLimit }),
         logger,
         queueOf: ledger => ledger.workflow.queue,
@@ -183,11 +199,13 @@
         replacementPlaces,
         workerCrashes: { isRecent: () => false },
         interference,
+        nearWaits,
         passTime,
         otherCellsRoom: () => otherCellsRoom,
     });
     return {
         scheduler,
+        metrics,
         runRegistry,
         workers,
         counts,
@@ -206,6 +224,7 @@
         endRun: (run, outcome) => {
             runRegistry.remove(run);
             workers.get(run.worker)?.resources.remove(run.step);
+            nearWaits.recordEnd({ run, outcome });
             if (outcome === "done") {
                 run.ledger.recordDone(run.position);
                 run.ledger.markStored(run.ledger.revision());
