--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -99,7 +99,7 @@
 
 /** Creates a host that is not started. */
 export const createWorkflowHost = (options: WorkflowHostOptions): WorkflowHost => {
-    const { self, regions, timing, gateway, directory, metrics, logger, storeHeardAt } = options;
+    const { self, regions, timing, farRunFactor = 1, gateway, directory, metrics, logger, storeHeardAt } = options;
     const largestCell = (processors: number): number =>
         options.largestCell ?? Math.min(maxCellSize, processors * workersPerProcessor);
     const store = createAdaptiveTimeoutStore({ store: options.store, metrics });
@@ -169,7 +169,7 @@
                 configuration: configurationWatch.current,
                 isOwn: worker => domainsOf(cell).includes(worker.failureDomain),
                 timing,
-                farRunFactor: options.farRunFactor ?? 1,
+                farRunFactor,
                 logger,
                 metrics,
                 processors: self.processors,
@@ -273,6 +273,7 @@
             claims,
             held: cellManager.held,
             isNear: cell => domainsOf(cell).some(domain => regions[domain] === regions[self.failureDomain]),
+            farRunFactor,
             logger,
             metrics,
         }),
--- a/packages/workflow/src/entry/workflow-router.ts
+++ b/packages/workflow/src/entry/workflow-router.ts
@@ -51,6 +51,8 @@
     readonly held: (cell: CellId) => WorkflowCell | undefined;
     /** Whether the cell is in the region of this host. */
     readonly isNear: (cell: CellId) => boolean;
+    /** See `NearWaitsOptions.farRunFactor`. Default: 1. */
+    readonly farRunFactor?: number;
     readonly logger: Logger;
     readonly metrics: Pick<WorkflowMetrics, "refusedSubmissions">;
 }
@@ -106,7 +108,7 @@
 
 /** Creates the router of an entry host. */
 export const createWorkflowRouter = (options: WorkflowRouterOptions): WorkflowRouter => {
-    const { cells, store, network, claims, held, isNear, logger, metrics } = options;
+    const { cells, store, network, claims, held, isNear, farRunFactor = 1, logger, metrics } = options;
     const recentlySent: { readonly cell: CellId; readonly cpu: number; readonly at: number; }[] = [];
 
     /** Millicores requested by the widest steps of the workflows that this host has recently sent to a cell. */
@@ -210,7 +212,7 @@
         const isAsked = known.length > 1 && steps.some(step => step.isLasting);
         const loads = isAsked ? await askLoads(known.map(({ cell }) => cell)) : undefined;
         return loads === undefined
-            ? { cells: rankCells(steps, queue.priority, known, id), loads: new Map() }
+            ? { cells: rankCells(steps, queue.priority, known, id, farRunFactor), loads: new Map() }
             : {
                 cells: rankCells(
                     steps,
--- a/packages/workflow/src/policy/rank-cells.ts
+++ b/packages/workflow/src/policy/rank-cells.ts
@@ -25,7 +25,10 @@
 const backlogScale = 4_000;
 /** Cost of a cell in another region, as a share of its capacity; cross-region links are slow and narrow. */
 const remoteRegionCost = 0.03;
-/** Cost of each rack that holds data of the workflow and is missing from the cell; exceeds any difference in load. */
+/**
+ * Cost of each rack that holds data of the workflow and is missing from the cell, while a cell with that rack has room;
+ * exceeds any difference in load.
+ */
 const missingRackCost = 10;
 
 /** Cost of a cell that has no room for the widest step; exceeds the random part of the cost. */
@@ -59,24 +62,33 @@
 /**
  * Cells in the order in which a workflow should be offered to them, the cheapest first. With `job`, the order is
  * randomized and favors less loaded cells: entry hosts learn of each other's choices only from the next heartbeats and
- * would otherwise all choose the same cell.
+ * would otherwise all choose the same cell. Where no cell with the rack of a step has room, a cell without it costs the
+ * time that the step's tasks lose there, by `farRunFactor` (see `NearWaitsOptions`), unless they are long-running.
  */
 export const rankCells = (
     steps: readonly Step[],
     priority: number,
     candidates: readonly CellCandidate[],
     job?: JobId,
+    farRunFactor = 1,
 ): readonly CellId[] => {
     const noise = new Map(
         candidates.map(({ cell }) => [cell, job === undefined ? 0 : noiseOf(job, cell)]),
     );
-    const preferredRacks = steps.flatMap(step => step.preferredRack === undefined ? [] : [step.preferredRack]);
     const demand = widestStepCpu(steps);
+    const costWithoutRack = ({ preferredRack = "", isLasting, expectedRunTime }: Step): number =>
+        farRunFactor <= 1 || isLasting
+            || candidates.some(each => each.racks.includes(preferredRack) && hasRoomFor(each, demand))
+            ? missingRackCost
+            : Math.min(missingRackCost, expectedRunTime * (farRunFactor - 1) / backlogScale);
+    const rackCosts = steps.flatMap(step =>
+        step.preferredRack === undefined ? [] : [{ rack: step.preferredRack, cost: costWithoutRack(step) }]
+    );
     const cost = (candidate: CellCandidate): number =>
         loadOf(candidate, priority)
         + (hasRoomFor(candidate, demand) ? 0 : noRoomCost)
         + (noise.get(candidate.cell) ?? 0)
         + (candidate.isNear ? 0 : remoteRegionCost)
-        + preferredRacks.filter(rack => !candidate.racks.includes(rack)).length * missingRackCost;
+        + rackCosts.reduce((sum, each) => sum + (candidate.racks.includes(each.rack) ? 0 : each.cost), 0);
     return [...candidates].sort((left, right) => cost(left) - cost(right)).map(candidate => candidate.cell);
 };
--- a/packages/workflow/tests/rank-cells.test.ts
+++ b/packages/workflow/tests/rank-cells.test.ts
@@ -43,6 +43,18 @@
         const steps = [createStep({ preferredRack: "r-a" })];
         expect(rankCells(steps, 0, [cell("a", { usedCpu: 99_000 }), cell("b", { usedCpu: 0 })])[0]).toBe("a");
     });
+
+    // Guards against a cell in which all workflows of a hot rack queue up while others are idle.
+    it.each([
+        ["another cell once work waits there for longer than a run elsewhere loses", 2e8, 1.5, 1_000, "b"],
+        ["the rack of the data while the wait there is shorter", 4e7, 1.5, 1_000, "a"],
+        ["the rack of the data where racks make no difference", 2e8, 1, 1_000, "a"],
+        ["the rack of the data where it has room", 2e8, 1.5, 100, "a"],
+    ])("prefers %s", (...[, work, farRunFactor, cpu, expected]) => {
+        const steps = [createStep({ preferredRack: "r-a", cpu, expectedRunTime: 1_000 })];
+        const cells = [cell("a", { usedCpu: 99_500, backlog: [work] }), cell("b", { usedCpu: 99_500 })];
+        expect(rankCells(steps, 0, cells, undefined, farRunFactor)[0]).toBe(expected);
+    });
 });
 
 describe("rankCells on many entry hosts between two heartbeats", () => {
