--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -63,6 +63,8 @@
     /** Regions by failure domain. */
     readonly regions: Readonly<Record<string, string>>;
     readonly timing: CellTiming;
+    /** See `NearWaitsOptions.farRunFactor`. Default: 1. */
+    readonly farRunFactor?: number;
     readonly store: StateStore;
     readonly gateway: WorkerGateway;
     readonly directory: WorkerDirectory;
@@ -106,7 +108,7 @@
 
 /** Creates a host that is not started. */
 export const createWorkflowHost = (options: WorkflowHostOptions): WorkflowHost => {
-    const { self, regions, timing, directory, metrics, logger, storeHeardAt } = options;
+    const { self, regions, timing, farRunFactor = 1, directory, metrics, logger, storeHeardAt } = options;
     const largestCell = (processors: number): number =>
         options.largestCell ?? Math.min(maxCellSize, processors * workersPerProcessor);
     const store = createAdaptiveTimeoutStore({ store: options.store, metrics });
@@ -184,6 +186,7 @@
                 configuration: configurationWatch.current,
                 isOwn: worker => domainsOf(cell).includes(worker.failureDomain),
                 timing,
+                farRunFactor,
                 logger,
                 metrics,
                 processors: self.processors,
@@ -289,6 +292,7 @@
             claims,
             held: cellManager.held,
             isNear: cell => domainsOf(cell).some(domain => regions[domain] === regions[self.failureDomain]),
+            farRunFactor,
             logger,
             metrics,
         }),
