--- a/packages/bench/src/random-days.ts
+++ b/packages/bench/src/random-days.ts
@@ -3,6 +3,7 @@
 import type { FakeTime } from "./util/fake-time.js";
 import { installFakeTime } from "./util/fake-time.js";
 import { readKnownRed } from "./util/read-known-red.js";
+import { evacuationFaults } from "./workflow/evacuation-faults.js";
 import { fullCellsProfile } from "./workflow/full-cells-profile.js";
 import { replacementFaults } from "./workflow/replacement-faults.js";
 import type { SeveralCellsProfile } from "./workflow/several-cells-profile.js";
@@ -15,7 +16,7 @@
 const command = meow(
     `
     Usage
-      $ npm run random-days [-- --from N --days N --cells one|several|full|replaced|drained]
+      $ npm run random-days [-- --from N --days N --cells one|several|full|replaced|drained|evacuated]
 
     Simulates entry hosts on the platform stand-in under random faults in fake time, one day for each seed, and checks
     what workers did and which answers submitters got. Exits with 1 on a broken promise that KNOWN-RED.txt does not
@@ -31,13 +32,19 @@
       --cells replaced one cell, and faults that replace workers by others at the same address
       --cells drained  one cell, of which workers with long-running tasks drain while orders, the holder and other workers
                        fail
+      --cells evacuated
+                       one cell, of which failure domains are evacuated beside other faults
 `,
     {
         importMeta: import.meta,
         flags: {
             from: { type: "number", default: 0 },
             days: { type: "number", default: 60 },
-            cells: { type: "string", choices: ["one", "several", "full", "replaced", "drained"], default: "one" },
+            cells: {
+                type: "string",
+                choices: ["one", "several", "full", "replaced", "drained", "evacuated"],
+                default: "one",
+            },
         },
     },
 );
@@ -49,9 +56,9 @@
 }
 
 const simulateOneCell = async (options: RandomDayOptions): Promise<DayResult> => {
-    const { breach, unfinished, ranThoughRefused, faults } = await simulateRandomDay(options);
+    const { breach, lateStart, unfinished, ranThoughRefused, faults } = await simulateRandomDay(options);
     const findings = [
-        ...breach === undefined ? [] : [breach],
+        ...[breach, lateStart].filter(found => found !== undefined),
         ...unfinished.map(found => `accepted, but not completed: ${found}`),
         ...ranThoughRefused.map(found => `ran though refused: ${found}`),
     ];
@@ -81,6 +88,8 @@
     several: (seed, time) => simulateSeveralCells(seed, time, shortLivedProfile),
     full: (seed, time) => simulateSeveralCells(seed, time, fullCellsProfile),
     drained: simulateDrainedWorkers,
+    evacuated: (seed, time) =>
+        simulateOneCell({ seed, time, injectableFaults: evacuationFaults, evacuationTime: 5_000 }),
 };
 /** The name under which KNOWN-RED.txt lists a day. */
 const knownRedName = (seed: number): string =>
--- a/packages/bench/src/soak/run-soak.ts
+++ b/packages/bench/src/soak/run-soak.ts
@@ -1,3 +1,4 @@
+import { findLateStart } from "@jayfront/platform-stand-in";
 import { sleep } from "@jayfront/world";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
@@ -8,7 +9,7 @@
 import type { SoakFaultContext } from "./soak-faults.js";
 import { soakFaults } from "./soak-faults.js";
 import type { SoakFleetOptions } from "./soak-fleet.js";
-import { soakTaskCpu, startSoakFleet } from "./soak-fleet.js";
+import { soakEvacuationTime, soakFailureDomains, soakTaskCpu, startSoakFleet } from "./soak-fleet.js";
 import { createSoakSubmitters } from "./soak-submitters.js";
 
 /** Result of {@link runSoak}. */
@@ -33,6 +34,9 @@
 const submissionInterval = 250;
 /** Probability that a fault is injected along with a submission. Faults last for seconds, so that some overlap. */
 const faultProbability = 0.2;
+/** Probability that the operator evacuates a failure domain along with a submission, and for how many milliseconds at most. */
+const evacuationProbability = 0.01;
+const longestEvacuation = 10_000;
 /** Milliseconds without faults in which every accepted workflow has to complete. */
 const recoveryTime = 25_000;
 
@@ -40,6 +44,9 @@
 export const runSoak = async ({ seed, seconds, ...options }: SoakOptions): Promise<SoakResult> => {
     const random = xoroshiro128plus(seed);
     const draw = (): number => uniformFloat64(random);
+    // Drawn apart, so that the other faults of a seed stay as they are.
+    const evacuationRandom = xoroshiro128plus(seed + 1);
+    const drawEvacuation = (): number => uniformFloat64(evacuationRandom);
     const fleet = await startSoakFleet(options);
     const startedAt = performance.now();
     const endsAt = startedAt + seconds * 1_000;
@@ -86,6 +93,13 @@
                     injectRecorded(inject);
                 }
             }
+            if (drawEvacuation() < evacuationProbability) {
+                const domain = soakFailureDomains[Math.floor(drawEvacuation() * soakFailureDomains.length)] ?? "";
+                faults.push(`${String(Math.round(performance.now() - startedAt))} ms: evacuate ${domain}`);
+                injectRecorded(({ runAfter }) => {
+                    runAfter(drawEvacuation() * longestEvacuation, fleet.platform.evacuate(domain));
+                });
+            }
             await sleep(submissionInterval);
         }
         // All scheduled heals have run by now. Starts hosts whose last start was skipped because the old process had
@@ -103,9 +117,13 @@
         const { events } = fleet.platform.journal;
         const running = [...fleet.platform.workers.values()].flatMap(worker => worker.running());
         const { workflows } = submitters;
+        const lateStart = findLateStart(fleet.platform.journal, soakEvacuationTime);
+        const lateStarts = lateStart === undefined
+            ? []
+            : [{ promise: "starts nothing where evacuated", detail: lateStart }];
         const { broken } = checkSubmittedWorkflows({ workflows, events, running, endedAt, service: observer.history });
         const accepted = workflows.filter(({ acceptedAt }) => acceptedAt !== undefined).length;
-        return { accepted, broken, unexpectedExits: fleet.unexpectedExits, faults };
+        return { accepted, broken: [...broken, ...lateStarts], unexpectedExits: fleet.unexpectedExits, faults };
     }
     finally {
         observer.stop();
--- a/packages/bench/src/soak/soak-fleet.ts
+++ b/packages/bench/src/soak/soak-fleet.ts
@@ -59,9 +59,12 @@
 export const soakTaskCpu = 1_000;
 /** Tasks that a worker can run at the same time. */
 const tasksPerWorker = 6;
-const failureDomains = ["east-a", "east-b", "east-c"];
+/** Failure domains of the hosts and the workers. */
+export const soakFailureDomains = ["east-a", "east-b", "east-c"];
 /** Milliseconds. */
 const longestLease = 6_000;
+/** Milliseconds after an evacuation request in which the hosts may start tasks in its failure domain. */
+export const soakEvacuationTime = 5_000;
 /** Milliseconds within which all hosts have to serve requests. */
 const startTimeout = 30_000;
 const daemonPath = join(repositoryRoot, "platform/dist/src/main.js");
@@ -81,7 +84,7 @@
         `zone = "${failureDomain}"`,
         `internalPortRange = [${String(ports.peers)}, ${String(ports.metrics)}]`,
         "[zones]",
-        ...failureDomains.map(domain => `${domain} = "east"`),
+        ...soakFailureDomains.map(domain => `${domain} = "east"`),
         "[listenAddresses]",
         `frontend = "127.0.0.1:${String(ports.frontend)}"`,
         `ready = "127.0.0.1:${String(ports.ready)}"`,
@@ -90,6 +93,7 @@
         "stopTimeoutMs = 200",
         "gangTimeoutMs = 3000",
         "status_s = 120",
+        `evacuationMs = ${String(soakEvacuationTime)}`,
         "gracePeriodS = 6",
         "[platform]",
         `address = "127.0.0.1:${String(ports.store)}"`,
@@ -111,7 +115,7 @@
         proxies.push(proxy);
         return proxy;
     };
-    const workerIds = failureDomains.flatMap(domain =>
+    const workerIds = soakFailureDomains.flatMap(domain =>
         Array.from({ length: workersPerDomain }, (...[, number]) => `w-${domain}-${String(number)}`)
     );
     const handlerPorts = await findNonEphemeralPorts(2 * workerIds.length + 1);
@@ -121,7 +125,7 @@
         proxy: handlerPorts[2 * index + 2] ?? 0,
     }]));
     const platform = createProtocolPlatform({
-        workers: Object.fromEntries(failureDomains.map(domain => [domain, workersPerDomain])),
+        workers: Object.fromEntries(soakFailureDomains.map(domain => [domain, workersPerDomain])),
         longestLease,
         cpu: tasksPerWorker * soakTaskCpu,
         cpuOf: () => soakTaskCpu,
@@ -181,7 +185,7 @@
         };
     };
     const hosts: SoakHost[] = [];
-    for (const domain of failureDomains) {
+    for (const domain of soakFailureDomains) {
         for (let number = 0; number < hostsPerDomain; number += 1) {
             hosts.push(await createHost(`h-${domain}-${String(number)}`, domain));
         }
--- a/packages/bench/src/workflow/simulate-random-day.ts
+++ b/packages/bench/src/workflow/simulate-random-day.ts
@@ -1,5 +1,5 @@
 import type { ProtocolEvent } from "@jayfront/platform-stand-in";
-import { findBreach } from "@jayfront/platform-stand-in";
+import { findBreach, findLateStart } from "@jayfront/platform-stand-in";
 import type { JobId } from "@jayfront/world";
 import type { Logger } from "pino";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
@@ -17,6 +17,8 @@
     readonly events: readonly ProtocolEvent[];
     /** The first violation of the worker protocol; undefined if there was none. */
     readonly breach: string | undefined;
+    /** The first start in a failure domain that was to be evacuated; undefined if there was none. */
+    readonly lateStart: string | undefined;
     /** Number of accepted workflows. */
     readonly accepted: number;
     /** Accepted workflows that had not completed at the end, each with its state. */
@@ -39,6 +41,8 @@
     readonly plantedFault?: PlantedFault;
     /** Random faults to draw from, by name. Default: {@link randomFaults}. */
     readonly injectableFaults?: typeof randomFaults;
+    /** See `WorkflowClusterOptions.evacuationTime`. */
+    readonly evacuationTime?: number;
 }
 
 /** Milliseconds from the start of all hosts to the first submission. */
@@ -52,7 +56,8 @@
 
 /** Simulates random submissions and faults on a cluster in fake time; the same seed gives the same events. */
 export const simulateRandomDay = async (
-    { seed, time, seconds = 20, logger, plantedFault, injectableFaults = randomFaults }: RandomDayOptions,
+    { seed, time, seconds = 20, logger, plantedFault, injectableFaults = randomFaults, evacuationTime }:
+        RandomDayOptions,
 ): Promise<RandomDay> => {
     const random = xoroshiro128plus(seed);
     const draw = (): number => uniformFloat64(random);
@@ -63,6 +68,7 @@
         cpuOf: () => 1_000,
         ...(logger === undefined ? {} : { logger }),
         ...(plantedFault === undefined ? {} : { plantedFault }),
+        ...(evacuationTime === undefined ? {} : { evacuationTime }),
     });
     const runAfter = (milliseconds: number, action: () => void): void => {
         setTimeout(action, milliseconds);
@@ -113,6 +119,7 @@
     return {
         events,
         breach: findBreach(events),
+        lateStart: evacuationTime === undefined ? undefined : findLateStart(cluster.platform.journal, evacuationTime),
         accepted: accepted.length,
         unfinished,
         ranThoughRefused: refused.filter(id => ran.has(id)),
--- a/packages/platform-stand-in/src/protocol/protocol-platform.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-platform.ts
@@ -1,5 +1,5 @@
 import { createProtocolJournal } from "./protocol-journal.js";
-import type { EvacuationPeriod, ProtocolJournal } from "./protocol-journal.js";
+import type { ProtocolJournal } from "./protocol-journal.js";
 import type { ProtocolNetwork } from "./protocol-network.js";
 import { createProtocolNetwork } from "./protocol-network.js";
 import type { ProtocolStore } from "./protocol-store.js";
@@ -223,11 +223,13 @@
         evacuate: failureDomain => {
             const key = `evacuate/${failureDomain}`;
             store.put("op", key, {});
-            const period: EvacuationPeriod = { failureDomain, from: performance.now(), until: Infinity };
-            journal.evacuations.push(period);
+            journal.evacuations.push({ failureDomain, from: performance.now(), until: Infinity });
             return () => {
                 store.put("op", key, undefined);
-                period.until = performance.now();
+                // All requests for a failure domain are one row.
+                journal.evacuations.filter(period => period.failureDomain === failureDomain).forEach(period => {
+                    period.until = Math.min(period.until, performance.now());
+                });
             };
         },
         stop: () => {
