--- a/packages/bench/src/workflow/evacuation-faults.ts
+++ b/packages/bench/src/workflow/evacuation-faults.ts
@@ -19,7 +19,11 @@
     "evacuate a failure domain and kill the holder": context => {
         evacuate(context, 14_000);
         context.runAfter(context.draw() * 6_000, () => {
-            const host = context.cluster.holder() ?? "";
+            const host = context.cluster.holder();
+            if (host === undefined || !context.cluster.hosts.has(host)) {
+                // Another fault has killed it, and will start it again.
+                return;
+            }
             context.cluster.kill(host);
             context.runAfter(1_000, () => {
                 context.cluster.start(host);
