--- a/packages/bench/tests/workflow/random-day.test.ts
+++ b/packages/bench/tests/workflow/random-day.test.ts
@@ -2,6 +2,7 @@
 
 import type { FakeTime } from "../../src/util/fake-time.js";
 import { installFakeTime } from "../../src/util/fake-time.js";
+import { evacuationFaults } from "../../src/workflow/evacuation-faults.js";
 import { randomFaults } from "../../src/workflow/random-faults.js";
 import { replacementFaults } from "../../src/workflow/replacement-faults.js";
 import { simulateRandomDay } from "../../src/workflow/simulate-random-day.js";
@@ -54,6 +55,23 @@
         });
     });
 
+    // Guards against starts in failure domains that are to be evacuated, beside any other fault.
+    it.each([0, 1, 2, 3])("keeps all promises while failure domains are evacuated (seed %i)", async seed => {
+        const { breach, lateStart, unfinished, ranThoughRefused, faults } = await simulateRandomDay({
+            seed,
+            time,
+            injectableFaults: evacuationFaults,
+            evacuationTime: 5_000,
+        });
+        expect({ breach, lateStart, unfinished, ranThoughRefused, faults }).toEqual({
+            breach: undefined,
+            lateStart: undefined,
+            unfinished: [],
+            ranThoughRefused: [],
+            faults,
+        });
+    });
+
     // Guards against a simulation in which two hosts without an id run at once (random day 792).
     it("starts no host after a kill that found none", async () => {
         const cluster = createWorkflowCluster({ hosts: { "east-a": 2 }, workers: { "east-a": 1 } });
