--- a/packages/workflow/src/cell/near-waits.ts
+++ b/packages/workflow/src/cell/near-waits.ts
@@ -231,7 +231,9 @@
         },
         recordEnd: ({ run: { worker, step }, outcome }) => {
             const rack = workers.get(worker)?.session.entry().rack;
-            if (farRunFactor > 1 && rack !== undefined && !step.isLasting && outcome !== "not-started") {
+            // Room of a run that is lost is often lost with it.
+            const isFreed = outcome !== "lost" && outcome !== "not-started";
+            if (farRunFactor > 1 && rack !== undefined && !step.isLasting && isFreed) {
                 freedRoom.record(roomKey(rack, step), step.cpu, performance.now());
             }
         },
--- a/packages/workflow/tests/near-waits.test.ts
+++ b/packages/workflow/tests/near-waits.test.ts
@@ -106,9 +106,16 @@
         expect(rackOf(earlier)).toBe("other");
     });
 
-    // Guards against waits for what isn't known: a new holder has seen no end, or the rack has no worker in the cell.
+    // Guards against waits for what isn't known: a new holder has seen no end, workers of the rack have crashed, or the
+    // cell has none of it.
     it("start at once where no end has been seen on the rack", () => {
         [...Array(4).keys()].forEach(() => submit());
+        for (let crash = 0; crash < 3; crash += 1) {
+            [...cell.runRegistry.all()].forEach(run => {
+                cell.endRun(run, "lost");
+            });
+            cell.scheduler.runPass();
+        }
         expect([rackOf(submit()), rackOf(submit({ preferredRack: "none" }))]).toEqual(["other", "other"]);
     });
 
