--- a/packages/workflow/src/model/worker-entry.ts
+++ b/packages/workflow/src/model/worker-entry.ts
@@ -22,6 +22,8 @@
     readonly isDraining: boolean;
     /** Milliseconds for which a draining worker stays at least, as of this entry. */
     readonly remaining?: number;
+    /** Monotonic time in ms until which the worker is cold, so that all runs on it take longer; absent if it is not. */
+    readonly coldUntil?: number;
     /** Unix milliseconds of the worker's start; distinguishes the incarnations of a worker under one id. */
     readonly bornAt: number;
 }
