--- a/packages/platform-stand-in/src/protocol/protocol-worker.ts
+++ b/packages/platform-stand-in/src/protocol/protocol-worker.ts
@@ -56,6 +56,8 @@
     failsEverything: boolean;
     /** While true, every task that starts makes no progress and does not end by itself. */
     stallsEverything: boolean;
+    /** Factor by which every task that starts takes longer; 1 at first. */
+    slowness: number;
 }
 
 interface RunningTask {
@@ -120,6 +122,7 @@
     let isUp = true;
     let failsEverything = false;
     let stallsEverything = false;
+    let slowness = 1;
     let wake: (() => void) | undefined;
 
     let startedAt = performance.now();
@@ -168,7 +171,7 @@
             task,
             run: runNumber,
             startedAt: performance.now(),
-            work: script.workByStep?.[stepOf(task)] ?? script.work ?? defaultWork,
+            work: (script.workByStep?.[stepOf(task)] ?? script.work ?? defaultWork) * slowness,
             willFail,
             isLasting: script.isLasting === true,
             isStalled: stallsEverything,
@@ -346,5 +349,11 @@
         set stallsEverything(value: boolean) {
             stallsEverything = value;
         },
+        get slowness() {
+            return slowness;
+        },
+        set slowness(value: number) {
+            slowness = value;
+        },
     };
 };
--- a/packages/workflow/src/cell/eligible-workers.ts
+++ b/packages/workflow/src/cell/eligible-workers.ts
@@ -15,6 +15,10 @@
  * excludes it, in the order of these properties.
  */
 export interface WorkerExclusions {
+    /** Too slow for the task; see `slowWorkerUse`. */
+    readonly slow: number;
+    /** In a failure domain that is filled by degrees; see `DomainRamp`. */
+    readonly filling: number;
     /** Run as many tasks of the step as `Step.perWorkerLimit` allows. */
     readonly atLimit: number;
     /** An unanswered start of the task may still be carried out elsewhere; see `UnansweredStarts.constraintOf`. */
@@ -39,12 +43,18 @@
     readonly countExclusions: (task: TaskName) => WorkerExclusions;
 }
 
+/** Why a worker with room gets no task of the step for now; undefined where it may get one. */
+export type WorkerExclusion = "slow" | "filling" | undefined;
+
 /** Options of {@link createEligibleWorkers}. */
 export interface EligibleWorkersOptions {
     readonly step: Step;
     /** Workers that accept tasks of the step's service. */
     readonly workers: readonly CellWorker[];
     readonly health: Pick<WorkerHealth, "allowance">;
+    readonly exclusionOf: (worker: CellWorker) => WorkerExclusion;
+    /** See `chooseWorker`; called only once a worker is not of normal speed. */
+    readonly shouldBeFast: () => boolean;
     /** Describes the worker for `chooseWorker`. */
     readonly describe: (worker: CellWorker) => WorkerCandidate;
     /** Number of tasks of the step on the worker; called only for a step with a limit per worker. */
@@ -65,19 +75,36 @@
 
 /** Collects the workers that have room for a task of the step. */
 export const createEligibleWorkers = (options: EligibleWorkersOptions): EligibleWorkers => {
-    const { step, workers, health, describe, countTasksOn, hasFailedOn, constraintOf } = options;
+    const { step, workers, health, exclusionOf, shouldBeFast, describe, countTasksOn, hasFailedOn, constraintOf } =
+        options;
     const eligible = new Map<WorkerId, EligibleWorker>();
-    const refresh = (worker: CellWorker): void => {
+    /** Result of the option, once a worker has been described that is not of normal speed. */
+    let isFastPreferred: boolean | undefined;
+    const describeAgain = (worker: CellWorker): void => {
         const { id } = worker.session;
         const hasRoom = canRunStep(worker, step)
+            && exclusionOf(worker) === undefined
             && (step.perWorkerLimit === undefined || countTasksOn(worker) < step.perWorkerLimit);
         if (hasRoom) {
-            eligible.set(id, { worker, isTrusted: health.allowance(id) > 0, description: describe(worker) });
+            const description = describe(worker);
+            if (description.speed < 1) {
+                isFastPreferred ??= shouldBeFast();
+            }
+            eligible.set(id, { worker, isTrusted: health.allowance(id) > 0, description });
         }
         else {
             eligible.delete(id);
         }
     };
+    const refresh = (worker: CellWorker): void => {
+        describeAgain(worker);
+        if (exclusionOf(worker) === "filling") {
+            // The same holds for the other workers of the failure domain.
+            [...eligible].filter(([, other]) => exclusionOf(other.worker) === "filling").forEach(([id]) => {
+                eligible.delete(id);
+            });
+        }
+    };
     const eligibleFor = (task: TaskName): readonly EligibleWorker[] => {
         const constraint = constraintOf(task);
         if (constraint === undefined) {
@@ -101,21 +128,26 @@
         );
     const workerOf = (candidate: WorkerCandidate | undefined): CellWorker | undefined =>
         candidate === undefined ? undefined : eligible.get(candidate.id)?.worker;
-    workers.forEach(refresh);
+    workers.forEach(describeAgain);
     return {
-        choose: task => workerOf(chooseWorker(step, describeFor(task))),
+        choose: task => workerOf(chooseWorker(step, describeFor(task), isFastPreferred)),
         chooseAlways: task => {
             const candidates = describeFor(task);
-            return workerOf(chooseWorker(step, candidates) ?? leastHarmfulWorker(candidates));
+            return workerOf(chooseWorker(step, candidates, isFastPreferred) ?? leastHarmfulWorker(candidates));
         },
         refresh,
         countExclusions: task => {
-            const withRoom = workers.filter(worker => canRunStep(worker, step)).length;
+            const withRoom = workers.filter(worker => canRunStep(worker, step));
+            const exclusions = withRoom.map(exclusionOf);
+            const slow = exclusions.filter(exclusion => exclusion === "slow").length;
+            const filling = exclusions.filter(exclusion => exclusion === "filling").length;
             const fitting = eligibleFor(task);
             const considered = selectByHealth(fitting);
             const suitable = considered.filter(({ description }) => chooseWorker(step, [description]) !== undefined);
             return {
-                atLimit: withRoom - eligible.size,
+                slow,
+                filling,
+                atLimit: withRoom.length - slow - filling - eligible.size,
                 unansweredStart: eligible.size - fitting.length,
                 untrusted: fitting.length - considered.length,
                 interference: considered.length - suitable.length,
--- a/packages/workflow/src/cell/failed-searches.ts
+++ b/packages/workflow/src/cell/failed-searches.ts
@@ -19,14 +19,21 @@
  */
 const spareCpuRetryInterval = 150;
 
+/** Options of {@link createFailedSearches}. */
+export interface FailedSearchesOptions {
+    /** See `SpeedLimits.classOf`; the search of one class tells nothing of another. */
+    readonly classOf: (candidate: StageCandidate) => string;
+}
+
 /** Key of a step's requirements on workers, except its size. */
-const requirementsOf = ({ queue, stage: { step }, isSuspect }: StageCandidate): string =>
+const keyOf = ({ queue, stage: { step }, isSuspect }: StageCandidate): string =>
     [queue.service, isSuspect, step.requiredLabel, step.usesSpareCpu, step.isLasting, step.image, step.accelerators]
         .join(" ");
 const isAtLeastAsLarge = (step: Step, other: Step): boolean => step.cpu >= other.cpu && step.memory >= other.memory;
 
 /** Creates a memory without searches. */
-export const createFailedSearches = (): FailedSearches => {
+export const createFailedSearches = ({ classOf }: FailedSearchesOptions): FailedSearches => {
+    const requirementsOf = (candidate: StageCandidate): string => `${keyOf(candidate)} ${classOf(candidate)}`;
     /** Candidates that found no worker in this pass, by `requirementsOf`. */
     const blockers = new Map<string, StageCandidate>();
     /** Spare-CPU steps that found no worker, by `requirementsOf`, with the monotonic time in ms of the search. */
--- a/packages/workflow/src/cell/run-statistics.ts
+++ b/packages/workflow/src/cell/run-statistics.ts
@@ -10,6 +10,7 @@
 import { createRunTimeEstimate } from "../policy/run-time-estimate.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { RunEnd } from "./run-controller.js";
+import type { Run } from "./run.js";
 
 /** Predicts the run time of one task of a step, in milliseconds; see {@link RunStatistics.runTime}. */
 export type RunTimePredictor = (job: JobId, queue: Queue, step: Step, number: number) => number;
@@ -20,16 +21,29 @@
     readonly recordEnd: (end: RunEnd) => void;
     /** Milliseconds that one task of `step` is expected to run; `number` is the index of the step in the workflow. */
     readonly runTime: RunTimePredictor;
+    /**
+     * Milliseconds that the run's task is expected to take on a normal worker, and the standard deviation of the
+     * logarithm of that; undefined while too little is known of its kind.
+     */
+    readonly expectationOf: (run: Run) => RunTimeExpectation | undefined;
     readonly health: WorkerHealth;
     /** Whether the task has failed on the worker since it last completed. */
     readonly hasFailedOn: (task: TaskName, worker: WorkerId) => boolean;
 }
 
+/** See {@link RunStatistics.expectationOf}. */
+export interface RunTimeExpectation {
+    readonly time: number;
+    readonly spread: number;
+}
+
 /** Options of {@link createRunStatistics}. */
 export interface RunStatisticsOptions {
     readonly metrics: WorkflowMetrics;
     /** The queue of a workflow, with its settings as configured now. */
     readonly queueOf: (ledger: WorkflowLedger) => Queue;
+    /** See `WorkerSpeeds.speedOf`; run times are recorded as they would have been at normal speed. */
+    readonly speedOf: (worker: WorkerId) => number;
 }
 
 /** Milliseconds of a worker's first quarantine; a few typical run times. */
@@ -50,7 +64,7 @@
     `${queue.name}/${String(number)}/${String(step.isGang)}`;
 
 /** Creates statistics without any recorded run. */
-export const createRunStatistics = ({ metrics, queueOf }: RunStatisticsOptions): RunStatistics => {
+export const createRunStatistics = ({ metrics, queueOf, speedOf }: RunStatisticsOptions): RunStatistics => {
     const runTimes = createRunTimeEstimate();
     /** Subjects by step, with what they were created of; each search for a worker looks up that of its step many times. */
     const subjects = new WeakMap<Step, {
@@ -95,13 +109,19 @@
             health.recordEnd(worker, position.job, false);
             const queue = queueOf(ledger);
             if (run.hasFullRunTime) {
-                runTimes.record(subjectOf(position.job, queue, step, position.step), performance.now() - run.startedAt);
+                const runTime = (performance.now() - run.startedAt) * speedOf(worker);
+                runTimes.record(subjectOf(position.job, queue, step, position.step), runTime);
             }
         }
     };
     return {
         recordEnd,
         runTime: (job, queue, step, number) => runTimes.predict(subjectOf(job, queue, step, number)),
+        expectationOf: ({ ledger, step, position }) => {
+            const subject = subjectOf(position.job, queueOf(ledger), step, position.step);
+            const spread = runTimes.spread(subject);
+            return spread === undefined ? undefined : { time: runTimes.predict(subject), spread };
+        },
         health,
         hasFailedOn: (task, worker) => failedOn.get(task)?.has(worker) === true,
     };
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -1,5 +1,5 @@
 import type { WorkerHealth } from "@jayfront/policy";
-import type { ServiceId, WorkerId } from "@jayfront/world";
+import type { FailureDomainId, ServiceId, WorkerId } from "@jayfront/world";
 import type { Logger } from "pino";
 
 import type { Stage, WorkflowLedger } from "../ledger/workflow-ledger.js";
@@ -7,6 +7,7 @@
 import type { Step } from "../model/step.js";
 import type { TaskName, TaskNameParts } from "../model/task-name.js";
 import { taskName } from "../model/task-name.js";
+import type { DomainRamp, DomainUse } from "../policy/domain-ramp.js";
 import { remainingPaths } from "../policy/remaining-paths.js";
 import type { StartGate, StartGateFacts } from "../policy/start-gate.js";
 import { startGate } from "../policy/start-gate.js";
@@ -29,6 +30,7 @@
 import type { RunRegistry } from "./run-registry.js";
 import type { RunTimePredictor } from "./run-statistics.js";
 import type { Run } from "./run.js";
+import type { SpeedLimits } from "./speed-limits.js";
 import type { StageCandidate } from "./stage-candidate.js";
 import { stageName } from "./stage-name.js";
 import { createStarvingWorkflows } from "./starving-workflows.js";
@@ -83,6 +85,8 @@
     /** Places for tasks that leave their workers; the scheduler keeps, uses and releases them. */
     readonly replacementPlaces: ReplacementPlaces;
     readonly workerCrashes: Pick<WorkerCrashes, "isRecent">;
+    readonly speedLimits: SpeedLimits;
+    readonly domainRamp: DomainRamp;
     readonly interference: Pick<InterferenceController, "summarizeServing" | "slackWith" | "compatibleShareLoss">;
     /** Milliseconds of a pass after which the next one goes on; see `PassRounds`. */
     readonly passTime: number;
@@ -168,6 +172,8 @@
         constraintOf,
         replacementPlaces,
         workerCrashes,
+        speedLimits,
+        domainRamp,
         interference,
         passTime,
         otherCellsRoom,
@@ -180,7 +186,7 @@
         runTimeOf: ({ ledger, step, position }) => runTime(ledger.workflow.id, queueOf(ledger), step, position.step),
     });
     const suspectPlacement = createSuspectPlacement(runRegistry, workerCrashes);
-    const failedSearches = createFailedSearches();
+    const failedSearches = createFailedSearches({ classOf: speedLimits.classOf });
     const freeRoom = createFreeRoom({ workers, otherCellsRoom });
     const starvingWorkflows = createStarvingWorkflows({ freeRoom, runRegistry });
     const rounds = createPassRounds(passTime);
@@ -328,7 +334,7 @@
         openWorkers.set(service, cached);
         return cached;
     };
-    const describeWorker = (worker: CellWorker, candidate: StageCandidate): WorkerCandidate => {
+    const describeWorker = (worker: CellWorker, candidate: StageCandidate, speed: number): WorkerCandidate => {
         const { ledger, queue, stage: { step, stepIndex } } = candidate;
         const { session, resources } = worker;
         const summary = summaryOf(worker);
@@ -347,9 +353,25 @@
             slackBefore: slack?.before ?? Infinity,
             slackAfter: slack?.after ?? Infinity,
             compatibleShareLoss: step.tailTarget === undefined ? 0 : interference.compatibleShareLoss(summary, step),
+            speed,
             hasFailedBefore: false,
         };
     };
+    /** Whether the ramp of a failure domain applies to the candidate; it spares long-running tasks without a run. */
+    const isRamped = ({ urgency }: StageCandidate): boolean =>
+        domainRamp.isFilling() && (urgency.lasting === "no" || urgency.lasting === "new");
+    const useOfDomain = (domain: FailureDomainId): DomainUse => {
+        let capacityCpu = 0;
+        let usedCpu = 0;
+        for (const { session, resources } of workers.values()) {
+            if (session.entry().failureDomain === domain) {
+                capacityCpu += resources.capacity().cpu;
+                usedCpu += resources.capacity().cpu - resources.spareCpu();
+            }
+        }
+        return { capacityCpu, usedCpu };
+    };
+
     /** `countPlannedOn`: number of the step's tasks that are planned for the worker but have not started. */
     const eligibleWorkersFor = (
         candidate: StageCandidate,
@@ -363,11 +385,20 @@
         const open = isSuspect
             ? suspectPlacement.select(available.filter(worker => canRunStep(worker, step)))
             : available;
+        const speedFor = speedLimits.speedsFor(candidate, open);
+        const isFilledByDegrees = isRamped(candidate);
         return createEligibleWorkers({
             step,
             workers: rack === undefined ? open : open.filter(worker => worker.session.entry().rack === rack),
             health,
-            describe: worker => describeWorker(worker, candidate),
+            exclusionOf: worker =>
+                speedFor(worker) === undefined
+                    ? "slow"
+                    : isFilledByDegrees && !domainRamp.mayStart(worker.session.entry().failureDomain)
+                    ? "filling"
+                    : undefined,
+            shouldBeFast: () => !speedLimits.hasTime(candidate),
+            describe: worker => describeWorker(worker, candidate, speedFor(worker) ?? 1),
             countTasksOn: worker => countStageTasksOn(worker, candidate) + countPlannedOn(worker),
             hasFailedOn,
             constraintOf,
@@ -438,6 +469,7 @@
         summaries.delete(worker.session.id);
         reservations.recordStart(worker);
         admission.recordStart();
+        domainRamp.recordStart(worker.session.entry().failureDomain, candidate.stage.step.cpu);
         const { ledger, queue, stage, urgency, isSuspect } = candidate;
         if (isSuspect) {
             suspectPlacement.recordStart(ledger, worker);
@@ -765,6 +797,7 @@
             admission.beginPass(candidates);
             suspectPlacement.beginPass();
             reservations.beginPass(rounds.isUnfinished());
+            domainRamp.beginPass(useOfDomain);
             startStarving(candidates);
             rounds.visit(candidates, visitCandidate);
             return !rounds.isUnfinished();
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -1,4 +1,4 @@
-import type { CellId, JobId, WorkerId } from "@jayfront/world";
+import type { CellId, FailureDomainId, JobId, WorkerId } from "@jayfront/world";
 import { createStopSignal, createWakeUp, sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 
@@ -11,7 +11,9 @@
 import { taskName } from "../model/task-name.js";
 import type { WorkerEntry } from "../model/worker-entry.js";
 import type { Workflow } from "../model/workflow.js";
+import { createDomainRamp } from "../policy/domain-ramp.js";
 import { createInterferenceModel } from "../policy/interference-model.js";
+import { createWorkerSpeeds } from "../policy/worker-speeds.js";
 import type { StateStore } from "../port/state-store.js";
 import type { WorkerDirectory } from "../port/worker-directory.js";
 import type { WorkerGateway, WorkerReport } from "../port/worker-gateway.js";
@@ -46,6 +48,9 @@
 import { createRunWatchdog } from "./run-watchdog.js";
 import type { Run } from "./run.js";
 import { createSettledSweep } from "./settled-sweep.js";
+import { createSpeedLimits } from "./speed-limits.js";
+import { createSpeedMonitor } from "./speed-monitor.js";
+import { createSpeedObserver } from "./speed-observer.js";
 import { createStageScheduler } from "./stage-scheduler.js";
 import type { LocatedTask, StoredAbsences } from "./stored-starts.js";
 import type { StrandedTasks } from "./stranded-tasks.js";
@@ -94,6 +99,8 @@
     readonly readTransfers: () => void;
     /** Takes back tasks of a workflow that the cell `from` has returned. */
     readonly readReturns: (id: JobId, from: CellId) => void;
+    /** Fills the failure domain by degrees from now on; to be called when it is open again. */
+    readonly recordDomainReopened: (domain: FailureDomainId) => void;
     /** Summary for the next heartbeat; each accepted workflow is listed in one summary only. */
     readonly summary: () => CellSummary;
     /** Milliseconds since the last call that proved the lease was sent. */
@@ -255,7 +262,20 @@
     });
     const findQueue = createQueueLookup(configuration);
     const queueOf = (ledger: WorkflowLedger): Queue => findQueue(ledger.workflow.queue.name) ?? ledger.workflow.queue;
-    const { recordEnd, runTime, health, hasFailedOn } = createRunStatistics({ metrics, queueOf });
+    const speeds = createWorkerSpeeds();
+    const domainRamp = createDomainRamp();
+    const { recordEnd, runTime, expectationOf, health, hasFailedOn } = createRunStatistics({
+        metrics,
+        queueOf,
+        speedOf: speeds.speedOf,
+    });
+    const speedMonitor = createSpeedMonitor({ cell, epoch, speeds, metrics, logger, signal });
+    const speedObserver = createSpeedObserver({
+        runRegistry,
+        speeds,
+        expectationOf,
+        rackOf: id => workers.get(id)?.session.entry().rack,
+    });
     const unansweredStarts = createUnansweredStarts({
         lateOrderTime: timing.lateOrderTime,
         lateOrderDetector,
@@ -432,6 +452,8 @@
         interference: interferenceController,
         replacementPlaces,
         workerCrashes,
+        speedLimits: createSpeedLimits({ speeds, runRegistry, runTime }),
+        domainRamp,
         constraintOf,
         hasFailedOn: (task, worker) => hasFailedOn(task, worker.session.id),
         passTime,
@@ -459,6 +481,7 @@
     };
     const events: SessionEvents = {
         onReport: (session, report, sentAt, isFirst) => {
+            speedObserver.observe(session.id, report);
             runController.applyReport(session, report, sentAt, isFirst);
             if (isFirst) {
                 recordAdoptedRuns(session, report);
@@ -472,10 +495,12 @@
             unansweredStarts.recordRestart(session, age);
             runController.recordRestart(session);
             health.removeWorker(session.id);
+            speedMonitor.forget(session.id);
         },
         onLapsed: (session, hasCrashed) => {
             runController.dropWorkerRuns(session, hasCrashed);
             health.removeWorker(session.id);
+            speedMonitor.forget(session.id);
         },
         onFenced: (session, token) => {
             // The read follows the refusal: if it finds this holder, the higher token is not that of a later one.
@@ -619,6 +644,7 @@
             if (performance.now() - reviewedAt >= reviewInterval) {
                 reviewedAt = performance.now();
                 runWatchdog.review();
+                speedMonitor.review();
                 logOverdueAbsences();
                 reviewAbsentTasks();
                 outgoingTransfers.review();
@@ -792,6 +818,7 @@
         load: () => isActive ? room.load() : undefined,
         offerRoom: request => isActive ? transferOffers.offer(request) : 0,
         readTransfers: incomingTransfers.notify,
+        recordDomainReopened: domainRamp.recordDomainReopened,
         readReturns: (id, from) => void outgoingTransfers.readReturns(id, from),
         summary: () => {
             const reported = accepted;
--- a/packages/workflow/src/policy/choose-worker.ts
+++ b/packages/workflow/src/policy/choose-worker.ts
@@ -5,6 +5,14 @@
 const sameRackBonus = 100;
 /** Penalty for a worker on which the same task has failed; exceeds the bonus for the rack. */
 const failedBeforePenalty = 1_000;
+/**
+ * Penalty, times what the worker lacks of normal speed, for tasks that should be fast. Even a cold worker, which lacks
+ * least, loses more than the bonus for the rack: there, a run takes half as long again, as it does off its rack, and the
+ * worker turns warm only after that.
+ */
+const slownessPenalty = 400;
+/** Bonus, times the same, for tasks that have time: they leave normal workers to others and warm the cold ones up. */
+const slownessBonus = 0.5;
 /** Penalty for a worker without serving tasks: packing one image together leaves other workers for other images. */
 const emptyWorkerPenalty = 0.1;
 /** Weight of the loss of compatible spare-CPU work; exceeds that of room, so that images mix only where they must. */
@@ -64,9 +72,17 @@
 const scorerFor = (step: Step): Scorer =>
     step.usesSpareCpu ? scoreForSpareCpu : step.tailTarget === undefined ? scoreForReserving : scoreForServing;
 
-/** The best worker among candidates that all have room for the task; undefined where the task should wait. */
-export const chooseWorker = (step: Step, candidates: readonly WorkerCandidate[]): WorkerCandidate | undefined => {
+/**
+ * The best worker among candidates that all have room for the task; undefined where the task should wait.
+ * `shouldBeFast`: whether the task has no time for a slower worker.
+ */
+export const chooseWorker = (
+    step: Step,
+    candidates: readonly WorkerCandidate[],
+    shouldBeFast = true,
+): WorkerCandidate | undefined => {
     const scorer = scorerFor(step);
+    const slownessWeight = shouldBeFast ? -slownessPenalty : slownessBonus;
     // The other scorers ignore it.
     const isRoomAmple = scorer === scoreForReserving && hasAmpleRoom(candidates);
     let best: WorkerCandidate | undefined;
@@ -75,7 +91,8 @@
         const score = scorer(step, candidate, isRoomAmple);
         const total = (score ?? -Infinity)
             + (step.preferredRack === candidate.rack ? sameRackBonus : 0)
-            - (candidate.hasFailedBefore ? failedBeforePenalty : 0);
+            - (candidate.hasFailedBefore ? failedBeforePenalty : 0)
+            + (1 - candidate.speed) * slownessWeight;
         if (score !== undefined && total > bestScore) {
             best = candidate;
             bestScore = total;
--- a/packages/workflow/src/policy/worker-candidate.ts
+++ b/packages/workflow/src/policy/worker-candidate.ts
@@ -20,6 +20,8 @@
     readonly otherWorkflowCount: number;
     /** Decrease of the worker's `compatibleSpareShare` by the new task. */
     readonly compatibleShareLoss: number;
+    /** Speed of the worker; 1 is normal, less is slower. */
+    readonly speed: number;
     /** Whether the same task has failed on the worker. */
     readonly hasFailedBefore: boolean;
 }
--- a/packages/workflow/src/workflow-metrics.ts
+++ b/packages/workflow/src/workflow-metrics.ts
@@ -32,6 +32,8 @@
     readonly passSeconds: Histogram<"part">;
     /** Changes of the pace of spare-CPU tasks, by direction. */
     readonly paceChanges: Counter<"direction">;
+    /** Workers of the cells held by this host that were found slow and have not recovered. */
+    readonly slowWorkers: Gauge;
     /** Cells that this host took, lost or handed over, by kind of change. */
     readonly cellChanges: Counter<"change">;
     /** Version of the configuration in force. */
@@ -143,6 +145,11 @@
             labelNames: ["direction"],
             registers,
         }),
+        slowWorkers: new Gauge({
+            name: "jayfront_slow_workers",
+            help: "Workers that were found slow and have not recovered",
+            registers,
+        }),
         cellChanges: new Counter({
             name: "jayfront_workflow_cell_changes_total",
             help: "Cells taken and lost",
--- a/packages/workflow/tests/choose-worker.test.ts
+++ b/packages/workflow/tests/choose-worker.test.ts
@@ -16,6 +16,7 @@
     slackAfter: Infinity,
     otherWorkflowCount: 0,
     compatibleShareLoss: 0,
+    speed: 1,
     hasFailedBefore: false,
     ...changes,
 });
--- a/packages/workflow/tests/run-statistics.test.ts
+++ b/packages/workflow/tests/run-statistics.test.ts
@@ -1,5 +1,5 @@
 import type { JobId, WorkerId } from "@jayfront/world";
-import { describe, expect, it } from "@jest/globals";
+import { describe, expect, it, jest } from "@jest/globals";
 import { Registry } from "prom-client";
 
 import { createRun } from "../src/cell/create-run.js";
@@ -13,7 +13,7 @@
 
 const worker = "w-1" as WorkerId;
 
-const recordEnd = (statistics: RunStatistics, job: string, outcome: "done" | "failed"): void => {
+const recordEnd = (statistics: RunStatistics, job: string, outcome: "done" | "failed", took = 0): void => {
     const position = { job: job as JobId, occurrence: 0, step: 0, index: 0 };
     const step = createStep({ count: 1 });
     const ledger = createWorkflowLedger({
@@ -25,12 +25,19 @@
     });
     const run = createRun({ task: taskName(position), position, number: 1, worker, ledger, step, checkpoint: "" });
     statistics.health.recordStart(worker);
+    if (took > 0) {
+        jest.advanceTimersByTime(took);
+    }
     statistics.recordEnd({ run, outcome });
 };
 
 describe("statistics of a cell's runs", () => {
     const create = (): RunStatistics =>
-        createRunStatistics({ metrics: createWorkflowMetrics(new Registry()), queueOf: () => testQueue });
+        createRunStatistics({
+            metrics: createWorkflowMetrics(new Registry()),
+            queueOf: () => testQueue,
+            speedOf: () => 1,
+        });
 
     it("quarantines a worker on which several jobs fail", () => {
         const statistics = create();
@@ -40,6 +47,19 @@
         expect(statistics.health.allowance(worker)).toBe(0);
     });
 
+    // Guards against a step that seems long since its first task ran on a slow worker.
+    it("expects the run times of normal workers from a run on a slow one", () => {
+        jest.useFakeTimers();
+        const statistics = createRunStatistics({
+            metrics: createWorkflowMetrics(new Registry()),
+            queueOf: () => testQueue,
+            speedOf: () => 0.2,
+        });
+        recordEnd(statistics, "a", "done", 5_000);
+        expect(statistics.runTime("a" as JobId, testQueue, createStep({ count: 1 }), 0)).toBe(1_000);
+        jest.useRealTimers();
+    });
+
     it("keeps using a busy worker with few failures among its successes", () => {
         const statistics = create();
         for (let round = 0; round < 60; round += 1) {
--- a/packages/workflow/tests/run-time-estimate.test.ts
+++ b/packages/workflow/tests/run-time-estimate.test.ts
@@ -36,6 +36,28 @@
         expect(afterOneRun).toBeLessThan(declared * 0.2);
     });
 
+    // Guards against workers that count as slow by what is only the variation of a kind.
+    it("tell how far they are off, learned for each kind", () => {
+        const estimate = createRunTimeEstimate();
+        const subjectOf = (kind: string, number: number) => ({
+            kind,
+            stepKey: `${kind}${String(number)}`,
+            declared: 700,
+        });
+        expect(estimate.spread(subjectOf("even", 0))).toBeUndefined();
+        for (let number = 0; number < 50; number += 1) {
+            [700, 700, 700].forEach(actual => {
+                estimate.record(subjectOf("even", number), actual);
+            });
+            [300, 1_800, 700].forEach(actual => {
+                estimate.record(subjectOf("uneven", number), actual * (1 + number % 5));
+            });
+        }
+        const spreads = ["even", "uneven"].map(kind => estimate.spread(subjectOf(kind, 1)) ?? 0);
+        expect(spreads[0]).toBeLessThan(0.1);
+        expect(spreads[1]).toBeGreaterThan(0.7);
+    });
+
     it("equal the declarations before any run", () => {
         expect(createRunTimeEstimate().predict({ kind: "k", stepKey: "s", declared: 700 })).toBe(700);
     });
--- a/packages/workflow/tests/test-cell.ts
+++ b/packages/workflow/tests/test-cell.ts
@@ -14,6 +14,7 @@
 import type { RunRegistry } from "../src/cell/run-registry.js";
 import { createRunRegistry } from "../src/cell/run-registry.js";
 import type { Run } from "../src/cell/run.js";
+import { createSpeedLimits } from "../src/cell/speed-limits.js";
 import type { StageScheduler } from "../src/cell/stage-scheduler.js";
 import { createStageScheduler } from "../src/cell/stage-scheduler.js";
 import type { UnansweredStarts } from "../src/cell/unanswered-starts.js";
@@ -26,7 +27,11 @@
 import type { TaskName } from "../src/model/task-name.js";
 import { taskName } from "../src/model/task-name.js";
 import type { WorkerEntry } from "../src/model/worker-entry.js";
+import type { DomainRamp } from "../src/policy/domain-ramp.js";
+import { createDomainRamp } from "../src/policy/domain-ramp.js";
 import { createInterferenceModel } from "../src/policy/interference-model.js";
+import type { WorkerSpeeds } from "../src/policy/worker-speeds.js";
+import { createWorkerSpeeds } from "../src/policy/worker-speeds.js";
 import { testQueue } from "./test-queue.js";
 
 /** A cell's scheduler with its workers and runs, without communication with workers. */
@@ -50,6 +55,7 @@
     readonly constrainedTasks: Set<TaskName>;
     /** Lets the worker drain: it takes no new tasks. */
     readonly drainWorker: (worker: WorkerId) => void;
+    readonly domainRamp: DomainRamp;
     /** Removes the worker from the cell, but not its runs. */
     readonly removeWorker: (worker: WorkerId) => void;
 }
@@ -71,6 +77,8 @@
     readonly otherCellsRoom?: CpuRoom;
     /** Called at each start and at each look-up of an expected run time. */
     readonly onWork?: () => void;
+    /** Speeds of the workers; all are normal by default. */
+    readonly speeds?: WorkerSpeeds;
 }
 
 const openSession = (id: WorkerId, cpu: number, deadline: () => number): WorkerSession => {
@@ -116,6 +124,7 @@
         passTime = Infinity,
         otherCellsRoom = { freeCpu: 0, capacityCpu: 0 },
         onWork = () => undefined,
+        speeds = createWorkerSpeeds(),
     }: TestCellOptions,
 ): TestCell => {
     const lines: Readonly<Record<string, unknown>>[] = [];
@@ -163,16 +172,20 @@
     const runController: Partial<RunController> = { start, nextNumber: () => 1 };
     const replacementPlaces = createReplacementPlaces();
     const constrainedTasks = new Set<TaskName>();
+    const domainRamp = createDomainRamp();
+    const predictRunTime = (): number => {
+        counts.runTimes += 1;
+        onWork();
+        return runTime;
+    };
     const scheduler = createStageScheduler({
         ledgers: () => ledgers,
         workers,
         runRegistry,
         runController: runController as RunController,
-        runTime: () => {
-            counts.runTimes += 1;
-            onWork();
-            return runTime;
-        },
+        runTime: predictRunTime,
+        speedLimits: createSpeedLimits({ speeds, runRegistry, runTime: predictRunTime }),
+        domainRamp,
         health: createWorkerHealth({ initialStartLimit: startLimit }),
         logger,
         queueOf: ledger => ledger.workflow.queue,
@@ -216,6 +229,7 @@
         },
         replacementPlaces,
         constrainedTasks,
+        domainRamp,
         drainWorker: id => {
             const worker = workers.get(id);
             if (worker !== undefined) {
