--- a/packages/workflow/src/cell/run-statistics.ts
+++ b/packages/workflow/src/cell/run-statistics.ts
@@ -21,11 +21,22 @@
     readonly recordEnd: (end: RunEnd) => void;
     /** Milliseconds that one task of `step` is expected to run; `number` is the index of the step in the workflow. */
     readonly runTime: RunTimePredictor;
+    /**
+     * Milliseconds that the run's task is expected to take on a normal worker, and the standard deviation of the
+     * logarithm of that; undefined while too little is known of its kind.
+     */
+    readonly expectationOf: (run: Run) => RunTimeExpectation | undefined;
     readonly health: WorkerHealth;
     /** Whether the task has failed on the worker since it last completed. */
     readonly hasFailedOn: (task: TaskName, worker: WorkerId) => boolean;
 }
 
+/** See {@link RunStatistics.expectationOf}. */
+export interface RunTimeExpectation {
+    readonly time: number;
+    readonly spread: number;
+}
+
 /** Options of {@link createRunStatistics}. */
 export interface RunStatisticsOptions {
     readonly metrics: WorkflowMetrics;
@@ -33,6 +44,8 @@
     readonly queueOf: (ledger: WorkflowLedger) => Queue;
     /** See `NearWaits.factorOf`; run times are recorded without it. Default: 1. */
     readonly factorOf?: (run: Run) => number;
+    /** See `WorkerSpeeds.speedOf`; run times are recorded as they would have been at normal speed. */
+    readonly speedOf: (worker: WorkerId) => number;
 }
 
 /** Milliseconds of a worker's first quarantine; a few typical run times. */
@@ -54,7 +67,7 @@
 
 /** Creates statistics without any recorded run. */
 export const createRunStatistics = (
-    { metrics, queueOf, factorOf = () => 1 }: RunStatisticsOptions,
+    { metrics, queueOf, factorOf = () => 1, speedOf }: RunStatisticsOptions,
 ): RunStatistics => {
     const runTimes = createRunTimeEstimate();
     /** Subjects by step, with what they were created of; each search for a worker looks up that of its step many times. */
@@ -100,14 +113,19 @@
             health.recordEnd(worker, position.job, false);
             const queue = queueOf(ledger);
             if (run.hasFullRunTime) {
-                const time = (performance.now() - run.startedAt) / factorOf(run);
-                runTimes.record(subjectOf(position.job, queue, step, position.step), time);
+                const runTime = (performance.now() - run.startedAt) * speedOf(worker) / factorOf(run);
+                runTimes.record(subjectOf(position.job, queue, step, position.step), runTime);
             }
         }
     };
     return {
         recordEnd,
         runTime: (job, queue, step, number) => runTimes.predict(subjectOf(job, queue, step, number)),
+        expectationOf: ({ ledger, step, position }) => {
+            const subject = subjectOf(position.job, queueOf(ledger), step, position.step);
+            const spread = runTimes.spread(subject);
+            return spread === undefined ? undefined : { time: runTimes.predict(subject), spread };
+        },
         health,
         hasFailedOn: (task, worker) => failedOn.get(task)?.has(worker) === true,
     };
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -153,6 +153,11 @@
     const evacuationWatch = options.evacuation === undefined ? undefined : createEvacuationWatch({
         ...options.evacuation,
         isNeeded: () => cellManager.allHeld().length > 0,
+        onReopened: domain => {
+            cellManager.allHeld().forEach(cell => {
+                cell.recordDomainReopened(domain);
+            });
+        },
         logger,
     });
     const gateway = evacuationWatch === undefined
--- a/packages/workflow/src/evacuation/evacuation-watch.ts
+++ b/packages/workflow/src/evacuation/evacuation-watch.ts
@@ -33,6 +33,8 @@
     readonly bound: number;
     /** Whether this host holds a cell. */
     readonly isNeeded: () => boolean;
+    /** Called when the request for a failure domain has been removed, before anything starts there again. */
+    readonly onReopened: (domain: FailureDomainId) => void;
     readonly logger: Logger;
 }
 
@@ -51,7 +53,7 @@
 
 /** Creates a watch that knows nothing yet, so that nothing may start. */
 export const createEvacuationWatch = (
-    { source, bound, isNeeded, logger }: EvacuationWatchOptions,
+    { source, bound, isNeeded, onReopened, logger }: EvacuationWatchOptions,
 ): EvacuationWatch => {
     const wakeUp = createWakeUp();
     let known: KnownEvacuations | undefined;
@@ -76,7 +78,11 @@
         // A later answer would permit no starts any more.
         const answer = await source.read(longestKnowledgeAge(bound));
         if (answer.isOk) {
+            const closedBefore = known?.requests ?? [];
             known = newerEvacuations(known, { ...answer.value, readAt });
+            closedBefore.map(({ failureDomain }) => failureDomain)
+                .filter(domain => !isEvacuated(domain, known))
+                .forEach(onReopened);
         }
         logFreshness(answer.isErr ? answer.error.kind : undefined);
         return answer.isOk;
--- a/packages/workflow/tests/evacuation-watch.test.ts
+++ b/packages/workflow/tests/evacuation-watch.test.ts
@@ -61,6 +61,7 @@
             },
             bound,
             isNeeded: () => isNeeded,
+            onReopened: () => undefined,
             logger: pino({ level: "silent" }),
         });
         void watch.run(stop.signal);
@@ -74,4 +75,29 @@
         stop.abort();
         jest.useRealTimers();
     });
+
+    // Guards against a wave of starts on workers that may be cold, since nobody learns that their domain is open again.
+    it("reports once that a request has been removed", async () => {
+        jest.useFakeTimers();
+        const stop = createStopSignal();
+        let requests = [requestOf(3)];
+        const reopened: FailureDomainId[] = [];
+        const watch = createEvacuationWatch({
+            source: { read: () => Promise.resolve(Result.ok({ requests, version: 5 - requests.length })) },
+            bound,
+            isNeeded: () => true,
+            onReopened: found => {
+                reopened.push(found);
+            },
+            logger: pino({ level: "silent" }),
+        });
+        void watch.run(stop.signal);
+        await jest.advanceTimersByTimeAsync(1_500);
+        expect(reopened).toEqual([]);
+        requests = [];
+        await jest.advanceTimersByTimeAsync(3_500);
+        expect(reopened).toEqual([domain]);
+        stop.abort();
+        jest.useRealTimers();
+    });
 });
