--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -10,8 +10,13 @@
 import { remainingPaths } from "../policy/remaining-paths.js";
 import type { StartGate, StartGateFacts } from "../policy/start-gate.js";
 import { startGate } from "../policy/start-gate.js";
+import type { StartRates } from "../policy/start-rates.js";
+import { createStartRates } from "../policy/start-rates.js";
 import type { Urgency } from "../policy/urgency.js";
 import { compareUrgency } from "../policy/urgency.js";
+import { uselessFactor } from "../policy/useless-factor.js";
+import type { WorkPool } from "../policy/waiting-work.js";
+import { poolOf } from "../policy/waiting-work.js";
 import type { WorkerCandidate } from "../policy/worker-candidate.js";
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
 import { canRunStep, isOpenTo, mayStartOn } from "./cell-workers.js";
@@ -46,6 +51,8 @@
     readonly runPass: () => boolean;
     /** See `StarvingWorkflows.longestWait`. */
     readonly longestWait: () => number;
+    /** See `StartRates.rateOf`. */
+    readonly startRate: StartRates["rateOf"];
     /**
      * Keeps a place for the run's task on another worker that would get the task if it waited; returns whether there is
      * one. The caller stops the run.
@@ -142,8 +149,6 @@
 
 /** Share of the processor time reserved by serving tasks that is idle, since they are sized for peak load. */
 const servingIdleShare = 0.55;
-/** Multiple of its objective after which a workflow's result is useless, as the users define it. */
-const uselessFactor = 3;
 
 /** Share of a pass in which tasks of starving workflows are started. */
 const starvingShare = 0.25;
@@ -184,6 +189,7 @@
     const freeRoom = createFreeRoom({ workers, otherCellsRoom });
     const starvingWorkflows = createStarvingWorkflows({ freeRoom, runRegistry });
     const rounds = createPassRounds(passTime);
+    const startRates = createStartRates();
     // The following caches are valid for one pass.
     /** Summaries of the serving tasks by worker. */
     const summaries = new Map<WorkerId, ServingSummary>();
@@ -204,12 +210,13 @@
         queue: Queue,
         { paths, objective }: ExpectedTimes,
     ): Omit<Urgency, "lasting"> => {
-        const { acceptedAt, schedule } = ledger.workflow;
+        const { acceptedAt, schedule, isLate } = ledger.workflow;
         const dueAt = schedule === undefined ? acceptedAt : schedule.firstDue + stage.occurrence * schedule.interval;
         const spareTime = dueAt - Date.now() - (paths[stage.stepIndex] ?? 0);
+        const laxity = spareTime + objective;
         return {
             priority: queue.priority,
-            laxity: spareTime + objective,
+            laxity: isLate === true ? Math.min(laxity, -1) : laxity,
             expiryLaxity: spareTime + objective * uselessFactor,
         };
     };
@@ -456,6 +463,11 @@
             freeCpu: worker.resources.freeCpu(),
             spareCpu: worker.resources.spareCpu(),
         }, "start ordered");
+        const { step, stepIndex } = stage;
+        if (!step.isLasting) {
+            const work = step.cpu * runTime(ledger.workflow.id, queue, step, stepIndex);
+            startRates.recordStart(poolOf(step), queue.priority, work);
+        }
         runController.start(ledger, stage, index, worker.session, number);
         if (stage.record.waiting.size === 0) {
             stage.record.noRoomSince = undefined;
@@ -751,10 +763,19 @@
         };
         return { ...facts, gate: startGate(facts) };
     };
+    /** Pools that short-lived tasks wait for after a pass, unless they wait for particular workers. */
+    const findWaitingPools = (candidates: readonly StageCandidate[]): ReadonlySet<WorkPool> =>
+        new Set(
+            candidates.filter(({ stage: { step, record }, isSuspect }) =>
+                !step.isLasting && !step.isGang && !isSuspect && step.requiredLabel === undefined
+                && step.perWorkerLimit === undefined && record.waiting.size > 0 && record.noRoomSince !== undefined
+            ).map(({ stage }) => poolOf(stage.step)),
+        );
     return {
         keepPlaceElsewhere,
         holdsReservedRoom,
         explainWait,
+        startRate: startRates.rateOf,
         longestWait: starvingWorkflows.longestWait,
         runPass: () => {
             summaries.clear();
@@ -767,6 +788,7 @@
             reservations.beginPass(rounds.isUnfinished());
             startStarving(candidates);
             rounds.visit(candidates, visitCandidate);
+            startRates.endPass(findWaitingPools(candidates), performance.now());
             return !rounds.isUnfinished();
         },
     };
--- a/packages/workflow/src/cell/submission-reply.ts
+++ b/packages/workflow/src/cell/submission-reply.ts
@@ -14,5 +14,7 @@
      * tasks for which the cell has room; negative where not even what waits there fits.
      */
     | { readonly kind: "full"; readonly roomShare: number; }
+    /** As `refused`, since the workflow's result would come too late for its submitter, who should return after `retryAfter` ms. */
+    | { readonly kind: "late"; readonly retryAfter: number; }
     /** The index names `cell`, which is another one, for this workflow: it is stored there. */
     | { readonly kind: "elsewhere"; readonly cell: CellId; };
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -50,6 +50,7 @@
 import type { LocatedTask, StoredAbsences } from "./stored-starts.js";
 import type { StrandedTasks } from "./stranded-tasks.js";
 import { findStrandedTasks } from "./stranded-tasks.js";
+import { createSubmissionAdmission } from "./submission-admission.js";
 import type { SubmissionReply } from "./submission-reply.js";
 import { summarizeCell } from "./summarize-cell.js";
 import type { HolderRow } from "./take-cell.js";
@@ -656,6 +657,7 @@
         for (const { ledger, progressVersion } of loaded.value.ledgers) {
             addLedger(ledger, progressVersion);
             inheritedJobs.add(ledger.workflow.id);
+            submissionAdmission.inherit(ledger.workflow);
         }
         incomingTransfers.inherit(loaded.value.transferRows);
         [...incomingTransfers.ledgers.keys()].forEach(id => inheritedJobs.add(id));
@@ -736,6 +738,17 @@
         transferredLedgers: incomingTransfers.ledgers,
         pendingWorkflows: intake.pendingWorkflows,
     });
+    const submissionAdmission = createSubmissionAdmission({
+        cell,
+        epoch,
+        ledgers,
+        pendingWorkflows: intake.pendingWorkflows,
+        queueOf: workflow => findQueue(workflow.queue.name) ?? workflow.queue,
+        runTime,
+        startRate: scheduler.startRate,
+        logger,
+        metrics,
+    });
     const transferOffers = createTransferOffers({ workers, runRegistry, capacity: room.forTransfers });
     /** Whether accepted tasks wait for placement. */
     const hasWaitingWork = (): boolean =>
@@ -773,14 +786,20 @@
                 return { kind: "behind" };
             }
             if (isNew && mayDecline) {
-                const roomShare = room.shareFor(workflow.steps);
+                const { lateness } = submissionAdmission.judge(workflow);
+                const roomShare = Math.min(room.shareFor(workflow.steps), 1 - lateness);
                 const hasMoreWork = Number.isFinite(knownLongRunningCpu)
                     && room.load().longRunningCpu > knownLongRunningCpu;
                 if (roomShare < 1 || hasMoreWork) {
                     return { kind: "full", roomShare };
                 }
             }
-            return await intake.submit(workflow);
+            const admission = isNew ? submissionAdmission.admit(workflow) : { kind: "accepted" as const, workflow };
+            if (admission.kind === "refused") {
+                metrics.submissions.inc({ outcome: "late" });
+                return { kind: "late", retryAfter: admission.retryAfter };
+            }
+            return await intake.submit(admission.workflow);
         },
         state: async id => isActive ? await operations.state(id) : "not-holder",
         cancel: async id => isActive ? await operations.cancel(id) : "not-holder",
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -269,6 +269,7 @@
             network,
             claims,
             held: cellManager.held,
+            origin: self.failureDomain,
             isNear: cell => domainsOf(cell).some(domain => regions[domain] === regions[self.failureDomain]),
             logger,
             metrics,
--- a/packages/workflow/src/entry/workflow-offer.ts
+++ b/packages/workflow/src/entry/workflow-offer.ts
@@ -24,6 +24,8 @@
     readonly mayBeStored: () => boolean;
     /** Whether a cell declined because its holder is late with the placement of accepted workflows. */
     readonly hasFoundBehind: () => boolean;
+    /** Milliseconds after which the first cell that declined since the result would come too late expects its return. */
+    readonly lateReturn: () => number | undefined;
     /** Lists the cells that were tried, with the outcomes, for logs. */
     readonly describeAttempts: () => string;
 }
@@ -51,6 +53,7 @@
     let mayBeStored = false;
     let isDeclined = false;
     let hasFoundBehind = false;
+    let lateReturn: number | undefined;
     let recordAcceptance: (cell: CellId) => void = () => undefined;
     /** Resolves to the first cell that has accepted the workflow, also if it replies after the end of its round. */
     const acceptance = new Promise<CellId>(resolve => {
@@ -66,6 +69,9 @@
             roomShares.set(cell, outcome.roomShare);
         }
         hasFoundBehind ||= outcome.kind === "behind";
+        if (outcome.kind === "late") {
+            lateReturn = Math.min(lateReturn ?? Infinity, outcome.retryAfter);
+        }
         // The index row ensures that only one cell stores an id, so others can be tried after an unknown outcome.
         mayBeStored ||= uncertainKinds.has(outcome.kind);
         acceptedBy ??= outcome.kind === "accepted" ? cell : outcome.kind === "elsewhere" ? outcome.cell : undefined;
@@ -107,6 +113,7 @@
         roomShareOf: cell => roomShares.get(cell) ?? 0,
         mayBeStored: () => mayBeStored,
         hasFoundBehind: () => hasFoundBehind,
+        lateReturn: () => lateReturn,
         describeAttempts: () => attempts.join(", "),
     };
 };
--- a/packages/workflow/src/entry/workflow-router.ts
+++ b/packages/workflow/src/entry/workflow-router.ts
@@ -1,4 +1,4 @@
-import type { CellId, JobId } from "@jayfront/world";
+import type { CellId, FailureDomainId, JobId } from "@jayfront/world";
 import { createStopSignal, sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 
@@ -49,6 +49,8 @@
     readonly claims: CellClaims;
     /** The cell, if this host holds it. */
     readonly held: (cell: CellId) => WorkflowCell | undefined;
+    /** Failure domain of this host, from which its submitters' workflows count as coming; undefined if it is not known. */
+    readonly origin?: FailureDomainId;
     /** Whether the cell is in the region of this host. */
     readonly isNear: (cell: CellId) => boolean;
     readonly logger: Logger;
@@ -106,7 +108,7 @@
 
 /** Creates the router of an entry host. */
 export const createWorkflowRouter = (options: WorkflowRouterOptions): WorkflowRouter => {
-    const { cells, store, network, claims, held, isNear, logger, metrics } = options;
+    const { cells, store, network, claims, held, origin, isNear, logger, metrics } = options;
     const recentlySent: { readonly cell: CellId; readonly cpu: number; readonly at: number; }[] = [];
 
     /** Millicores requested by the widest steps of the workflows that this host has recently sent to a cell. */
@@ -230,6 +232,11 @@
         if (mayBeStored) {
             return { kind: "unknown", reason };
         }
+        const lateReturn = offer.lateReturn();
+        if (lateReturn !== undefined) {
+            metrics.refusedSubmissions.inc({ reason: "late" });
+            return { kind: "unavailable", reason, retryAfter: Math.ceil(lateReturn / 1_000) };
+        }
         metrics.refusedSubmissions.inc({ reason: isBehind ? "behind" : attempts === "" ? "no-holder" : "other" });
         return { kind: "unavailable", reason, retryAfter: isBehind ? retryAfterBehind(id) : retryAfterOutage };
     };
@@ -248,7 +255,8 @@
         claims.rememberCell(id, stored.value);
         return { kind: "accepted", reason: `${stored.value}: indexed` };
     };
-    const submit = async (workflow: Workflow, timeout: number): Promise<SubmissionAnswer> => {
+    const submit = async (submitted: Workflow, timeout: number): Promise<SubmissionAnswer> => {
+        const workflow = origin === undefined ? submitted : { ...submitted, origin };
         const submittedAt = performance.now();
         const deadline = submittedAt + timeout;
         const decliningUntil = submittedAt + timeout * decliningShare;
@@ -315,8 +323,8 @@
         if (accepted !== undefined) {
             return accepted;
         }
-        // A holder that is behind refuses a workflow that another one has stored. Other refusals are sent at once.
-        const mayBeIndexed = offer.mayBeStored() || offer.hasFoundBehind();
+        // A holder that is behind or would be too late refuses a workflow that another one has stored. Other refusals are sent at once.
+        const mayBeIndexed = offer.mayBeStored() || offer.hasFoundBehind() || offer.lateReturn() !== undefined;
         return (mayBeIndexed ? await findStored(workflow.id, timeout) : undefined) ?? describeFailure(workflow, offer);
     };
     /** Finds the cell of a workflow, from memory or from the index. */
--- a/packages/workflow/src/model/workflow.ts
+++ b/packages/workflow/src/model/workflow.ts
@@ -1,4 +1,4 @@
-import type { JobId } from "@jayfront/world";
+import type { FailureDomainId, JobId } from "@jayfront/world";
 
 import type { Queue } from "./queue.js";
 import type { Step } from "./step.js";
@@ -24,6 +24,10 @@
     readonly schedule?: Schedule;
     /** Time of acceptance in Unix ms. */
     readonly acceptedAt: number;
+    /** Failure domain of the host that got it from its submitter; undefined in rows of earlier releases. */
+    readonly origin?: FailureDomainId;
+    /** Whether it was accepted though it could no longer be in time; it goes after all work that can. */
+    readonly isLate?: boolean;
 }
 
 /** State of a workflow as reported to submitters. */
--- a/packages/workflow/src/workflow-metrics.ts
+++ b/packages/workflow/src/workflow-metrics.ts
@@ -12,6 +12,8 @@
     readonly submissions: Counter<"outcome">;
     /** Submissions that this host answered as not accepted, by reason: `behind`, `no-holder` or `other`. */
     readonly refusedSubmissions: Counter<"reason">;
+    /** Seconds for which accepted or refused workflows were expected to wait for room, by queue. */
+    readonly forecastWait: Histogram<"queue">;
     /** Runs of tasks that ended or were not started, by queue and outcome. */
     readonly runEnds: Counter<"queue" | "outcome">;
     /** Long-running tasks that cells held by this host have transferred to other cells, by queue. */
@@ -80,6 +82,13 @@
             labelNames: ["reason"],
             registers,
         }),
+        forecastWait: new Histogram({
+            name: "jayfront_forecast_wait_seconds",
+            help: "Seconds for which submitted short-lived workflows were expected to wait for room",
+            labelNames: ["queue"],
+            buckets: workflowBuckets,
+            registers,
+        }),
         runEnds: new Counter({
             name: "jayfront_run_ends_total",
             help: "Runs of tasks that ended or were not started",
