--- a/packages/workflow/src/cell/submission-admission.ts
+++ b/packages/workflow/src/cell/submission-admission.ts
@@ -15,7 +15,6 @@
 import { uselessFactor } from "../policy/useless-factor.js";
 import type { WaitingWork, WorkPool } from "../policy/waiting-work.js";
 import { poolOf } from "../policy/waiting-work.js";
-import { workTime } from "../policy/work-time.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { RunTimePredictor } from "./run-statistics.js";
 import type { StageScheduler } from "./stage-scheduler.js";
@@ -70,7 +69,7 @@
     readonly waitAsLate: number;
     readonly path: number;
     readonly objective: number;
-    readonly isBelowShare: boolean;
+    readonly isHeldBack: boolean;
 }
 
 /** Milliseconds for which the sum of the waiting work is used again; placement passes change it about as often. */
@@ -140,17 +139,20 @@
         }
         const now = performance.now();
         const { path, objective, subject } = describe(workflow);
+        const shared = sharedOf(workflow, subject);
+        const refused = refusedCallers.before(workflow.id);
         const lateSubject = { ...subject, urgency: { ...subject.urgency, laxity: lateLaxity } };
-        const ahead = [...findWaiting(now), ...refusedCallers.before(workflow.id, now).flatMap(toWaiting)];
+        const ahead = findWaiting(now);
         const wait = forecastWait(subject, ahead, rateOf);
-        const waitAsLate = forecastWait(lateSubject, ahead, rateOf);
-        const isBelowShare = shares.isBelowShare(sharedOf(workflow, subject), now);
-        const facts = { wait, waitAsLate, path, objective, isBelowShare };
-        const lateness = Math.max(0, wait + path - objective) / Math.max(1, objective);
-        return { ...facts, subject, lateSubject, verdict: admissionVerdict(facts), lateness };
+        const waitAsLate = forecastWait(lateSubject, [...ahead, ...refused.flatMap(toWaiting)], rateOf);
+        const isHeldBack = refused.length > 0 || shares.isAboveShare(shared, now);
+        const facts = { wait, waitAsLate, path, objective, isHeldBack };
+        const verdict = admissionVerdict(facts);
+        const lateness = verdict === "in time" ? 0 : Math.max(0, wait + path - objective) / Math.max(1, objective);
+        return { ...facts, subject, lateSubject, verdict, lateness };
     };
     const logVerdict = ({ id, queue, origin }: Workflow, made: Forecast, retryAfter?: number): void => {
-        const { verdict, wait, waitAsLate, path, objective, isBelowShare, subject: { urgency, work } } = made;
+        const { verdict, wait, waitAsLate, path, objective, isHeldBack, subject: { urgency, work } } = made;
         logger.info({
             cell,
             epoch,
@@ -162,7 +164,7 @@
             waitAsLate: Math.round(waitAsLate),
             path: Math.round(path),
             objective: Math.round(objective),
-            isBelowShare,
+            isHeldBack,
             work: Math.round(sum(Object.values(work)) / 1_000),
             rates: Object.keys(work).map(pool => Math.round(rateOf(pool as WorkPool, urgency) ?? 0)),
             retryAfter: retryAfter === undefined ? undefined : Math.round(retryAfter),
@@ -174,9 +176,15 @@
         shares.record(sharedOf(workflow, subject), isInTime, performance.now());
         refusedCallers.forget(workflow.id);
     };
+    /** A submission that was refused before has the time at which it first came, and with it its place in the order. */
+    const withFirstTime = (workflow: Workflow): Workflow => {
+        const acceptedAt = refusedCallers.firstCameAt(workflow.id);
+        return acceptedAt === undefined ? workflow : { ...workflow, acceptedAt };
+    };
     return {
-        judge: workflow => forecast(workflow) ?? { verdict: "in time", lateness: 0 },
-        admit: workflow => {
+        judge: workflow => forecast(withFirstTime(workflow)) ?? { verdict: "in time", lateness: 0 },
+        admit: submitted => {
+            const workflow = withFirstTime(submitted);
             const made = forecast(workflow);
             if (made === undefined || made.verdict === "in time") {
                 if (isJudged(workflow)) {
@@ -191,11 +199,9 @@
                 count(workflow, made.lateSubject, false);
                 return { kind: "accepted", workflow: { ...workflow, isLate: true } };
             }
-            const now = performance.now();
-            shares.record(sharedOf(workflow, made.subject), false, now);
+            shares.record(sharedOf(workflow, made.subject), false, performance.now());
             const tooLateBy = made.waitAsLate + made.path - made.objective * uselessFactor;
-            const timeOf = (earlier: ForecastSubject): number => workTime(earlier, rateOf);
-            const retryAfter = refusedCallers.refuse(workflow.id, made.lateSubject, tooLateBy, timeOf, now);
+            const retryAfter = refusedCallers.refuse(workflow.id, made.subject, workflow.acceptedAt, tooLateBy);
             logVerdict(workflow, made, retryAfter);
             return { kind: "refused", retryAfter };
         },
--- a/packages/workflow/src/policy/admission-verdict.ts
+++ b/packages/workflow/src/policy/admission-verdict.ts
@@ -17,15 +17,18 @@
     readonly path: number;
     /** Time from its acceptance within which it should end. */
     readonly objective: number;
-    /** Whether one of the groups that it belongs to gets less than what every group is sure of. */
-    readonly isBelowShare: boolean;
+    /** Whether others come first: its group is above its share, or submissions that were refused before it may return. */
+    readonly isHeldBack: boolean;
 }
 
+/** Part of the time to spare that work which is held back may wait, so that there is always some left for others. */
+const heldBackShare = 0.5;
+
 /** Decides on a submission by when it would end. */
 export const admissionVerdict = (
-    { wait, waitAsLate, path, objective, isBelowShare }: AdmissionFacts,
+    { wait, waitAsLate, path, objective, isHeldBack }: AdmissionFacts,
 ): AdmissionVerdict =>
-    wait === 0 || wait + path <= objective || isBelowShare
+    wait === 0 || wait <= (objective - path) * (isHeldBack ? heldBackShare : 1)
         ? "in time"
         : waitAsLate + path <= objective * uselessFactor
         ? "late"
--- a/packages/workflow/src/policy/refused-callers.ts
+++ b/packages/workflow/src/policy/refused-callers.ts
@@ -4,22 +4,18 @@
 
 /**
  * Remembers refused submissions, so that those that return are served in the order in which they first came, before later
- * ones. Times in ms of a monotonic clock.
+ * ones. Times in ms.
  */
 export interface RefusedCallers {
     /**
-     * Records the refusal of a submission that would have room `tooLateBy` ms too late; returns the milliseconds after
-     * which its submitter should return. `timeOf`: milliseconds that work takes at the present rate.
+     * Records the refusal of a submission that would have room `tooLateBy` ms too late, after those in `before`; returns
+     * the milliseconds after which its submitter should return.
      */
-    readonly refuse: (
-        id: JobId,
-        subject: ForecastSubject,
-        tooLateBy: number,
-        timeOf: (subject: ForecastSubject) => number,
-        now: number,
-    ) => number;
+    readonly refuse: (id: JobId, subject: ForecastSubject, acceptedAt: number, tooLateBy: number) => number;
+    /** Unix time at which a submission that has returned first came; undefined if it is not remembered. */
+    readonly firstCameAt: (id: JobId) => number | undefined;
     /** Submissions that were refused before this one first came and may still return. */
-    readonly before: (id: JobId, now: number) => readonly ForecastSubject[];
+    readonly before: (id: JobId) => readonly ForecastSubject[];
     /** Forgets a submission that has been accepted. */
     readonly forget: (id: JobId) => void;
 }
@@ -27,7 +23,9 @@
 /** A submission that may return. */
 interface RefusedCaller {
     readonly subject: ForecastSubject;
-    /** Time at which the submitter should return. */
+    /** Unix time. */
+    readonly firstCameAt: number;
+    /** Monotonic time at which the submitter should return. */
     returnAt: number;
 }
 
@@ -43,44 +41,38 @@
 export const createRefusedCallers = (): RefusedCallers => {
     /** In the order in which the submissions were refused first. */
     const callers = new Map<JobId, RefusedCaller>();
-    const forgetGone = (now: number): void => {
+    const forgetGone = (): void => {
+        const now = performance.now();
         for (const [id, { returnAt }] of callers) {
             if (now > returnAt + returnGrace) {
                 callers.delete(id);
             }
         }
-    };
-    const before = (id: JobId): readonly ForecastSubject[] => {
-        const earlier: ForecastSubject[] = [];
-        for (const [other, { subject }] of callers) {
-            if (other === id) {
-                break;
-            }
-            earlier.push(subject);
+        const [oldest] = callers.keys();
+        if (callers.size > limit && oldest !== undefined) {
+            callers.delete(oldest);
         }
-        return earlier;
     };
     return {
-        refuse: (id, subject, tooLateBy, timeOf, now) => {
-            forgetGone(now);
-            const time = before(id).reduce((sum, earlier) => sum + timeOf(earlier), tooLateBy);
-            const retryAfter = Math.min(longestReturn, Math.max(shortestReturn, time));
+        refuse: (id, subject, acceptedAt, tooLateBy) => {
+            const retryAfter = Math.min(longestReturn, Math.max(shortestReturn, tooLateBy));
+            const returnAt = performance.now() + retryAfter;
             const known = callers.get(id);
             if (known === undefined) {
-                callers.set(id, { subject, returnAt: now + retryAfter });
+                callers.set(id, { subject, firstCameAt: acceptedAt, returnAt });
             }
             else {
-                known.returnAt = now + retryAfter;
-            }
-            const [oldest] = callers.keys();
-            if (callers.size > limit && oldest !== undefined) {
-                callers.delete(oldest);
+                known.returnAt = returnAt;
             }
+            forgetGone();
             return retryAfter;
         },
-        before: (id, now) => {
-            forgetGone(now);
-            return before(id);
+        firstCameAt: id => callers.get(id)?.firstCameAt,
+        before: id => {
+            forgetGone();
+            const ids = [...callers.keys()];
+            const place = ids.indexOf(id);
+            return [...callers.values()].slice(0, place === -1 ? ids.length : place).map(({ subject }) => subject);
         },
         forget: id => {
             callers.delete(id);
