--- a/packages/workflow/tests/stage-scheduler.test.ts
+++ b/packages/workflow/tests/stage-scheduler.test.ts
@@ -47,6 +47,31 @@
     });
 });
 
+describe("a workflow that was accepted as late", () => {
+    // Guards against a burst in which work that can't be in time takes the room of work that can.
+    it("starts after work that can be in time, and the rate of starts is known while it waits", () => {
+        jest.useFakeTimers();
+        const cell = createTestCell({ workers: 10, cpu: 4_000, runTime: 1_000 });
+        const queue = { priority: 2 };
+        const late = cell.submit(queue, [{ count: 100, cpu: 1_000 }], { isLate: true, acceptedAt: Date.now() - 500 });
+        const inTime = cell.submit(queue, [{ count: 100, cpu: 1_000 }]);
+        for (let pass = 0; pass < 20; pass += 1) {
+            cell.scheduler.runPass();
+            [...cell.runRegistry.all()].slice(0, 4).forEach(run => {
+                cell.endRun(run, "done");
+            });
+            jest.advanceTimersByTime(passInterval);
+        }
+        const started = ({ stage }: WorkflowLedger): number =>
+            100 - (stage({ occurrence: 0, step: 0, index: 0 })?.record.waiting.size ?? 0);
+        // The first pass fills 40 places, and four become free for each of the others.
+        expect([started(inTime), started(late)]).toEqual([100, 16]);
+        expect(cell.scheduler.startRate("reserved", 0)).toBeCloseTo(4 * 1_000 * 1_000 / passInterval, -4);
+        expect(cell.scheduler.startRate("spare", 0)).toBeUndefined();
+        jest.useRealTimers();
+    });
+});
+
 describe("passes while spare-CPU steps of many images find no worker", () => {
     const workers = 50;
     const images = 20;
--- a/packages/workflow/tests/start-rates.test.ts
+++ b/packages/workflow/tests/start-rates.test.ts
@@ -20,6 +20,14 @@
         expect(rates.rateOf("spare", 0)).toBeUndefined();
     });
 
+    // Guards against submissions that are refused after a burst, by the rate that was seen in it.
+    it("are not known once nothing waits any more", () => {
+        const rates = createStartRates();
+        runPasses(rates, true);
+        rates.endPass(new Set(), 2_100);
+        expect(rates.rateOf("spare", 0)).toBeUndefined();
+    });
+
     // Guards against a forecast for work of a later priority that counts on room that urgent work takes.
     it("leave out work of earlier priorities, and other pools", () => {
         const rates = createStartRates();
--- a/packages/workflow/tests/test-cell.ts
+++ b/packages/workflow/tests/test-cell.ts
@@ -26,6 +26,7 @@
 import type { TaskName } from "../src/model/task-name.js";
 import { taskName } from "../src/model/task-name.js";
 import type { WorkerEntry } from "../src/model/worker-entry.js";
+import type { Workflow } from "../src/model/workflow.js";
 import { createInterferenceModel } from "../src/policy/interference-model.js";
 import { testQueue } from "./test-queue.js";
 
@@ -42,7 +43,11 @@
     /** Lines of the scheduler's log with this message, oldest first. */
     readonly logged: (message: string) => readonly Readonly<Record<string, unknown>>[];
     /** Adds a workflow; properties that are not given have the defaults of `testQueue` and `createStep`. */
-    readonly submit: (queue: Partial<Queue>, steps: readonly Partial<Step>[]) => WorkflowLedger;
+    readonly submit: (
+        queue: Partial<Queue>,
+        steps: readonly Partial<Step>[],
+        changes?: Partial<Workflow>,
+    ) => WorkflowLedger;
     /** Ends a run; its task is done, or waits again if the run was lost. */
     readonly endRun: (run: Run, outcome: "done" | "lost") => void;
     readonly replacementPlaces: ReplacementPlaces;
@@ -192,13 +197,14 @@
         workers,
         counts,
         logged: message => lines.filter(line => line["msg"] === message),
-        submit: (queue, steps) => {
+        submit: (queue, steps, changes = {}) => {
             const ledger = createWorkflowLedger({
                 id: ledgers.length.toString(16).padStart(16, "0") as JobId,
                 queue: { ...testQueue, ...queue },
                 payload: "",
                 steps: steps.map(createStep),
                 acceptedAt: Date.now(),
+                ...changes,
             });
             ledgers.push(ledger);
             return ledger;
--- a/packages/workflow/tests/workflow-router.test.ts
+++ b/packages/workflow/tests/workflow-router.test.ts
@@ -125,6 +125,25 @@
         expect([kind, after, retryAfter >= 2, calls]).toEqual(["unavailable", 0, true, 0]);
     });
 
+    // Guards against a caller that waits although no cell can serve it, or comes back before one can.
+    it("are refused at once, with the earliest time of a cell, if all cells would be too late for them", async () => {
+        claims.recordHeartbeat(hostOf("h-1"), [summaryOf("a"), summaryOf("b")], 100 * heartbeatInterval);
+        const returns = [5_200, 3_100];
+        answerCall = () => Promise.resolve(Result.ok({ kind: "late", retryAfter: returns[calls % 2] ?? 0 }) as never);
+        const { kind, after, retryAfter } = await submit();
+        expect([kind, after <= 0.4 * timeout, retryAfter]).toEqual(["unavailable", true, 4]);
+    });
+
+    // Guards against a workflow that may be stored in one cell and is reported as not run since another is too late.
+    it("are not refused if one cell is too late and another one has not answered", async () => {
+        claims.recordHeartbeat(hostOf("h-1"), [summaryOf("a"), summaryOf("b")], 100 * heartbeatInterval);
+        answerCall = () =>
+            calls === 1
+                ? Promise.resolve(Result.err({ kind: "unknown", message: "no reply" }))
+                : Promise.resolve(Result.ok({ kind: "late", retryAfter: 5_000 }) as never);
+        expect((await submit()).kind).toBe("unknown");
+    });
+
     // Guards against a workflow that is reported as not accepted although the holder has said that it is stored.
     it("are sent to a holder that is behind if it has accepted the workflow before", async () => {
         claims.recordHeartbeat(
