--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -11,8 +11,13 @@
 import { remainingPaths } from "../policy/remaining-paths.js";
 import type { StartGate, StartGateFacts } from "../policy/start-gate.js";
 import { startGate } from "../policy/start-gate.js";
+import type { StartRates } from "../policy/start-rates.js";
+import { createStartRates } from "../policy/start-rates.js";
 import type { Urgency } from "../policy/urgency.js";
 import { compareUrgency } from "../policy/urgency.js";
+import { uselessFactor } from "../policy/useless-factor.js";
+import type { WaitingWork, WorkPool } from "../policy/waiting-work.js";
+import { poolOf } from "../policy/waiting-work.js";
 import type { WorkerCandidate } from "../policy/worker-candidate.js";
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
 import { canRunStep, isOpenTo, mayStartOn } from "./cell-workers.js";
@@ -49,6 +54,10 @@
     readonly runPass: () => boolean;
     /** See `StarvingWorkflows.longestWait`. */
     readonly longestWait: () => number;
+    /** See `StartRates.rateOf`. */
+    readonly startRate: StartRates["rateOf"];
+    /** Short-lived work that was waiting for room, or for its turn, after the last pass; the same array until the next. */
+    readonly waitingWork: () => readonly WaitingWork[];
     /**
      * Keeps a place for the run's task on another worker that would get the task if it waited; returns whether there is
      * one. The caller stops the run.
@@ -149,12 +158,13 @@
 
 /** Share of the processor time reserved by serving tasks that is idle, since they are sized for peak load. */
 const servingIdleShare = 0.55;
-/** Multiple of its objective after which a workflow's result is useless, as the users define it. */
-const uselessFactor = 3;
 
 /** Share of a pass in which tasks of starving workflows are started. */
 const starvingShare = 0.25;
 
+/** Milliseconds within which tasks start that wait neither for room nor for their turn: two passes of a busy holder. */
+const usualStartTime = 250;
+
 /** Minimum milliseconds between two log lines on why a step waits; the cause seldom changes sooner. */
 const waitLogInterval = 2_000;
 
@@ -194,6 +204,7 @@
     const freeRoom = createFreeRoom({ workers, otherCellsRoom });
     const starvingWorkflows = createStarvingWorkflows({ freeRoom, runRegistry });
     const rounds = createPassRounds(passTime);
+    const startRates = createStartRates();
     // The following caches are valid for one pass.
     /** Summaries of the serving tasks by worker. */
     const summaries = new Map<WorkerId, ServingSummary>();
@@ -214,12 +225,13 @@
         queue: Queue,
         { paths, objective }: ExpectedTimes,
     ): Omit<Urgency, "lasting"> => {
-        const { acceptedAt, schedule } = ledger.workflow;
+        const { acceptedAt, schedule, isLate } = ledger.workflow;
         const dueAt = schedule === undefined ? acceptedAt : schedule.firstDue + stage.occurrence * schedule.interval;
         const spareTime = dueAt - Date.now() - (paths[stage.stepIndex] ?? 0);
+        const laxity = spareTime + objective;
         return {
             priority: queue.priority,
-            laxity: spareTime + objective,
+            laxity: isLate === true ? Math.min(laxity, -1) : laxity,
             expiryLaxity: spareTime + objective * uselessFactor,
         };
     };
@@ -492,8 +504,13 @@
             freeCpu: worker.resources.freeCpu(),
             spareCpu: worker.resources.spareCpu(),
         }, "start ordered");
-        if (stage.step.preferredRack !== undefined && !stage.step.isGang) {
-            nearWaits.recordStart(candidate, index, worker.session.entry().rack === stage.step.preferredRack);
+        const { step, stepIndex } = stage;
+        if (step.preferredRack !== undefined && !step.isGang) {
+            nearWaits.recordStart(candidate, index, worker.session.entry().rack === step.preferredRack);
+        }
+        if (!step.isLasting) {
+            const work = step.cpu * runTime(ledger.workflow.id, queue, step, stepIndex);
+            startRates.recordStart(poolOf(step), queue.priority, work);
         }
         runController.start(ledger, stage, index, worker.session, number);
         if (stage.record.waiting.size === 0) {
@@ -800,10 +817,35 @@
         };
         return { ...facts, gate: startGate(facts) };
     };
+    /** Short-lived tasks that wait for room or for their turn, not for particular workers; the others start with the next pass. */
+    const isWaitingForRoom = ({ stage: { step, record }, isSuspect }: StageCandidate, now: number): boolean =>
+        !step.isLasting && record.waiting.size > 0
+        && (record.noRoomSince !== undefined || now - (record.readySince ?? now) > usualStartTime)
+        && !step.isGang && !isSuspect && step.requiredLabel === undefined && step.perWorkerLimit === undefined;
+    let waitingCandidates: readonly StageCandidate[] = [];
+    /** Computed at most once after a pass. */
+    let waitingWork: readonly WaitingWork[] | undefined;
+    const recordWaiting = (candidates: readonly StageCandidate[]): void => {
+        const now = performance.now();
+        waitingCandidates = candidates.filter(candidate => isWaitingForRoom(candidate, now));
+        waitingWork = undefined;
+        const pools = new Set<WorkPool>();
+        for (const { stage } of waitingCandidates) {
+            pools.add(poolOf(stage.step));
+        }
+        startRates.endPass(pools, now);
+    };
     return {
         keepPlaceElsewhere,
         holdsReservedRoom,
         explainWait,
+        startRate: startRates.rateOf,
+        waitingWork: () =>
+            waitingWork ??= waitingCandidates.map(({ ledger, queue, urgency, stage: { step, stepIndex, record } }) => ({
+                pool: poolOf(step),
+                urgency,
+                work: record.waiting.size * step.cpu * runTime(ledger.workflow.id, queue, step, stepIndex),
+            })),
         longestWait: starvingWorkflows.longestWait,
         runPass: () => {
             summaries.clear();
@@ -818,6 +860,7 @@
             domainRamp.beginPass(useOfDomain);
             startStarving(candidates);
             rounds.visit(candidates, visitCandidate);
+            recordWaiting(candidates);
             return !rounds.isUnfinished();
         },
     };
