--- a/packages/bench/tests/workflow/evacuation.test.ts
+++ b/packages/bench/tests/workflow/evacuation.test.ts
@@ -172,6 +172,31 @@
         expect([startsIn("east-a", askedAt) > 20, startsIn("east-b", askedAt) > 0]).toEqual([true, true]);
     });
 
+    // Guards against work that stays in a cell where nothing starts while another cell has room.
+    it("sends new work and lost long-running tasks to other cells, if it is all of its cell", async () => {
+        await startCluster({ largestCell: 0 });
+        void cluster.submit("h-east-a-0", "00000000000000a1", [{ count: 12, cpu: 1_000, isLasting: true }], {
+            isLasting: true,
+        });
+        await time.advance(3_000);
+        cluster.platform.evacuate("east-a");
+        await time.advance(2_000);
+        const evacuatedAt = time.now();
+        const [left = "", tasks = []] = [...cluster.platform.workers]
+            .map(([id, worker]) => [id, worker.running()] as const)
+            .find(([id, running]) => id.startsWith("w-east-a") && running.length > 0) ?? [];
+        expect(tasks.length).toBeGreaterThan(0);
+        cluster.platform.crashWorker(left);
+        await passWithWork(evacuatedFor);
+        expectNoLateStart();
+        expect(startsIn("east-a", evacuatedAt)).toBe(0);
+        const running = [...cluster.platform.workers.values()].flatMap(worker => worker.running());
+        expect(running.filter(task => tasks.includes(task))).toHaveLength(tasks.length);
+        // All work but that of the last second has started there.
+        const submittedTasks = 4 * (evacuatedFor - 1_000) / submissionInterval;
+        expect(startsIn("east-b", evacuatedAt)).toBeGreaterThanOrEqual(submittedTasks + tasks.length);
+    });
+
     // Guards against runs that are stopped, or lose their leases, because of a request that asks only for no starts.
     it("keeps the long-running tasks that run there", async () => {
         await startCluster();
