--- a/packages/bench/src/soak/soak-fleet.ts
+++ b/packages/bench/src/soak/soak-fleet.ts
@@ -22,6 +22,10 @@
     readonly id: string;
     /** `IP:port` of the API for submitters. */
     readonly address: string;
+    /** `IP:port` of the host's other servers. */
+    readonly otherAddresses: { readonly ready: string; readonly peers: string; readonly metrics: string; };
+    /** Process id; undefined if the process does not run. */
+    readonly processId: () => number | undefined;
     /** Proxy between the host and the store. */
     readonly storeProxy: LoopbackProxy;
     readonly isRunning: () => boolean;
@@ -53,13 +57,19 @@
     readonly workersPerDomain: number;
     /** Folder for settings and logs that is kept after the run. Default: a temporary folder that is removed. */
     readonly keepLogsIn?: string;
+    /** Failure domains in use, at most three. Default: three. */
+    readonly domains?: number;
+    /** Lines of the table `[limits]` in the hosts' settings. */
+    readonly limits?: readonly string[];
+    /** Command-line options of Node.js. */
+    readonly nodeOptions?: readonly string[];
 }
 
 /** Millicores of each task. */
 export const soakTaskCpu = 1_000;
 /** Tasks that a worker can run at the same time. */
 const tasksPerWorker = 6;
-const failureDomains = ["east-a", "east-b", "east-c"];
+const allFailureDomains = ["east-a", "east-b", "east-c"];
 /** Milliseconds. */
 const longestLease = 6_000;
 /** Milliseconds within which all hosts have to serve requests. */
@@ -74,7 +84,13 @@
     readonly store: number;
 }
 
-const settingsOf = (id: string, failureDomain: string, ports: HostPorts): string =>
+const settingsOf = (
+    id: string,
+    failureDomain: string,
+    ports: HostPorts,
+    failureDomains: readonly string[],
+    limits: readonly string[],
+): string =>
     [
         `nodeName = "${id}"`,
         'ipAddress = "127.0.0.1"',
@@ -85,6 +101,8 @@
         "[listenAddresses]",
         `frontend = "127.0.0.1:${String(ports.frontend)}"`,
         `ready = "127.0.0.1:${String(ports.ready)}"`,
+        "[limits]",
+        ...limits,
         "[bounds]",
         `maxHoldMs = ${String(longestLease)}`,
         "stopTimeoutMs = 200",
@@ -97,8 +115,9 @@
 
 /** Starts the stand-in, the proxies and all hosts, and waits until every host is ready. */
 export const startSoakFleet = async (
-    { hostsPerDomain, workersPerDomain, keepLogsIn }: SoakFleetOptions,
+    { hostsPerDomain, workersPerDomain, keepLogsIn, limits = [], nodeOptions = [], ...options }: SoakFleetOptions,
 ): Promise<SoakFleet> => {
+    const failureDomains = allFailureDomains.slice(0, options.domains);
     const logFolder = keepLogsIn ?? await mkdtemp(join(tmpdir(), "jayfront-soak-"));
     await mkdir(logFolder, { recursive: true });
     const servers: Server[] = [];
@@ -138,12 +157,13 @@
     const createHost = async (id: string, failureDomain: string): Promise<SoakHost> => {
         const [frontend = 0, ready = 0, peers = 0, metrics = 0, store = 0] = await findNonEphemeralPorts(5);
         const settingsFile = join(logFolder, `${id}.toml`);
-        await writeFile(settingsFile, settingsOf(id, failureDomain, { frontend, ready, peers, metrics, store }));
+        const ports = { frontend, ready, peers, metrics, store };
+        await writeFile(settingsFile, settingsOf(id, failureDomain, ports, failureDomains, limits));
         const proxy = await proxyTo(store, storePort);
         let child: ChildProcess | undefined;
         let isExitExpected = false;
         const start = (): void => {
-            const started = spawn(process.execPath, [daemonPath], {
+            const started = spawn(process.execPath, [...nodeOptions, daemonPath], {
                 env: { ...process.env, NODE_OPTIONS: "", JAYFRONT_BOOT: settingsFile },
                 stdio: ["ignore", "pipe", "pipe"],
             });
@@ -167,6 +187,12 @@
         return {
             id,
             address: `127.0.0.1:${String(frontend)}`,
+            otherAddresses: {
+                ready: `127.0.0.1:${String(ready)}`,
+                peers: `127.0.0.1:${String(peers)}`,
+                metrics: `127.0.0.1:${String(metrics)}`,
+            },
+            processId: () => child?.pid,
             storeProxy: proxy,
             isRunning: () => child !== undefined,
             start: () => {
