--- a/packages/jayfrontd/src/metrics.ts
+++ b/packages/jayfrontd/src/metrics.ts
@@ -1,5 +1,8 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
+import type { RefusalCounter } from "./http/refusal-recorder.js";
+import { createRefusalCounter } from "./http/refusal-recorder.js";
+
 /** Metrics of an entry host. Label values come from the environment document or fixed lists, so they are bounded. */
 export interface Metrics {
     readonly registry: Registry;
@@ -27,6 +30,8 @@
     readonly environmentVersion: Gauge;
     /** Requests that this host handles now. */
     readonly requestsInFlight: Gauge;
+    /** Connections closed and requests refused because a client exceeded a limit. */
+    readonly connectionRefusals: RefusalCounter;
 }
 
 /** Upper bounds of the request histogram's buckets in seconds. */
@@ -112,5 +117,6 @@
             help: "Requests that this host handles now",
             registers,
         }),
+        connectionRefusals: createRefusalCounter(registry),
     };
 };
--- a/packages/jayfrontd/src/peer/ws-peer-server.ts
+++ b/packages/jayfrontd/src/peer/ws-peer-server.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from "node:crypto";
-import type { Server } from "node:http";
+import type { IncomingMessage, Server } from "node:http";
+import type { Duplex } from "node:stream";
 
 import { startAnswerTimeout } from "@jayfront/world";
 import type { Logger } from "pino";
@@ -20,9 +21,15 @@
     /** Resolves with the reply to a message; `onClose` registers a callback for the end of the message's connection. */
     readonly handle: (message: Message, onClose: (callback: () => void) => void) => Promise<unknown>;
     readonly logger: Logger;
+    /** Called with the connection of a peer once it is authenticated. */
+    readonly onAuthenticated?: (connection: Duplex) => void;
+    /** Called when a connection is closed because its client has not authenticated itself. Default: logs a warning. */
+    readonly onStranger?: () => void;
 }
 
 const maxFrameBytes = 1_024 * 1_024;
+/** Bytes that a client may send until it is authenticated; a hello takes 200. */
+const maxHelloBytes = 4_096;
 const helloTimeoutMs = 2_000;
 
 /** First message of a client, as JSON. */
@@ -45,13 +52,21 @@
 
 /** Accepts peer connections on the WebSocket path `/peer` of `server` and answers their control messages. */
 export const attachPeerServer = <Message>(
-    { server, peerKey, parse, handle, logger }: PeerServerOptions<Message>,
+    { server, peerKey, parse, handle, logger, onAuthenticated, onStranger }: PeerServerOptions<Message>,
 ): WebSocketServer => {
     const sockets = new WebSocketServer({ server, path: "/peer", maxPayload: maxFrameBytes });
     const disconnect = (socket: WebSocket, reason: string): void => {
         logger.warn({ reason }, "peer connection closed");
         socket.terminate();
     };
+    const rejectStranger = (socket: WebSocket, reason: string): void => {
+        if (onStranger === undefined) {
+            disconnect(socket, reason);
+            return;
+        }
+        onStranger();
+        socket.terminate();
+    };
     const handleFrame = async (socket: WebSocket, codec: FrameCodec, data: Buffer): Promise<void> => {
         const frame = codec.open(data);
         if (frame?.kind !== "call") {
@@ -74,12 +89,21 @@
         }
     };
     /** Expects a hello first, then calls until the connection closes. */
-    const serveConnection = (socket: WebSocket): void => {
+    const serveConnection = (socket: WebSocket, { socket: connection }: IncomingMessage): void => {
         const nonce = randomBytes(16).toString("hex");
         let codec: FrameCodec | undefined;
         const stopTimeout = startAnswerTimeout(helloTimeoutMs, () => {
-            disconnect(socket, "no hello was received in time");
+            rejectStranger(socket, "no hello was received in time");
         });
+        let received = 0;
+        const countReceived = (part: Buffer): void => {
+            received += part.length;
+            // The part that ends the hello may go on with calls.
+            if (codec === undefined && received > maxHelloBytes) {
+                rejectStranger(socket, "a client sent more than a hello before it was authenticated");
+            }
+        };
+        connection.on("data", countReceived);
         socket.on("error", () => {
             socket.terminate();
         });
@@ -98,13 +122,15 @@
             }
             const hello = readHello(data.toString());
             if (hello === undefined || !areSecretsEqual(hello.code, computeHelloMac(peerKey, nonce, hello.nonce))) {
-                disconnect(
+                rejectStranger(
                     socket,
                     "the hello is not authentic; check that peerKey is the same on all entry hosts",
                 );
                 return;
             }
             stopTimeout();
+            connection.off("data", countReceived);
+            onAuthenticated?.(connection);
             codec = createFrameCodec(peerKey, nonce, hello.nonce, "server");
         });
         socket.send(nonce);
--- a/packages/jayfrontd/src/run-host.ts
+++ b/packages/jayfrontd/src/run-host.ts
@@ -1,3 +1,4 @@
+import { once } from "node:events";
 import type { RequestListener, Server } from "node:http";
 import { createServer } from "node:http";
 import { createServer as createTlsServer } from "node:https";
@@ -10,8 +11,13 @@
 
 import type { EntryHost } from "./entry-host.js";
 import { createEntryHost } from "./entry-host.js";
+import { guardedServerOptions, guardServer } from "./http/connection-guard.js";
+import type { PortLimits } from "./http/connection-limits.js";
+import { deriveConnectionLimits } from "./http/connection-limits.js";
 import { createExchangeListener } from "./http/exchange-listener.js";
+import { createMemoryBudget } from "./http/memory-budget.js";
 import { problem } from "./http/problem.js";
+import { createRefusalRecorder } from "./http/refusal-recorder.js";
 import type { TlsMaterial } from "./http/tls-material.js";
 import { readTlsMaterial } from "./http/tls-material.js";
 import { createMetrics } from "./metrics.js";
@@ -30,16 +36,18 @@
     readonly stop: () => Promise<void>;
 }
 
-const headersTimeoutMs = 10_000;
-const idleTimeoutMs = 60_000;
-
-const createHttpServer = (tls: TlsMaterial | undefined, needsClientCertificate: boolean): Server => {
-    const limits = { headersTimeout: headersTimeoutMs, requestTimeout: 0, keepAliveTimeout: idleTimeoutMs };
+const createHttpServer = (
+    tls: TlsMaterial | undefined,
+    needsClientCertificate: boolean,
+    limits: PortLimits,
+): Server => {
+    const options = guardedServerOptions(limits);
     return tls === undefined
-        ? createServer(limits)
+        ? createServer(options)
         : createTlsServer({
-            ...limits,
+            ...options,
             ...tls,
+            handshakeTimeout: limits.headerTime,
             requestCert: needsClientCertificate,
             rejectUnauthorized: needsClientCertificate,
         });
@@ -75,8 +83,9 @@
     });
     const random = xoroshiro128plus(Date.now() ^ process.pid);
     const host = createEntryHost({ settings, platform, network, logger, random, metrics });
-    const callerServer = createHttpServer(tls, false);
-    const peerServer = createHttpServer(tls, true);
+    const limits = deriveConnectionLimits(settings.connections);
+    const callerServer = createHttpServer(tls, false, limits.callers);
+    const peerServer = createHttpServer(tls, true, limits.peers);
     const { bodyBytes } = settings.limits;
     const peerListener: RequestListener = createExchangeListener({
         bodyBytes,
@@ -91,7 +100,17 @@
             return isAuthentic ? host.handleForwarded(request) : Promise.resolve(problem("unauthorized"));
         },
     });
-    callerServer.on("request", createExchangeListener({ bodyBytes, logger, handle: host.handle }));
+    const callerListener = createExchangeListener({ bodyBytes, logger, handle: host.handle });
+    guardServer({
+        server: callerServer,
+        limits: limits.callers,
+        budget: createMemoryBudget(limits.requestBytes),
+        recordRefusal: createRefusalRecorder({ port: "callers", counter: metrics.connectionRefusals, logger }),
+        listener: async (incoming, outgoing) => {
+            callerListener(incoming, outgoing);
+            await once(outgoing, "close");
+        },
+    });
     peerServer.on("request", peerListener);
     const sockets = attachPeerServer({
         server: peerServer,
--- a/packages/jayfrontd/src/settings.ts
+++ b/packages/jayfrontd/src/settings.ts
@@ -81,6 +81,20 @@
         /** Maximum number of requests that one host handles at a time. */
         requests: z.int().positive().default(4_000),
     }).prefault({}),
+    connections: z.strictObject({
+        /** MB that the process may use; callers' requests, connections and waiting jobs get an eighth each, or of the heap. */
+        memoryMb: z.number().positive().default(512),
+        /** Descriptors that the process may open; callers' connections get half of those above 200, unknown peers a quarter. */
+        fileDescriptors: z.int().positive().default(4_096),
+        /** Maximum number of requests of one connection that are unanswered or whose answers are unread; over it, closed. */
+        requestsPerConnection: z.int().positive().default(64),
+        /** Milliseconds from the start of a request until its header is complete; then 408. */
+        headerTime: milliseconds(20_000),
+        /** Milliseconds from the start of a request until it is complete; then 408. */
+        requestTime: milliseconds(60_000),
+        /** Milliseconds for which a connection may be idle, or its answers unread, before it is closed; never while a request is handled. */
+        idleTime: milliseconds(60_000),
+    }).prefault({}),
     log: z.strictObject({
         level: z.enum(["trace", "debug", "info", "warn", "error", "silent"]).default("info"),
     }).prefault({}),
--- a/packages/jayfrontd/src/util/read-body.ts
+++ b/packages/jayfrontd/src/util/read-body.ts
@@ -1,21 +1,45 @@
 import type { Readable } from "node:stream";
 
-/** Reads the whole of `body`; undefined if it is longer than `limit` bytes or the stream fails before its end. */
-export const readBody = async (body: Readable, limit: number): Promise<Buffer | undefined> => {
-    const parts: Uint8Array[] = [];
-    let length = 0;
-    try {
-        for await (const part of body) {
-            const bytes = Buffer.from(part as Uint8Array);
-            length += bytes.length;
-            if (length > limit) {
-                return undefined;
+/** Parts of a body that are joined at a time: each has its own object, which may be far larger than its bytes. */
+const joinedParts = 256;
+
+/**
+ * Reads the whole of `body`; undefined if it is longer than `limit` bytes or the stream fails before its end. `take` is
+ * called with the length of each part before it is kept; if it returns false, the result is undefined, too. The stream
+ * is destroyed if the rest of it is not read.
+ */
+export const readBody = (
+    body: Readable,
+    limit: number,
+    take: (bytes: number) => boolean = () => true,
+): Promise<Buffer | undefined> =>
+    new Promise(resolve => {
+        const joined: Buffer[] = [];
+        let parts: Buffer[] = [];
+        let length = 0;
+        body.on("data", (part: Uint8Array) => {
+            length += part.length;
+            if (length > limit || !take(part.length)) {
+                resolve(undefined);
+                body.destroy();
+                return;
+            }
+            parts.push(Buffer.isBuffer(part) ? part : Buffer.from(part));
+            if (parts.length === joinedParts) {
+                joined.push(Buffer.concat(parts));
+                parts = [];
             }
-            parts.push(bytes);
+        });
+        body.once("end", () => {
+            const [only] = parts;
+            resolve(joined.length === 0 && parts.length === 1 ? only : Buffer.concat([...joined, ...parts]));
+        });
+        const fail = (): void => {
+            resolve(undefined);
+        };
+        body.on("error", fail);
+        body.once("close", fail);
+        if (body.destroyed) {
+            fail();
         }
-    }
-    catch {
-        return undefined;
-    }
-    return Buffer.concat(parts);
-};
+    });
