--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -12,6 +12,7 @@
 import type { WorkerEntry } from "../model/worker-entry.js";
 import type { Workflow } from "../model/workflow.js";
 import { createInterferenceModel } from "../policy/interference-model.js";
+import type { MemoryAllowance } from "../port/memory-allowance.js";
 import type { StateStore } from "../port/state-store.js";
 import type { WorkerDirectory } from "../port/worker-directory.js";
 import type { WorkerGateway, WorkerReport } from "../port/worker-gateway.js";
@@ -126,6 +127,8 @@
     readonly processDelay: () => number;
     /** Shared by all cells of the host. */
     readonly pollBudget: PollBudget;
+    /** Memory of the workflows that wait for the store; shared by all cells of the host. Default: unbounded. */
+    readonly waitingMemory?: MemoryAllowance | undefined;
     readonly onLost: (reason: string) => void;
     readonly otherCells: OtherCells;
     /** Whether another host receives heartbeats of a holder of the cell with a later epoch. */
@@ -722,6 +725,7 @@
         logger,
         metrics,
         signal,
+        waitingMemory: options.waitingMemory,
         lateWriteTime: timing.lateOrderTime,
         stateOf: id => ledgers.get(id)?.state(),
         onStored: ({ workflow, progress, progressVersion }) => {
--- a/packages/workflow/src/cell/workflow-intake.ts
+++ b/packages/workflow/src/cell/workflow-intake.ts
@@ -2,7 +2,9 @@
 import { sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 
+import { estimateWorkflowBytes } from "../model/estimate-workflow-bytes.js";
 import type { Workflow, WorkflowState } from "../model/workflow.js";
+import type { MemoryAllowance } from "../port/memory-allowance.js";
 import type { StateStore } from "../port/state-store.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { CellLease } from "./cell-lease.js";
@@ -40,6 +42,8 @@
     readonly lateWriteTime: number;
     /** State of a workflow that the holder has in memory. */
     readonly stateOf: (id: JobId) => WorkflowState | undefined;
+    /** Memory of the workflows whose submissions are in progress, in all cells of the host. Default: unbounded. */
+    readonly waitingMemory: MemoryAllowance | undefined;
     /** Called with a workflow that is stored in this cell and that the holder does not have in memory. */
     readonly onStored: (stored: OpenWorkflow) => void;
     /** Ends all attempts. */
@@ -69,7 +73,7 @@
 
 /** Creates the intake of a cell whose rows have been loaded. */
 export const createWorkflowIntake = (options: WorkflowIntakeOptions): WorkflowIntake => {
-    const { store, lease, logger, metrics, lateWriteTime, stateOf, onStored, signal } = options;
+    const { store, lease, logger, metrics, lateWriteTime, stateOf, onStored, waitingMemory, signal } = options;
     const { cell, epoch } = lease;
     const pendingSubmissions = new Map<JobId, PendingSubmission>();
     const endStates = new Map<JobId, WorkflowState>();
@@ -197,7 +201,7 @@
         metrics.submissions.inc({ outcome: "unknown" });
         return { kind: "unknown" };
     };
-    const beginSubmission = (workflow: Workflow): PendingSubmission => {
+    const beginSubmission = (workflow: Workflow, bytes: number): PendingSubmission => {
         const entry: PendingSubmission = {
             workflow,
             awaitedUntil: performance.now() + replyTimeout,
@@ -205,7 +209,10 @@
             outcome: Promise.resolve({ kind: "unknown" }),
         };
         pendingSubmissions.set(workflow.id, entry);
-        entry.outcome = completeSubmission(entry).finally(() => pendingSubmissions.delete(workflow.id));
+        entry.outcome = completeSubmission(entry).finally(() => {
+            pendingSubmissions.delete(workflow.id);
+            waitingMemory?.giveBack(bytes);
+        });
         return entry;
     };
     return {
@@ -224,7 +231,13 @@
             if (pending === undefined && (lease.isStoreFailing() || lease.isLost())) {
                 return { kind: "refused" };
             }
-            const entry = pending ?? beginSubmission(workflow);
+            // Besides the workflow, its encoded form waits, which is about as large.
+            const bytes = 2 * estimateWorkflowBytes(workflow);
+            if (pending === undefined && waitingMemory?.take(bytes) === false) {
+                metrics.submissions.inc({ outcome: "no-memory" });
+                return { kind: "refused" };
+            }
+            const entry = pending ?? beginSubmission(workflow, bytes);
             entry.awaitedUntil = performance.now() + replyTimeout;
             const timeout = sleep(replyTimeout).then((): SubmissionReply => ({ kind: "unknown" }));
             return await Promise.race([entry.outcome, timeout]);
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -18,6 +18,7 @@
 } from "../peer/workflow-message.js";
 import type { WorkflowNetwork } from "../peer/workflow-network.js";
 import type { ConfigurationSource } from "../port/configuration-source.js";
+import type { MemoryAllowance } from "../port/memory-allowance.js";
 import type { StateStore } from "../port/state-store.js";
 import type { WorkerDirectory } from "../port/worker-directory.js";
 import type { WorkerGateway } from "../port/worker-gateway.js";
@@ -74,6 +75,8 @@
      * processors of its holder can manage, 200 at most.
      */
     readonly largestCell?: number;
+    /** Memory of the workflows that wait for the store. Default: unbounded. */
+    readonly waitingMemory?: MemoryAllowance;
 }
 
 /**
@@ -172,6 +175,7 @@
                 processors: self.processors,
                 processDelay: processDelay.recent,
                 pollBudget,
+                waitingMemory: options.waitingMemory,
                 onLost,
                 otherCells: otherCellsOf(cell),
                 hasSuccessor: epoch => cellManager.hasSuccessor(cell, epoch),
