--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -16,6 +16,7 @@
 import { createDomainRamp } from "../policy/domain-ramp.js";
 import { createInterferenceModel } from "../policy/interference-model.js";
 import { createWorkerSpeeds } from "../policy/worker-speeds.js";
+import type { MemoryAllowance } from "../port/memory-allowance.js";
 import type { StateStore } from "../port/state-store.js";
 import type { WorkerDirectory } from "../port/worker-directory.js";
 import type { WorkerGateway, WorkerReport } from "../port/worker-gateway.js";
@@ -139,6 +140,8 @@
     readonly processDelay: () => number;
     /** Shared by all cells of the host. */
     readonly pollBudget: PollBudget;
+    /** Memory of the workflows that wait for the store; shared by all cells of the host. Default: unbounded. */
+    readonly waitingMemory?: MemoryAllowance | undefined;
     readonly onLost: (reason: string) => void;
     readonly otherCells: OtherCells;
     readonly evacuations: Evacuations;
@@ -763,6 +766,7 @@
         logger,
         metrics,
         signal,
+        waitingMemory: options.waitingMemory,
         lateWriteTime: timing.lateOrderTime,
         stateOf: id => ledgers.get(id)?.state(),
         onStored: ({ workflow, progress, progressVersion }) => {
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -21,6 +21,7 @@
 import type { WorkflowNetwork } from "../peer/workflow-network.js";
 import type { ConfigurationSource } from "../port/configuration-source.js";
 import type { EvacuationSource } from "../port/evacuation-source.js";
+import type { MemoryAllowance } from "../port/memory-allowance.js";
 import type { StateStore } from "../port/state-store.js";
 import type { WorkerDirectory } from "../port/worker-directory.js";
 import type { WorkerGateway } from "../port/worker-gateway.js";
@@ -85,6 +86,8 @@
         /** Milliseconds from the acknowledgement of a request after which nothing may start in its failure domain. */
         readonly bound: number;
     };
+    /** Memory of the workflows that wait for the store. Default: unbounded. */
+    readonly waitingMemory?: MemoryAllowance;
 }
 
 /**
@@ -197,6 +200,7 @@
                 processors: self.processors,
                 processDelay: processDelay.recent,
                 pollBudget,
+                waitingMemory: options.waitingMemory,
                 onLost,
                 otherCells: otherCellsOf(cell),
                 evacuations: evacuationWatch ?? noEvacuations,
