--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -15,7 +15,7 @@
 import type { Urgency } from "../policy/urgency.js";
 import { compareUrgency } from "../policy/urgency.js";
 import { uselessFactor } from "../policy/useless-factor.js";
-import type { WorkPool } from "../policy/waiting-work.js";
+import type { WaitingWork, WorkPool } from "../policy/waiting-work.js";
 import { poolOf } from "../policy/waiting-work.js";
 import type { WorkerCandidate } from "../policy/worker-candidate.js";
 import type { CellWorker, CellWorkers } from "./cell-workers.js";
@@ -53,6 +53,8 @@
     readonly longestWait: () => number;
     /** See `StartRates.rateOf`. */
     readonly startRate: StartRates["rateOf"];
+    /** Short-lived work that was waiting for room, or for its turn, after the last pass; the same array until the next. */
+    readonly waitingWork: () => readonly WaitingWork[];
     /**
      * Keeps a place for the run's task on another worker that would get the task if it waited; returns whether there is
      * one. The caller stops the run.
@@ -153,6 +155,9 @@
 /** Share of a pass in which tasks of starving workflows are started. */
 const starvingShare = 0.25;
 
+/** Milliseconds within which tasks start that wait neither for room nor for their turn: two passes of a busy holder. */
+const usualStartTime = 250;
+
 /** Minimum milliseconds between two log lines on why a step waits; the cause seldom changes sooner. */
 const waitLogInterval = 2_000;
 
@@ -763,19 +768,35 @@
         };
         return { ...facts, gate: startGate(facts) };
     };
-    /** Pools that short-lived tasks wait for after a pass, unless they wait for particular workers. */
-    const findWaitingPools = (candidates: readonly StageCandidate[]): ReadonlySet<WorkPool> =>
-        new Set(
-            candidates.filter(({ stage: { step, record }, isSuspect }) =>
-                !step.isLasting && !step.isGang && !isSuspect && step.requiredLabel === undefined
-                && step.perWorkerLimit === undefined && record.waiting.size > 0 && record.noRoomSince !== undefined
-            ).map(({ stage }) => poolOf(stage.step)),
-        );
+    /** Short-lived tasks that wait for room or for their turn, not for particular workers; the others start with the next pass. */
+    const isWaitingForRoom = ({ stage: { step, record }, isSuspect }: StageCandidate, now: number): boolean =>
+        !step.isLasting && record.waiting.size > 0
+        && (record.noRoomSince !== undefined || now - (record.readySince ?? now) > usualStartTime)
+        && !step.isGang && !isSuspect && step.requiredLabel === undefined && step.perWorkerLimit === undefined;
+    let waitingCandidates: readonly StageCandidate[] = [];
+    /** Computed at most once after a pass. */
+    let waitingWork: readonly WaitingWork[] | undefined;
+    const recordWaiting = (candidates: readonly StageCandidate[]): void => {
+        const now = performance.now();
+        waitingCandidates = candidates.filter(candidate => isWaitingForRoom(candidate, now));
+        waitingWork = undefined;
+        const pools = new Set<WorkPool>();
+        for (const { stage } of waitingCandidates) {
+            pools.add(poolOf(stage.step));
+        }
+        startRates.endPass(pools, now);
+    };
     return {
         keepPlaceElsewhere,
         holdsReservedRoom,
         explainWait,
         startRate: startRates.rateOf,
+        waitingWork: () =>
+            waitingWork ??= waitingCandidates.map(({ ledger, queue, urgency, stage: { step, stepIndex, record } }) => ({
+                pool: poolOf(step),
+                urgency,
+                work: record.waiting.size * step.cpu * runTime(ledger.workflow.id, queue, step, stepIndex),
+            })),
         longestWait: starvingWorkflows.longestWait,
         runPass: () => {
             summaries.clear();
@@ -788,7 +809,7 @@
             reservations.beginPass(rounds.isUnfinished());
             startStarving(candidates);
             rounds.visit(candidates, visitCandidate);
-            startRates.endPass(findWaitingPools(candidates), performance.now());
+            recordWaiting(candidates);
             return !rounds.isUnfinished();
         },
     };
--- a/packages/workflow/src/cell/submission-admission.ts
+++ b/packages/workflow/src/cell/submission-admission.ts
@@ -1,7 +1,6 @@
-import type { CellId, JobId } from "@jayfront/world";
+import type { CellId } from "@jayfront/world";
 import type { Logger } from "pino";
 
-import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { Queue } from "../model/queue.js";
 import type { Workflow } from "../model/workflow.js";
 import { createAdmissionShares } from "../policy/admission-shares.js";
@@ -18,7 +17,6 @@
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { RunTimePredictor } from "./run-statistics.js";
 import type { StageScheduler } from "./stage-scheduler.js";
-import { waitingWorkOf } from "./waiting-work-of.js";
 
 /** What the cell would do with a submission; times in milliseconds. */
 export interface AdmissionJudgement {
@@ -49,13 +47,10 @@
 export interface SubmissionAdmissionOptions {
     readonly cell: CellId;
     readonly epoch: number;
-    readonly ledgers: ReadonlyMap<JobId, WorkflowLedger>;
-    /** Workflows whose submissions are still in progress. */
-    readonly pendingWorkflows: () => readonly Workflow[];
     /** The queue in the current configuration, or as given. */
     readonly queueOf: (workflow: Workflow) => Queue;
     readonly runTime: RunTimePredictor;
-    readonly startRate: StageScheduler["startRate"];
+    readonly scheduler: Pick<StageScheduler, "startRate" | "waitingWork">;
     readonly logger: Logger;
     readonly metrics: Pick<WorkflowMetrics, "forecastWait">;
 }
@@ -72,9 +67,6 @@
     readonly isHeldBack: boolean;
 }
 
-/** Milliseconds for which the sum of the waiting work is used again; placement passes change it about as often. */
-const refreshInterval = 100;
-
 /** Laxity of work that goes after all work that can be in time. */
 const lateLaxity = -1;
 
@@ -82,12 +74,14 @@
 
 /** Creates an admission control without any recorded submission. */
 export const createSubmissionAdmission = (options: SubmissionAdmissionOptions): SubmissionAdmission => {
-    const { cell, epoch, ledgers, pendingWorkflows, queueOf, runTime, startRate, logger, metrics } = options;
+    const { cell, epoch, queueOf, runTime, scheduler, logger, metrics } = options;
     const shares = createAdmissionShares();
     const refusedCallers = createRefusedCallers();
+    /** What waited after the last pass, and what has been accepted since. */
     let waiting: WaitingWork[] = [];
-    let waitingAt = -Infinity;
+    let waitingAfterPass: readonly WaitingWork[] = [];
 
+    const { startRate } = scheduler;
     const rateOf = (pool: WorkPool, { priority }: Urgency): number | undefined => startRate(pool, priority);
     const isContended = (): boolean => startRate("reserved", 0) !== undefined || startRate("spare", 0) !== undefined;
     /** Work by pool and expected times of a workflow none of whose tasks has started. */
@@ -112,15 +106,11 @@
     };
     const toWaiting = ({ urgency, work }: ForecastSubject): WaitingWork[] =>
         (Object.entries(work) as [WorkPool, number][]).map(([pool, amount]) => ({ pool, urgency, work: amount }));
-    const findWaiting = (now: number): readonly WaitingWork[] => {
-        if (now - waitingAt >= refreshInterval) {
-            waitingAt = now;
-            waiting = [...ledgers.values()].flatMap(ledger =>
-                waitingWorkOf(ledger, queueOf(ledger.workflow), runTime, Date.now())
-            );
-            for (const workflow of pendingWorkflows()) {
-                waiting.push(...ledgers.has(workflow.id) ? [] : toWaiting(describe(workflow).subject));
-            }
+    const findWaiting = (): readonly WaitingWork[] => {
+        const current = scheduler.waitingWork();
+        if (current !== waitingAfterPass) {
+            waitingAfterPass = current;
+            waiting = [...current];
         }
         return waiting;
     };
@@ -137,15 +127,16 @@
         if (!isJudged(workflow) || !isContended()) {
             return undefined;
         }
-        const now = performance.now();
         const { path, objective, subject } = describe(workflow);
-        const shared = sharedOf(workflow, subject);
-        const refused = refusedCallers.before(workflow.id);
-        const lateSubject = { ...subject, urgency: { ...subject.urgency, laxity: lateLaxity } };
-        const ahead = findWaiting(now);
+        const ahead = findWaiting();
         const wait = forecastWait(subject, ahead, rateOf);
+        if (wait === 0) {
+            return undefined;
+        }
+        const lateSubject = { ...subject, urgency: { ...subject.urgency, laxity: lateLaxity } };
+        const refused = refusedCallers.before(workflow.id);
         const waitAsLate = forecastWait(lateSubject, [...ahead, ...refused.flatMap(toWaiting)], rateOf);
-        const isHeldBack = refused.length > 0 || shares.isAboveShare(shared, now);
+        const isHeldBack = refused.length > 0 || shares.isAboveShare(sharedOf(workflow, subject), performance.now());
         const facts = { wait, waitAsLate, path, objective, isHeldBack };
         const verdict = admissionVerdict(facts);
         const lateness = verdict === "in time" ? 0 : Math.max(0, wait + path - objective) / Math.max(1, objective);
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -741,11 +741,9 @@
     const submissionAdmission = createSubmissionAdmission({
         cell,
         epoch,
-        ledgers,
-        pendingWorkflows: intake.pendingWorkflows,
         queueOf: workflow => findQueue(workflow.queue.name) ?? workflow.queue,
         runTime,
-        startRate: scheduler.startRate,
+        scheduler,
         logger,
         metrics,
     });
--- a/packages/workflow/src/policy/completion-forecast.ts
+++ b/packages/workflow/src/policy/completion-forecast.ts
@@ -10,9 +10,8 @@
 }
 
 /**
- * Milliseconds until the tasks of a submission have room, beside the time that its own steps take one after another: the
- * work of its pool that goes before it, and its own, at the rate at which work of the pool starts. 0 where nothing
- * waits before it. `rateOf`: started millicores times ms per ms; undefined where it is not known, so that no wait can be
+ * Milliseconds until the first tasks of a submission have room: the waiting work of its pool that goes before it, at the
+ * rate at which work of the pool starts. 0 where nothing waits before it. `rateOf`: started millicores times ms per ms; undefined where it is not known, so that no wait can be
  * forecast.
  */
 export const forecastWait = (
@@ -21,14 +20,14 @@
     rateOf: (pool: WorkPool, urgency: Urgency) => number | undefined,
 ): number => {
     let longest = 0;
-    for (const [pool, own] of Object.entries(work) as [WorkPool, number][]) {
+    for (const pool of Object.keys(work) as WorkPool[]) {
         const rate = rateOf(pool, urgency);
         if (rate !== undefined) {
             let ahead = 0;
             for (const other of waiting) {
                 ahead += other.pool === pool && compareUrgency(other.urgency, urgency) <= 0 ? other.work : 0;
             }
-            longest = Math.max(longest, ahead === 0 ? 0 : (ahead + own) / Math.max(1, rate));
+            longest = Math.max(longest, ahead / Math.max(1, rate));
         }
     }
     return longest;
--- a/packages/workflow/tests/stage-scheduler.test.ts
+++ b/packages/workflow/tests/stage-scheduler.test.ts
@@ -70,6 +70,19 @@
         expect(cell.scheduler.startRate("spare", 0)).toBeUndefined();
         jest.useRealTimers();
     });
+
+    // Guards against submissions that are refused or late because of steps that wait for others, and not for room.
+    it("counts as waiting work only what a pass found no room for", () => {
+        const cell = createTestCell({ workers: 10, cpu: 4_000, runTime: 1_000 });
+        const later = { count: 500, cpu: 1_000, after: [0] };
+        cell.submit({}, [{ count: 30, cpu: 1_000 }, later]);
+        cell.scheduler.runPass();
+        const before = cell.scheduler.waitingWork();
+        cell.submit({}, [{ count: 30, cpu: 1_000 }, later]);
+        cell.scheduler.runPass();
+        const works = cell.scheduler.waitingWork().map(({ pool, work }) => [pool, work]);
+        expect([before, works]).toEqual([[], [["reserved", 20 * 1_000 * 1_000]]]);
+    });
 });
 
 describe("passes while spare-CPU steps of many images find no worker", () => {
