--- a/packages/workflow/src/evacuation/evacuation-watch.ts
+++ b/packages/workflow/src/evacuation/evacuation-watch.ts
@@ -73,13 +73,21 @@
     /** Reads the requests; resolves to whether the read was answered. */
     const read = async (): Promise<boolean> => {
         const readAt = performance.now();
-        // A later answer would permit no starts any more.
-        const answer = await source.read(longestKnowledgeAge(bound));
-        if (answer.isOk) {
-            known = newerEvacuations(known, { ...answer.value, readAt });
+        try {
+            // A later answer would permit no starts any more.
+            const answer = await source.read(longestKnowledgeAge(bound));
+            if (answer.isOk) {
+                known = newerEvacuations(known, { ...answer.value, readAt });
+            }
+            logFreshness(answer.isErr ? answer.error.kind : undefined);
+            return answer.isOk;
+        }
+        catch (error) {
+            const stack = error instanceof Error ? error.stack : undefined;
+            const message = "a read of the evacuation requests failed with an exception; report it as a bug";
+            logger.error({ error: String(error), stack }, message);
+            return false;
         }
-        logFreshness(answer.isErr ? answer.error.kind : undefined);
-        return answer.isOk;
     };
     return {
         mayStartIn: domain => mayStartIn(domain, known, bound, performance.now()),
--- a/packages/workflow/tests/evacuation-watch.test.ts
+++ b/packages/workflow/tests/evacuation-watch.test.ts
@@ -74,4 +74,27 @@
         stop.abort();
         jest.useRealTimers();
     });
+
+    // Guards against a read that fails with an exception and ends all further ones, so that nothing ever starts again.
+    it("goes on reading after an exception", async () => {
+        jest.useFakeTimers();
+        const stop = createStopSignal();
+        const answers = [
+            () => Promise.reject(new Error("not valid")),
+            () => Promise.resolve(Result.ok({ requests: [], version: 4 })),
+        ];
+        const watch = createEvacuationWatch({
+            source: { read: () => answers.shift()?.() ?? new Promise(() => undefined) },
+            bound,
+            isNeeded: () => true,
+            logger: pino({ level: "silent" }),
+        });
+        const running = watch.run(stop.signal).catch((error: unknown) => error);
+        await jest.advanceTimersByTimeAsync(1_000);
+        expect(watch.mayStartIn(domain)).toBe(true);
+        stop.abort();
+        await jest.advanceTimersByTimeAsync(1_000);
+        jest.useRealTimers();
+        expect(await running).toBeUndefined();
+    });
 });
