--- a/packages/workflow/src/cell/submission-admission.ts
+++ b/packages/workflow/src/cell/submission-admission.ts
@@ -139,7 +139,7 @@
         const isHeldBack = refused.length > 0 || shares.isAboveShare(sharedOf(workflow, subject), performance.now());
         const facts = { wait, waitAsLate, path, objective, isHeldBack };
         const verdict = admissionVerdict(facts);
-        const lateness = verdict === "in time" ? 0 : Math.max(0, wait + path - objective) / Math.max(1, objective);
+        const lateness = Math.max(0, wait + path - objective) / Math.max(1, objective);
         return { ...facts, subject, lateSubject, verdict, lateness };
     };
     const logVerdict = ({ id, queue, origin }: Workflow, made: Forecast, retryAfter?: number): void => {
@@ -173,14 +173,14 @@
         return acceptedAt === undefined ? workflow : { ...workflow, acceptedAt };
     };
     return {
-        judge: workflow => forecast(withFirstTime(workflow)) ?? { verdict: "in time", lateness: 0 },
+        judge: workflow => forecast(withFirstTime(workflow)) ?? { verdict: "in order", lateness: 0 },
         admit: submitted => {
             const workflow = withFirstTime(submitted);
             const made = forecast(workflow);
-            if (made === undefined || made.verdict === "in time") {
+            if (made === undefined || made.verdict === "in order") {
                 if (isJudged(workflow)) {
                     metrics.forecastWait.observe({ queue: workflow.queue.name }, (made?.wait ?? 0) / 1_000);
-                    count(workflow, made?.subject ?? describe(workflow).subject, true);
+                    count(workflow, made?.subject ?? describe(workflow).subject, (made?.lateness ?? 0) === 0);
                 }
                 return { kind: "accepted", workflow };
             }
--- a/packages/workflow/src/policy/admission-shares.ts
+++ b/packages/workflow/src/policy/admission-shares.ts
@@ -15,7 +15,7 @@
  * have the same weight. Times in ms of a monotonic clock.
  */
 export interface AdmissionShares {
-    /** Counts a submission on which the cell decides, and whether it takes part in the order of work in time. */
+    /** Counts a submission on which the cell decides, and whether it is admitted: accepted and expected to be in time. */
     readonly record: (submission: SharedSubmission, isAdmitted: boolean, now: number) => void;
     /**
      * Whether the submission belongs to a group that has got more than an even split, while another group of the sort
--- a/packages/workflow/src/policy/admission-verdict.ts
+++ b/packages/workflow/src/policy/admission-verdict.ts
@@ -1,11 +1,10 @@
 import { uselessFactor } from "./useless-factor.js";
 
 /**
- * What a cell does with a submission. `in time`: it takes part in the order of work that can still be in time. `late`: it is
- * accepted and goes after such work, since it can no longer be in time, but its result is useful to the submitter.
- * `refused`: its result would be useless.
+ * What a cell does with a submission. `in order`: its urgency decides when it starts, also if it can't be in time. `late`: it
+ * is accepted and goes after work that can be in time, to which it leaves room. `refused`: its result would be useless.
  */
-export type AdmissionVerdict = "in time" | "late" | "refused";
+export type AdmissionVerdict = "in order" | "late" | "refused";
 
 /** What decides on a submission; times in milliseconds. */
 export interface AdmissionFacts {
@@ -28,8 +27,10 @@
 export const admissionVerdict = (
     { wait, waitAsLate, path, objective, isHeldBack }: AdmissionFacts,
 ): AdmissionVerdict =>
-    wait === 0 || wait <= (objective - path) * (isHeldBack ? heldBackShare : 1)
-        ? "in time"
-        : waitAsLate + path <= objective * uselessFactor
+    wait <= (objective - path) * (isHeldBack ? heldBackShare : 1)
+        ? "in order"
+        : waitAsLate + path > objective * uselessFactor
+        ? "refused"
+        : isHeldBack
         ? "late"
-        : "refused";
+        : "in order";
