--- a/packages/workflow/src/cell/speed-limits.ts
+++ b/packages/workflow/src/cell/speed-limits.ts
@@ -1,6 +1,7 @@
 import { match } from "ts-pattern";
 
 import { coldWorkerSpeed } from "../policy/cold-worker-speed.js";
+import { measuresSpeed } from "../policy/measures-speed.js";
 import { slowWorkerUse } from "../policy/slow-worker-use.js";
 import type { WorkerSpeeds } from "../policy/worker-speeds.js";
 import type { CellWorker } from "./cell-workers.js";
@@ -47,8 +48,8 @@
     const hasTimeAt = (candidate: StageCandidate, speed: number): boolean =>
         !isUrgent(candidate) && !candidate.stage.step.isLasting
         && candidate.urgency.laxity >= runTimeOf(candidate) * (1 / speed - 1);
-    const countShortRuns = ({ session }: CellWorker): number =>
-        [...runRegistry.ofWorker(session.id)].filter(({ step }) => !step.isLasting).length;
+    const countMeasuringRuns = ({ session }: CellWorker): number =>
+        [...runRegistry.ofWorker(session.id)].filter(({ step }) => measuresSpeed(step, session.entry().rack)).length;
     const couldRun = ({ session, resources }: CellWorker, { stage: { step } }: StageCandidate): boolean => {
         const { cpu, memory, accelerators } = resources.capacity();
         return cpu >= step.cpu && memory >= step.memory && accelerators >= step.accelerators
@@ -87,12 +88,12 @@
                 }
                 const use = slowWorkerUse({
                     isUrgent: isUrgent(candidate),
-                    isGang: step.isGang,
+                    measuresSpeed: measuresSpeed(step, worker.session.entry().rack),
                     laxity: urgency.laxity,
                     isUseless: urgency.expiryLaxity < 0,
                     runTime: time,
                     speed: speeds.speedOf(worker.session.id),
-                    runs: countShortRuns(worker),
+                    runs: countMeasuringRuns(worker),
                     sampleAge: speeds.sampleAge(worker.session.id),
                 });
                 return match(use)
--- a/packages/workflow/src/cell/speed-observer.ts
+++ b/packages/workflow/src/cell/speed-observer.ts
@@ -1,5 +1,6 @@
 import type { WorkerId } from "@jayfront/world";
 
+import { measuresSpeed } from "../policy/measures-speed.js";
 import type { WorkerSpeeds } from "../policy/worker-speeds.js";
 import type { WorkerReport } from "../port/worker-gateway.js";
 import type { RunRegistry } from "./run-registry.js";
@@ -37,19 +38,13 @@
 /** Multiple of the expected time after which a run without any progress shows that its worker is slow. */
 const overdueFactor = 3;
 
-/** Whether the run's time depends on nothing but its task and the speed of its worker. */
-const isComparable = ({ step, worker, phase }: Run, rackOf: SpeedObserverOptions["rackOf"]): boolean =>
-    !step.isLasting
-    && !step.isGang
-    && !step.usesSpareCpu
-    && phase !== "stopping"
-    && (step.preferredRack === undefined || step.preferredRack === rackOf(worker));
-
 /** Creates an observer that has seen no report. */
 export const createSpeedObserver = (
     { runRegistry, speeds, expectationOf, rackOf }: SpeedObserverOptions,
 ): SpeedObserver => {
     const baselines = new WeakMap<Run, Baseline>();
+    const isComparable = ({ step, worker, phase }: Run): boolean =>
+        phase !== "stopping" && measuresSpeed(step, rackOf(worker));
     /** Records that `part` of the run, as a fraction, took so many milliseconds. */
     const record = (run: Run, part: number, took: number, { time, spread }: RunTimeExpectation): void => {
         speeds.record(run.worker, { run, slowness: took / (part * time), spread });
@@ -94,13 +89,13 @@
         observe: (worker, { clock, running, ended }) => {
             for (const row of running) {
                 const run = runRegistry.find(worker, row.task, row.run);
-                if (run !== undefined && isComparable(run, rackOf)) {
+                if (run !== undefined && isComparable(run)) {
                     observeProgress(run, row.percent, clock);
                 }
             }
             for (const row of ended) {
                 const run = row.outcome === "done" ? runRegistry.find(worker, row.task, row.run) : undefined;
-                if (run !== undefined && isComparable(run, rackOf)) {
+                if (run !== undefined && isComparable(run)) {
                     observeEnd(run, clock);
                 }
             }
--- a/packages/workflow/src/policy/slow-worker-use.ts
+++ b/packages/workflow/src/policy/slow-worker-use.ts
@@ -2,8 +2,8 @@
 export interface SlowWorkerFacts {
     /** Whether the task's queue goes before all others. */
     readonly isUrgent: boolean;
-    /** Whether other tasks wait for this one's progress, so that one slow worker slows them all. */
-    readonly isGang: boolean;
+    /** See `measuresSpeed`. */
+    readonly measuresSpeed: boolean;
     /** See `Urgency.laxity`, in milliseconds. */
     readonly laxity: number;
     /** Whether the workflow's result is useless to its submitter, so that time costs nothing. */
@@ -12,7 +12,7 @@
     readonly runTime: number;
     /** Speed of the worker; 1 is normal. */
     readonly speed: number;
-    /** Number of tasks on the worker that are not long-running. */
+    /** Number of tasks on the worker that measure its speed. */
     readonly runs: number;
     /** Milliseconds since the worker's speed was last measured. */
     readonly sampleAge: number;
@@ -33,9 +33,13 @@
  * speed: one with enough slack for the longer run, or any once the last measurement is old.
  */
 export const slowWorkerUse = (
-    { isUrgent, isGang, laxity, isUseless, runTime, speed, runs, sampleAge }: SlowWorkerFacts,
+    { isUrgent, measuresSpeed, laxity, isUseless, runTime, speed, runs, sampleAge }: SlowWorkerFacts,
 ): SlowWorkerUse => {
-    if (isGang || runs >= probeCount) {
+    if (!measuresSpeed) {
+        // Nothing has measured the worker for so long that it would be lost where only such work comes.
+        return sampleAge >= urgentProbeInterval ? "has time" : "none";
+    }
+    if (runs >= probeCount) {
         return "none";
     }
     if (sampleAge >= (isUrgent ? urgentProbeInterval : probeInterval)) {
--- a/packages/workflow/tests/slow-workers.test.ts
+++ b/packages/workflow/tests/slow-workers.test.ts
@@ -56,6 +56,25 @@
         expect(startsOn(slow)).toBe(1);
     });
 
+    // Guards against a worker that stays slow for long after it has recovered: work on spare processor time, which
+    // measures nothing, took the place of the task that would have measured it.
+    it("leaves the place to a task that measures its speed", () => {
+        cell.submit(slackQueue(30), [{ count: 40, cpu: 1_000, usesSpareCpu: true, image: "x" }]);
+        cell.scheduler.runPass();
+        expect(startsOn(slow)).toBe(0);
+        cell.submit(slackQueue(30), [{ count: 40, cpu: 1_000 }]);
+        cell.scheduler.runPass();
+        expect(startsOn(slow)).toBe(1);
+    });
+
+    // Guards against a worker that is lost for good where only work comes that measures nothing.
+    it("is used by work that measures nothing once nothing else has come for long", () => {
+        jest.advanceTimersByTime(30_000);
+        cell.submit(slackQueue(90), [{ count: 40, cpu: 1_000, usesSpareCpu: true, image: "x" }]);
+        cell.scheduler.runPass();
+        expect(startsOn(slow)).toBeGreaterThan(0);
+    });
+
     // Guards against long-running tasks that stay without a run since the only room is on a slow worker.
     it("starts a long-running task there if there is no other room", () => {
         cell.submit({}, [{ count: 31, cpu: 1_000, isLasting: true }]);
