--- a/packages/workflow/src/cell/speed-limits.ts
+++ b/packages/workflow/src/cell/speed-limits.ts
@@ -71,8 +71,8 @@
                 : isUrgent(candidate)
                 ? "urgent"
                 : hasTimeAt(candidate, classSpeed)
-                ? "has time"
-                : "short of time",
+                ? `has time ${candidate.stage.step.preferredRack ?? ""}`
+                : `short of time ${candidate.stage.step.preferredRack ?? ""}`,
         speedsFor: (candidate, open) => {
             const { stage: { step }, urgency } = candidate;
             // A long-running task is better off on a slow worker than nowhere; it prefers others.
--- a/packages/workflow/src/cell/speed-observer.ts
+++ b/packages/workflow/src/cell/speed-observer.ts
@@ -16,7 +16,7 @@
 /** Options of {@link createSpeedObserver}. */
 export interface SpeedObserverOptions {
     readonly runRegistry: Pick<RunRegistry, "find">;
-    readonly speeds: Pick<WorkerSpeeds, "record">;
+    readonly speeds: Pick<WorkerSpeeds, "record" | "speedOf">;
     readonly expectationOf: RunStatistics["expectationOf"];
     /** Rack of the worker. */
     readonly rackOf: (worker: WorkerId) => string | undefined;
@@ -38,16 +38,24 @@
 /** Multiple of the expected time after which a run without any progress shows that its worker is slow. */
 const overdueFactor = 3;
 
+/** Slowness up to which a run on spare processor time shows that its worker has recovered. */
+const soundSlowness = 1.5;
+
 /** Creates an observer that has seen no report. */
 export const createSpeedObserver = (
     { runRegistry, speeds, expectationOf, rackOf }: SpeedObserverOptions,
 ): SpeedObserver => {
     const baselines = new WeakMap<Run, Baseline>();
-    const isComparable = ({ step, worker, phase }: Run): boolean =>
-        phase !== "stopping" && measuresSpeed(step, rackOf(worker));
+    const isComparable = ({ step, worker, phase, hasFullRunTime }: Run): boolean =>
+        phase !== "stopping" && measuresSpeed(step, rackOf(worker))
+        // On spare processor time, only whether a slow worker has recovered can be told, at full pace.
+        && (!step.usesSpareCpu || hasFullRunTime && speeds.speedOf(worker) < 1);
     /** Records that `part` of the run, as a fraction, took so many milliseconds. */
     const record = (run: Run, part: number, took: number, { time, spread }: RunTimeExpectation): void => {
-        speeds.record(run.worker, { run, slowness: took / (part * time), spread });
+        const slowness = took / (part * time);
+        if (!run.step.usesSpareCpu || slowness <= soundSlowness) {
+            speeds.record(run.worker, { run, slowness, spread });
+        }
     };
     const observeProgress = (run: Run, percent: number, clock: number): void => {
         const baseline = baselines.get(run);
