--- a/packages/jayfrontd/src/util/read-body.ts
+++ b/packages/jayfrontd/src/util/read-body.ts
@@ -2,9 +2,11 @@
 
 /** Parts of a body that are joined at a time: each has its own object, which may be far larger than its bytes. */
 const joinedParts = 256;
+/** Parts of a body: in a body of 256 KB, 16 bytes each. Each takes processor time, however small it is. */
+const mostParts = 16_384;
 
 /**
- * Reads the whole of `body`; undefined if it is longer than `limit` bytes or the stream fails before its end. `take` is
+ * Reads the whole of `body`; undefined if it is longer than `limit` bytes, has more than 16,384 parts, or the stream fails before its end. `take` is
  * called with the length of each part before it is kept; if it returns false, the result is undefined, too. The stream
  * is destroyed if the rest of it is not read.
  */
@@ -17,9 +19,11 @@
         const joined: Buffer[] = [];
         let parts: Buffer[] = [];
         let length = 0;
+        let count = 0;
         body.on("data", (part: Uint8Array) => {
             length += part.length;
-            if (length > limit || !take(part.length)) {
+            count += 1;
+            if (length > limit || count > mostParts || !take(part.length)) {
                 resolve(undefined);
                 body.destroy();
                 return;
