--- a/jest.config.js
+++ b/jest.config.js
@@ -2,6 +2,8 @@
     testEnvironment: "node",
     extensionsToTreatAsEsm: [".ts"],
     testMatch: ["<rootDir>/packages/*/tests/**/*.test.ts", "<rootDir>/platform/tests/**/*.test.ts"],
+    // Its tests measure processes, so that `npm run untrusted` runs them apart from all others.
+    testPathIgnorePatterns: ["/node_modules/", "untrusted-callers"],
     modulePathIgnorePatterns: ["/dist/"],
     moduleNameMapper: {
         "^@jayfront/platform-adapter$": "<rootDir>/platform/src/index.ts",
