--- a/packages/workflow/src/policy/choose-worker.ts
+++ b/packages/workflow/src/policy/choose-worker.ts
@@ -7,7 +7,8 @@
 const failedBeforePenalty = 1_000;
 /**
  * Penalty, times what the worker lacks of normal speed, for tasks that should be fast. Even a cold worker, which lacks
- * least, loses more than the bonus for the rack, since a run is slowed no more off its rack.
+ * least, loses more than the bonus for the rack: there, a run takes half as long again, as it does off its rack, and the
+ * worker turns warm only after that.
  */
 const slownessPenalty = 400;
 /** Bonus, times the same, for tasks that have time: they leave normal workers to others and warm the cold ones up. */
@@ -30,15 +31,8 @@
 /** Free share of the candidates' CPU above which tasks are spread, so that losing a worker affects fewer of them. */
 const ampleRoomShare = 0.4;
 
-/** Room of all candidates. */
-interface Room {
-    readonly isAmple: boolean;
-    /** Millicores of the largest candidate. */
-    readonly largestCpu: number;
-}
-
 /** Scores how well a worker suits a task, higher is better; undefined where the task must not run. */
-type Scorer = (step: Step, candidate: WorkerCandidate, room: Room) => number | undefined;
+type Scorer = (step: Step, candidate: WorkerCandidate, isRoomAmple: boolean) => number | undefined;
 
 /**
  * For spare-CPU tasks. Prefers the worker on which the task takes the least share of the serving tasks' slack, so that
@@ -61,23 +55,20 @@
     - (freeCpu - step.cpu) / capacityCpu * leftoverWeight;
 /**
  * For tasks that reserve CPU and have no target for their tail latency. Prefers the emptiest worker where room is
- * ample, else the tightest fit by absolute size, which leaves the largest room to large tasks.
+ * ample, else the tightest fit, which leaves room for large tasks.
  */
-const scoreForReserving: Scorer = (step, { freeCpu, capacityCpu }, { isAmple, largestCpu }) =>
-    isAmple ? (freeCpu - step.cpu) / capacityCpu : (step.cpu - freeCpu) / largestCpu;
+const scoreForReserving: Scorer = (step, { freeCpu, capacityCpu }, isRoomAmple) =>
+    (freeCpu - step.cpu) / capacityCpu * (isRoomAmple ? 1 : -1);
 
-const roomOf = (candidates: readonly WorkerCandidate[]): Room => {
+const hasAmpleRoom = (candidates: readonly WorkerCandidate[]): boolean => {
     let free = 0;
     let capacity = 0;
-    let largestCpu = 0;
     for (const candidate of candidates) {
         free += candidate.freeCpu;
         capacity += candidate.capacityCpu;
-        largestCpu = Math.max(largestCpu, candidate.capacityCpu);
     }
-    return { isAmple: free > capacity * ampleRoomShare, largestCpu };
+    return free > capacity * ampleRoomShare;
 };
-const noRoom: Room = { isAmple: false, largestCpu: 0 };
 const scorerFor = (step: Step): Scorer =>
     step.usesSpareCpu ? scoreForSpareCpu : step.tailTarget === undefined ? scoreForReserving : scoreForServing;
 
@@ -93,11 +84,11 @@
     const scorer = scorerFor(step);
     const slownessWeight = shouldBeFast ? -slownessPenalty : slownessBonus;
     // The other scorers ignore it.
-    const room = scorer === scoreForReserving ? roomOf(candidates) : noRoom;
+    const isRoomAmple = scorer === scoreForReserving && hasAmpleRoom(candidates);
     let best: WorkerCandidate | undefined;
     let bestScore = -Infinity;
     for (const candidate of candidates) {
-        const score = scorer(step, candidate, room);
+        const score = scorer(step, candidate, isRoomAmple);
         const total = (score ?? -Infinity)
             + (step.preferredRack === candidate.rack ? sameRackBonus : 0)
             - (candidate.hasFailedBefore ? failedBeforePenalty : 0)
