--- a/packages/bench/src/untrusted/send-crowd.ts
+++ b/packages/bench/src/untrusted/send-crowd.ts
@@ -66,7 +66,13 @@
         leave: () => {
             timers.forEach(clearInterval);
             sockets.forEach(socket => {
-                socket.resetAndDestroy();
+                // Node.js resets a socket only once it is connected, which may never happen.
+                if (socket.connecting) {
+                    socket.destroy();
+                }
+                else {
+                    socket.resetAndDestroy();
+                }
             });
         },
     };
