--- a/packages/workflow/src/entry/cell-manager.ts
+++ b/packages/workflow/src/entry/cell-manager.ts
@@ -162,6 +162,7 @@
             previous,
             reason,
             silentFor: silence(cell),
+            heldCells: cells.size,
             processDelay: Math.round(processDelay.recent()),
         }, "cell taken");
         metrics.cellChanges.inc({ change: "taken" });
@@ -190,6 +191,12 @@
         claims.allFresh().forEach(({ host }) => counts.set(host.id, (counts.get(host.id) ?? 0) + 1));
         return counts.set(self.id, cells.size);
     };
+    /** Number of peers in the regions of the cell that hold no cell, by the heartbeats that this host has received. */
+    const countIdle = (cell: CellId): number => {
+        const location = locationOf(cell, domainsOf(cell));
+        const heldCounts = countHeld();
+        return registry.peers().filter(peer => isInRegionOf(location, peer) && !heldCounts.has(peer.id)).length;
+    };
     /** Ids of `hosts` in the order in which they should take the cell. */
     const rankCandidates = (
         cell: CellId,
@@ -322,6 +329,8 @@
                     epoch: held.epoch,
                     to: peer.id,
                     reason,
+                    heldThere: countHeld().get(peer.id) ?? 0,
+                    idleHosts: countIdle(held.cell),
                     provenAgo: Math.round(held.provenAgo()),
                     processDelay: Math.round(processDelay.recent()),
                 }, "cell handed over");
--- a/packages/workflow/src/peer/host-registry.ts
+++ b/packages/workflow/src/peer/host-registry.ts
@@ -111,7 +111,13 @@
         hosts.set(host.id, host);
         failingSince.delete(host.id);
         unreachableSince.delete(host.id);
-        logger.info({ peer: host.id, address: host.peerAddress, incarnation: host.incarnation }, "entry host found");
+        logger.info({
+            peer: host.id,
+            address: host.peerAddress,
+            incarnation: host.incarnation,
+            storeDelay: Math.round(host.storeDelay),
+            processors: host.processors,
+        }, "entry host found");
         return true;
     };
     const addPeer = (host: EntryHostRecord): void => {
