--- a/packages/bench/src/workflow/workflow-cluster.ts
+++ b/packages/bench/src/workflow/workflow-cluster.ts
@@ -97,6 +97,11 @@
     readonly onPeerCall?: (from: string, kind: WorkflowMessageKind, to: string, limits?: SendLimits) => void;
     /** Number of cores by host. Default 1. */
     readonly processors?: Readonly<Record<string, number>>;
+    /**
+     * Milliseconds by which a host that starts measures the store to be slower than it is, for lack of processor time or
+     * since the store is slow then. Default: none.
+     */
+    readonly startDelay?: (host: string) => number;
     /** Milliseconds of one core that a run takes of its holder. Default: none, so that no host is ever busy. */
     readonly timePerRun?: number;
     /**
@@ -274,7 +279,8 @@
             failureDomain: (domains.get(id) ?? "") as FailureDomainId,
             peerAddress: `${id}:2`,
             incarnation: `${id}/${String(incarnations)}`,
-            storeDelay: regionOf(id) === storeRegion ? storeDelay : storeDelay + crossRegionDelay,
+            storeDelay: storeDelay + (regionOf(id) === storeRegion ? 0 : crossRegionDelay)
+                + (options.startDelay?.(id) ?? 0),
             processors: options.processors?.[id] ?? 1,
         };
         const processor = hostWork === undefined
--- a/packages/workflow/src/entry/rank-hosts.ts
+++ b/packages/workflow/src/entry/rank-hosts.ts
@@ -21,12 +21,31 @@
 const storeDelayStep = 15;
 
 /**
- * Ranks hosts in the order in which they should take a cell: hosts in its regions first, then by store delay, then by
- * `holdingCost`, the new cell included; ties are broken by rendezvous hashing.
+ * Steps of the store delay by region. Hosts of a region have the same way to the store, so that the least of their delays
+ * is nearest to it: the others include the lateness of a process that was starting, or of a store that was slow then.
+ */
+const distancesOf = (
+    { regions }: CellLocation,
+    hosts: readonly HostCandidate[],
+): ReadonlyMap<string | undefined, number> => {
+    const distances = new Map<string | undefined, number>();
+    for (const { failureDomain, storeDelay } of hosts) {
+        const region = regions[failureDomain];
+        const known = distances.get(region) ?? Infinity;
+        distances.set(region, Math.min(known, Math.floor(storeDelay / storeDelayStep)));
+    }
+    return distances;
+};
+
+/**
+ * Ranks hosts in the order in which they should take a cell: hosts in its regions first, then by the delay of the store in
+ * their region, then by `holdingCost`, the new cell included; ties are broken by rendezvous hashing.
  */
 export const rankHosts = (location: CellLocation, hosts: readonly HostCandidate[]): readonly HostId[] => {
+    const distances = distancesOf(location, hosts);
     const locality = (host: HostCandidate): number => Number(isInRegionOf(location, host));
-    const distance = (host: HostCandidate): number => Math.floor(host.storeDelay / storeDelayStep);
+    const distance = ({ failureDomain }: HostCandidate): number =>
+        distances.get(location.regions[failureDomain]) ?? Infinity;
     const cost = (host: HostCandidate): number => holdingCost(location, host, host.heldCells + 1);
     const order = rendezvousRank(location.cell, hosts.map(host => host.id));
     return [...hosts].sort((left, right) =>
--- a/packages/workflow/tests/rank-cells.test.ts
+++ b/packages/workflow/tests/rank-cells.test.ts
@@ -94,7 +94,7 @@
 });
 
 describe("rankHosts", () => {
-    const regions = { "east-a": "east", "east-b": "east", west: "west" };
+    const regions = { "east-a": "east", "east-b": "east", west: "west", south: "south" };
     const host = (id: string, domain: string, changes = {}): Parameters<typeof rankHosts>[1][number] => ({
         id: id as HostId,
         failureDomain: failureDomainId(domain),
@@ -113,12 +113,12 @@
             name: "by region, then by distance to the store, then by the number of cells held",
             domains: ["east-a"],
             hosts: [
-                host("h-west", "west"),
-                host("h-far", "east-a", { storeDelay: 40 }),
+                host("h-west", "west", { storeDelay: 60 }),
+                host("h-south", "south", { storeDelay: 40, heldCells: 1 }),
                 host("h-busy", "east-a", { heldCells: 1 }),
                 host("h-idle", "east-a"),
             ],
-            expected: ["h-idle", "h-busy", "h-far", "h-west"],
+            expected: ["h-idle", "h-busy", "h-south", "h-west"],
         },
         {
             name: "a cell of all failure domains by distance to the store, then by CPU",
@@ -126,10 +126,22 @@
             hosts: [
                 host("h-small", "east-a", { processors: 0.324 }),
                 host("h-far", "west", { processors: 4, storeDelay: 40 }),
-                host("h-large", "west", { processors: 1.35 }),
+                host("h-large", "west", { processors: 1.35, storeDelay: 28 }),
                 host("h-middle", "east-a", { processors: 0.675 }),
             ],
-            expected: ["h-large", "h-middle", "h-small", "h-far"],
+            expected: ["h-middle", "h-small", "h-far", "h-large"],
+        },
+        // Guards against cells that gather on the hosts that measured the store while it was fast and they were idle.
+        {
+            name: "hosts of one region by the cells that they hold, whatever each has measured",
+            domains: ["east-a"],
+            hosts: [
+                host("h-early", "east-a", { storeDelay: 12, heldCells: 2 }),
+                host("h-late", "east-a", { storeDelay: 17, heldCells: 1 }),
+                host("h-slow-store", "east-b", { storeDelay: 108 }),
+                host("h-near", "west", { storeDelay: 3 }),
+            ],
+            expected: ["h-slow-store", "h-late", "h-early", "h-near"],
         },
         // Guards against all cells going to the largest host while other hosts hold none.
         {
