--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,6 +6,7 @@
             "**/dist/**",
             "packages/*/bin/**",
             "deploy/*.js",
+            "deploy/*.cjs",
             "target/**",
             "**/node_modules/**",
             "eslint.config.js",
