--- a/packages/jayfrontd/src/http/connection-guard.ts
+++ b/packages/jayfrontd/src/http/connection-guard.ts
@@ -11,6 +11,8 @@
 export interface Admission {
     /** Takes further bytes for the request; false if no memory is left for them. */
     readonly take: (bytes: number) => boolean;
+    /** Whether the connection of the request is closed, so that nobody would read an answer. */
+    readonly isGone: () => boolean;
 }
 
 /** Handles an admitted request; resolves when nothing of the request is held any more apart from its answer. */
@@ -241,7 +243,7 @@
         };
         const run = async (): Promise<void> => {
             try {
-                await handle(incoming, outgoing, { take });
+                await handle(incoming, outgoing, { take, isGone: () => request.isAnswered });
             }
             finally {
                 request.isHandled = true;
--- a/packages/jayfrontd/tests/connection-guard.test.ts
+++ b/packages/jayfrontd/tests/connection-guard.test.ts
@@ -92,6 +92,17 @@
         await until(() => budget.taken() === 0);
     });
 
+    // Guards against work for a request whose caller has left before the work began (issue 64).
+    it("tells the handler of a request that its connection is closed", async () => {
+        const { socket } = await open(request);
+        await until(() => waiting.length === 1);
+        const [{ outgoing, admission } = {} as Waiting] = waiting;
+        expect(admission.isGone()).toBe(false);
+        socket.destroy();
+        await until(() => outgoing.closed);
+        expect(admission.isGone()).toBe(true);
+    });
+
     // Guards against a refusal that reaches a caller after its request was handled.
     it("answers 503 before a request is handled if no memory is left", async () => {
         await open(request + request);
