--- a/packages/workflow/src/cell/cell-summary.ts
+++ b/packages/workflow/src/cell/cell-summary.ts
@@ -8,6 +8,8 @@
     readonly isActive: boolean;
     /** Whether the holder declines new workflows since it is late with the placement of those that it has accepted. */
     readonly isBehind: boolean;
+    /** Tasks of urgent workflows that the holder accepts although it is behind; hosts of earlier versions don't send it. */
+    readonly placementReserve?: number;
     /** Milliseconds since the holder sent the last call that proved its lease. */
     readonly provenAgo: number;
     /** Number of workflows of which no task has started, by queue name. */
--- a/packages/workflow/src/cell/summarize-cell.ts
+++ b/packages/workflow/src/cell/summarize-cell.ts
@@ -14,6 +14,7 @@
     readonly lease: CellLease;
     readonly isActive: boolean;
     readonly isBehind: boolean;
+    readonly placementReserve: number;
     /** Workflows accepted since the last summary. */
     readonly accepted: readonly JobId[];
     readonly ledgers: Iterable<WorkflowLedger>;
@@ -41,7 +42,8 @@
 
 /** Summarizes a cell for all entry hosts. */
 export const summarizeCell = (options: SummarizeCellOptions): CellSummary => {
-    const { lease, isActive, isBehind, accepted, ledgers, transferredLedgers, workers, queueOf, runTime } = options;
+    const { lease, isActive, isBehind, placementReserve, accepted, ledgers, transferredLedgers, workers } = options;
+    const { queueOf, runTime } = options;
     const pending: Record<string, number> = {};
     const backlog: number[] = [];
     let waitingCpu = 0;
@@ -73,6 +75,7 @@
         epoch: lease.epoch,
         isActive,
         isBehind,
+        placementReserve,
         provenAgo: performance.now() - lease.provenAt(),
         pending,
         racks: [...new Set(usable.map(({ session }) => session.entry().rack))],
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -15,6 +15,7 @@
 import type { Workflow } from "../model/workflow.js";
 import { createDomainRamp } from "../policy/domain-ramp.js";
 import { createInterferenceModel } from "../policy/interference-model.js";
+import { createPlacementReserve, reservedStarts } from "../policy/placement-reserve.js";
 import { createWorkerSpeeds } from "../policy/worker-speeds.js";
 import type { MemoryAllowance } from "../port/memory-allowance.js";
 import type { StateStore } from "../port/state-store.js";
@@ -213,6 +214,7 @@
     const runRegistry = createRunRegistry();
     const passWakeUp = createWakeUp();
     const placementLag = createPlacementLag();
+    const placementReserve = createPlacementReserve(options.processors);
     const interferenceModel = createInterferenceModel();
     const lateOrderDetector = createLateOrderDetector(() => {
         startWriter.request();
@@ -837,7 +839,8 @@
                 metrics.submissions.inc({ outcome: "evacuated" });
                 return { kind: "full", roomShare: 0 };
             }
-            if (isNew && declinesWork()) {
+            const starts = isNew && declinesWork() ? reservedStarts(workflow) : 0;
+            if (starts > placementReserve.left(performance.now())) {
                 metrics.submissions.inc({ outcome: "behind" });
                 return { kind: "behind" };
             }
@@ -855,6 +858,7 @@
                 metrics.submissions.inc({ outcome: "late" });
                 return { kind: "late", retryAfter: admission.retryAfter };
             }
+            placementReserve.take(starts, performance.now());
             return await intake.submit(admission.workflow);
         },
         state: async id => isActive ? await operations.state(id) : "not-holder",
@@ -876,6 +880,7 @@
                 lease,
                 isActive,
                 isBehind: isBehind(),
+                placementReserve: placementReserve.left(performance.now()),
                 accepted: reported,
                 ledgers: ledgers.values(),
                 transferredLedgers: incomingTransfers.ledgers.values(),
--- a/packages/workflow/src/entry/workflow-router.ts
+++ b/packages/workflow/src/entry/workflow-router.ts
@@ -7,6 +7,7 @@
 import type { Workflow, WorkflowState } from "../model/workflow.js";
 import type { WorkflowReplies } from "../peer/workflow-message.js";
 import type { WorkflowNetwork } from "../peer/workflow-network.js";
+import { reservedStarts } from "../policy/placement-reserve.js";
 import type { CellCandidate } from "../policy/rank-cells.js";
 import { rankCells, widestStepCpu } from "../policy/rank-cells.js";
 import type { StateStore } from "../port/state-store.js";
@@ -173,15 +174,23 @@
         recordReply();
         return answer.value;
     };
-    /** Cells that may take the workflow: those that keep up with placement, and the one that is known to have it. */
-    const candidates = (id: JobId): readonly CellCandidate[] =>
-        activeClaims().filter(({ summary }) => !summary.isBehind || claims.cellOf(id) === summary.cell).map((
-            { summary },
-        ) => ({
+    /**
+     * Cells that may take the workflow: those that keep up with placement, and the one that is known to have it; if there
+     * are none, those with enough of their reserve left.
+     */
+    const candidates = (workflow: Workflow): readonly CellCandidate[] => {
+        const known = activeClaims().map(({ summary }) => summary);
+        const usual = known.filter(({ cell, isBehind }) => !isBehind || claims.cellOf(workflow.id) === cell);
+        const starts = reservedStarts(workflow);
+        const found = usual.length > 0
+            ? usual
+            : known.filter(({ placementReserve }) => placementReserve !== undefined && starts <= placementReserve);
+        return found.map(summary => ({
             ...summary,
             sentCpu: recentlySentTo(summary.cell),
             isNear: isNear(summary.cell),
         }));
+    };
     const askLoad = async (cell: CellId): Promise<CellLoad | undefined> => {
         const ownCell = held(cell);
         const claim = claims.fresh(cell);
@@ -209,8 +218,9 @@
      * Cells in the order in which to offer the workflow. Long-running work stays for long, so that it goes by the loads
      * that the holders tell now; other work goes by their heartbeats and a draw.
      */
-    const rank = async ({ id, steps, queue }: Workflow): Promise<RankedCells> => {
-        const known = candidates(id);
+    const rank = async (workflow: Workflow): Promise<RankedCells> => {
+        const { id, steps, queue } = workflow;
+        const known = candidates(workflow);
         const isAsked = known.length > 1 && steps.some(step => step.isLasting);
         const loads = isAsked ? await askLoads(known.map(({ cell }) => cell)) : undefined;
         return loads === undefined
--- a/packages/workflow/tests/workflow-router.test.ts
+++ b/packages/workflow/tests/workflow-router.test.ts
@@ -10,6 +10,8 @@
 import { createCellClaims } from "../src/entry/cell-claims.js";
 import type { SubmissionAnswer, WorkflowRouter } from "../src/entry/workflow-router.js";
 import { createWorkflowRouter } from "../src/entry/workflow-router.js";
+import { createStep } from "../src/model/create-step.js";
+import type { Step } from "../src/model/step.js";
 import type { EntryHostRecord } from "../src/peer/host-registry.js";
 import type { WorkflowNetwork } from "../src/peer/workflow-network.js";
 import type { StateStore } from "../src/port/state-store.js";
@@ -85,13 +87,15 @@
     });
 
     /** Submits a workflow; resolves to the answer and the milliseconds until it. */
-    const submit = async (): Promise<SubmissionAnswer & { readonly after: number; }> => {
+    const submit = async (
+        steps: readonly Step[] = [],
+    ): Promise<SubmissionAnswer & { readonly after: number; }> => {
         const submittedAt = performance.now();
         const answered = router.submit({
             id: "0000000000000001" as JobId,
             queue: testQueue,
             payload: "",
-            steps: [],
+            steps,
             acceptedAt: 0,
         }, timeout).then(answer => ({ ...answer, after: performance.now() - submittedAt }));
         await jest.advanceTimersByTimeAsync(5 * callTimeout);
@@ -125,6 +129,22 @@
         expect([kind, after, retryAfter >= 2, calls]).toEqual(["unavailable", 0, true, 0]);
     });
 
+    // Guards against small urgent workflows that nobody accepts, since all holders are late with large ones.
+    it.each([[4, "accepted", 1], [3, "unavailable", 0]])(
+        "are sent to holders that are all behind, if one has %i starts left for them",
+        async (placementReserve, kind, count) => {
+            const summaries = [{ ...summaryOf("a"), placementReserve }, { ...summaryOf("b"), placementReserve: 0 }];
+            claims.recordHeartbeat(
+                hostOf("h-1"),
+                summaries.map(summary => ({ ...summary, isBehind: true })),
+                100 * heartbeatInterval,
+            );
+            answerCall = () => Promise.resolve(Result.ok({ kind: "accepted" }) as never);
+            const answer = await submit([createStep({ count: 4 })]);
+            expect([answer.kind, calls]).toEqual([kind, count]);
+        },
+    );
+
     // Guards against a caller that waits although no cell can serve it, or comes back before one can.
     it("are refused at once, with the earliest time of a cell, if all cells would be too late for them", async () => {
         claims.recordHeartbeat(hostOf("h-1"), [summaryOf("a"), summaryOf("b")], 100 * heartbeatInterval);
