--- a/packages/jayfrontd/src/http/connection-limits.ts
+++ b/packages/jayfrontd/src/http/connection-limits.ts
@@ -22,6 +22,8 @@
     readonly requestBytes: number;
     /** Bytes of the workflows that wait for the store at a time. */
     readonly waitingBytes: number;
+    /** Bytes of the accepted workflows that the cells of this host have in memory. */
+    readonly workflowBytes: number;
     readonly callers: PortLimits;
     /** The port of other hosts; they are not limited once they have authenticated themselves. */
     readonly peers: PortLimits;
@@ -32,6 +34,8 @@
 const megabyte = 1_024 * 1_024;
 /** Share of the memory for the requests of callers, for their connections, and for workflows that wait for the store. */
 const memoryShare = 1 / 8;
+/** Share of the memory for accepted workflows. */
+const workflowShare = 0.3;
 /** Bytes that a connection holds at most with the header of an incomplete request, 16 KB, and its buffers. */
 const connectionBytes = 32 * 1_024;
 /** Descriptors that the platform reserves for files. */
@@ -47,7 +51,8 @@
 /** Derives the limits from the settings and the limit of the heap. */
 export const deriveConnectionLimits = (settings: Settings["connections"]): ConnectionLimits => {
     const { memoryMb, fileDescriptors, requestsPerConnection, headerTime, requestTime, idleTime } = settings;
-    const bytes = Math.min(memoryMb * megabyte, getHeapStatistics().heap_size_limit) * memoryShare;
+    const memory = Math.min(memoryMb * megabyte, getHeapStatistics().heap_size_limit);
+    const bytes = memory * memoryShare;
     const descriptors = Math.max(fileDescriptors - fileReserve, 0);
     const connectionsFor = (share: number): number =>
         Math.max(1, Math.floor(Math.min(descriptors * share, bytes / connectionBytes)));
@@ -56,6 +61,7 @@
     return {
         requestBytes: bytes,
         waitingBytes: bytes,
+        workflowBytes: memory * workflowShare,
         callers: { ...times, requestsPerConnection, connections: connectionsFor(callerDescriptorShare) },
         peers: { ...others, connections: connectionsFor(peerDescriptorShare) },
         operators: { ...others, connections: operatorConnections },
--- a/packages/jayfrontd/src/http/memory-budget.ts
+++ b/packages/jayfrontd/src/http/memory-budget.ts
@@ -2,6 +2,8 @@
 export interface MemoryBudget {
     /** Takes `bytes`; false, and nothing is taken, if fewer are left. */
     readonly take: (bytes: number) => boolean;
+    /** Takes `bytes`, however many are left. */
+    readonly hold: (bytes: number) => void;
     readonly giveBack: (bytes: number) => void;
     /** Bytes that are taken now. */
     readonly taken: () => number;
@@ -18,6 +20,9 @@
             taken += bytes;
             return true;
         },
+        hold: bytes => {
+            taken += bytes;
+        },
         giveBack: bytes => {
             taken -= bytes;
         },
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -74,6 +74,7 @@
 import { createWorkerRoster } from "./worker-roster.js";
 import type { SessionEvents, WorkerSession } from "./worker-session.js";
 import { createWorkflowIntake } from "./workflow-intake.js";
+import { createWorkflowMemory } from "./workflow-memory.js";
 import type { CancelReply, StateReply } from "./workflow-operations.js";
 import { createWorkflowOperations } from "./workflow-operations.js";
 
@@ -143,6 +144,8 @@
     readonly pollBudget: PollBudget;
     /** Memory of the workflows that wait for the store; shared by all cells of the host. Default: unbounded. */
     readonly waitingMemory?: MemoryAllowance | undefined;
+    /** Memory of the workflows of all cells of the host. Default: unbounded. */
+    readonly workflowMemory?: MemoryAllowance | undefined;
     readonly onLost: (reason: string) => void;
     readonly otherCells: OtherCells;
     readonly evacuations: Evacuations;
@@ -215,6 +218,8 @@
     const passWakeUp = createWakeUp();
     const placementLag = createPlacementLag();
     const placementReserve = createPlacementReserve(options.processors);
+    const workflowMemory = createWorkflowMemory(options.workflowMemory);
+    signal.addEventListener("abort", workflowMemory.releaseAll);
     const interferenceModel = createInterferenceModel();
     const lateOrderDetector = createLateOrderDetector(() => {
         startWriter.request();
@@ -677,6 +682,7 @@
             if (at < cutoff) {
                 settledAt.delete(id);
                 ledgers.delete(id);
+                workflowMemory.release(id);
                 writer.forget(id);
             }
         }
@@ -684,6 +690,7 @@
     const addLedger = (ledger: WorkflowLedger, progressVersion: number): void => {
         const { id } = ledger.workflow;
         ledgers.set(id, ledger);
+        workflowMemory.hold(ledger.workflow);
         writer.setVersion(id, progressVersion);
         ledger.returned().forEach(task => {
             runController.reserveNumbers(taskName({ job: id, ...task }), task.lastRun);
@@ -770,6 +777,9 @@
         signal,
         waitingMemory: options.waitingMemory,
         lateWriteTime: timing.lateOrderTime,
+        onCompleted: id => {
+            releaseUnlessStored(id);
+        },
         stateOf: id => ledgers.get(id)?.state(),
         onStored: ({ workflow, progress, progressVersion }) => {
             addLedger(createWorkflowLedger(workflow, progress), progressVersion);
@@ -777,6 +787,12 @@
             passWakeUp.notify();
         },
     });
+    /** Gives back the memory of a workflow that is not stored here. */
+    const releaseUnlessStored = (id: JobId): void => {
+        if (!ledgers.has(id) && !intake.hasPendingSubmission(id)) {
+            workflowMemory.release(id);
+        }
+    };
     const room = createCellRoom({
         workers,
         ledgers,
@@ -853,13 +869,20 @@
                     return { kind: "full", roomShare };
                 }
             }
+            if (isNew && !workflowMemory.reserve(workflow)) {
+                metrics.submissions.inc({ outcome: "no-memory" });
+                return { kind: "refused" };
+            }
             const admission = isNew ? submissionAdmission.admit(workflow) : { kind: "accepted" as const, workflow };
             if (admission.kind === "refused") {
+                releaseUnlessStored(workflow.id);
                 metrics.submissions.inc({ outcome: "late" });
                 return { kind: "late", retryAfter: admission.retryAfter };
             }
             placementReserve.take(starts, performance.now());
-            return await intake.submit(admission.workflow);
+            const reply = await intake.submit(admission.workflow);
+            releaseUnlessStored(workflow.id);
+            return reply;
         },
         state: async id => isActive ? await operations.state(id) : "not-holder",
         cancel: async id => isActive ? await operations.cancel(id) : "not-holder",
--- a/packages/workflow/src/cell/workflow-intake.ts
+++ b/packages/workflow/src/cell/workflow-intake.ts
@@ -46,6 +46,8 @@
     readonly waitingMemory: MemoryAllowance | undefined;
     /** Called with a workflow that is stored in this cell and that the holder does not have in memory. */
     readonly onStored: (stored: OpenWorkflow) => void;
+    /** Called once it is known whether a submitted workflow is stored, or the cell is lost. */
+    readonly onCompleted: (id: JobId) => void;
     /** Ends all attempts. */
     readonly signal: AbortSignal;
 }
@@ -73,7 +75,8 @@
 
 /** Creates the intake of a cell whose rows have been loaded. */
 export const createWorkflowIntake = (options: WorkflowIntakeOptions): WorkflowIntake => {
-    const { store, lease, logger, metrics, lateWriteTime, stateOf, onStored, waitingMemory, signal } = options;
+    const { store, lease, logger, metrics, lateWriteTime, stateOf, onStored, onCompleted, waitingMemory, signal } =
+        options;
     const { cell, epoch } = lease;
     const pendingSubmissions = new Map<JobId, PendingSubmission>();
     const endStates = new Map<JobId, WorkflowState>();
@@ -212,6 +215,7 @@
         entry.outcome = completeSubmission(entry).finally(() => {
             pendingSubmissions.delete(workflow.id);
             waitingMemory?.giveBack(bytes);
+            onCompleted(workflow.id);
         });
         return entry;
     };
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -88,6 +88,8 @@
     };
     /** Memory of the workflows that wait for the store. Default: unbounded. */
     readonly waitingMemory?: MemoryAllowance;
+    /** Memory of the workflows of all cells that this host holds. Default: unbounded. */
+    readonly workflowMemory?: MemoryAllowance;
 }
 
 /**
@@ -201,6 +203,7 @@
                 processDelay: processDelay.recent,
                 pollBudget,
                 waitingMemory: options.waitingMemory,
+                workflowMemory: options.workflowMemory,
                 onLost,
                 otherCells: otherCellsOf(cell),
                 evacuations: evacuationWatch ?? noEvacuations,
--- a/packages/workflow/tests/waiting-memory.test.ts
+++ b/packages/workflow/tests/waiting-memory.test.ts
@@ -27,6 +27,7 @@
     it("are refused before a write if they hold too much memory, and accepted again afterwards", async () => {
         let left = 5_000;
         const writes: string[] = [];
+        const completed: string[] = [];
         const store: Partial<StateStore> = {
             limits: { entries: 100, bytes: 697_500, valueBytes: 65_536 },
             commit: async transaction => {
@@ -51,7 +52,13 @@
             lateWriteTime: 12_000,
             stateOf: () => undefined,
             onStored: () => undefined,
+            onCompleted: id => {
+                completed.push(id);
+            },
             waitingMemory: {
+                hold: bytes => {
+                    left -= bytes;
+                },
                 take: bytes => {
                     const isTaken = bytes <= left;
                     left -= isTaken ? bytes : 0;
@@ -71,5 +78,6 @@
         const repeated = submit("c");
         await jest.advanceTimersByTimeAsync(700);
         expect([await repeated, writes, left]).toEqual(["accepted", ["a", "b", "c"], 5_000]);
+        expect(completed).toEqual(["a", "b", "c"]);
     });
 });
