--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -218,8 +218,7 @@
     const passWakeUp = createWakeUp();
     const placementLag = createPlacementLag();
     const placementReserve = createPlacementReserve(options.processors);
-    const workflowMemory = createWorkflowMemory(options.workflowMemory);
-    signal.addEventListener("abort", workflowMemory.releaseAll);
+    const workflowMemory = createWorkflowMemory(options.workflowMemory, signal);
     const interferenceModel = createInterferenceModel();
     const lateOrderDetector = createLateOrderDetector(() => {
         startWriter.request();
--- a/packages/workflow/src/cell/workflow-memory.ts
+++ b/packages/workflow/src/cell/workflow-memory.ts
@@ -12,36 +12,43 @@
     readonly hold: (workflow: Workflow) => void;
     /** Gives back what the workflow has taken. */
     readonly release: (id: JobId) => void;
-    /** Gives back what all workflows have taken. */
-    readonly releaseAll: () => void;
 }
 
-/** Creates the memory of a cell without workflows. `allowance`: shared by all cells of the host; default: unbounded. */
-export const createWorkflowMemory = (allowance: MemoryAllowance | undefined): WorkflowMemory => {
+/**
+ * Creates the memory of a cell without workflows. `allowance`: shared by all cells of the host; unbounded if undefined.
+ * Once `signal` aborts, all is given back, and nothing is taken any more.
+ */
+export const createWorkflowMemory = (
+    allowance: MemoryAllowance | undefined,
+    signal: AbortSignal,
+): WorkflowMemory => {
     const taken = new Map<JobId, number>();
     const release = (id: JobId): void => {
         allowance?.giveBack(taken.get(id) ?? 0);
         taken.delete(id);
     };
+    signal.addEventListener("abort", () => {
+        [...taken.keys()].forEach(release);
+    });
     return {
         reserve: workflow => {
+            if (signal.aborted || taken.has(workflow.id)) {
+                return !signal.aborted;
+            }
             const bytes = estimateLedgerBytes(workflow);
-            const isTaken = taken.has(workflow.id) || allowance?.take(bytes) !== false;
-            if (isTaken && !taken.has(workflow.id)) {
+            const isTaken = allowance?.take(bytes) !== false;
+            if (isTaken) {
                 taken.set(workflow.id, bytes);
             }
             return isTaken;
         },
         hold: workflow => {
-            if (!taken.has(workflow.id)) {
+            if (!signal.aborted && !taken.has(workflow.id)) {
                 const bytes = estimateLedgerBytes(workflow);
                 allowance?.hold(bytes);
                 taken.set(workflow.id, bytes);
             }
         },
         release,
-        releaseAll: () => {
-            [...taken.keys()].forEach(release);
-        },
     };
 };
