--- a/review/lib-3/fleet.ts
+++ b/review/lib-3/fleet.ts
@@ -39,6 +39,8 @@
     readonly workersPerZone: number;
     /** Tasks that a worker runs at the same time. */
     readonly tasksPerWorker: number;
+    /** Millicores of a task; default {@link taskCpu}. */
+    readonly cpuOf?: (task: string) => number;
 }
 
 /** Answer to a call of a client; status 0 if there was none. */
@@ -232,7 +234,8 @@
 };
 
 /** Starts the stand-ins and the hosts, and waits until every host answers. */
-export const startFleet = async ({ hostsPerZone, workersPerZone, tasksPerWorker }: FleetOptions): Promise<Fleet> => {
+export const startFleet = async (options: FleetOptions): Promise<Fleet> => {
+    const { hostsPerZone, workersPerZone, tasksPerWorker, cpuOf = () => taskCpu } = options;
     const startedAt = performance.now();
     const lines: string[] = [];
     const note = (text: string): void => {
@@ -248,7 +251,7 @@
         workers: Object.fromEntries(zones.map(zone => [zone, workersPerZone])),
         longestLease,
         cpu: tasksPerWorker * taskCpu,
-        cpuOf: () => taskCpu,
+        cpuOf,
         addressOf: id => `127.0.0.1:${String(portOf.get(id) ?? 0)}`,
     });
     platform.configure(configuration);
