--- a/packages/workflow/src/cell/cell-room.ts
+++ b/packages/workflow/src/cell/cell-room.ts
@@ -34,11 +34,11 @@
 }
 
 /** Millicores that the long-running tasks of a workflow request which its cell has to run, or runs for another cell. */
-const acceptedLongRunningCpu = ({ workflow: { steps }, knownStage }: WorkflowLedger): number => {
+const acceptedLongRunningCpu = ({ workflow: { steps }, firstStage }: WorkflowLedger): number => {
     let sum = 0;
     for (const [number, step] of steps.entries()) {
         if (step.isLasting) {
-            const record = knownStage(0, number)?.record;
+            const record = firstStage(number)?.record;
             sum += (step.count - (record?.transferred.size ?? 0) - (record?.done.size ?? 0)) * step.cpu;
         }
     }
--- a/packages/workflow/src/cell/create-transferred-ledger.ts
+++ b/packages/workflow/src/cell/create-transferred-ledger.ts
@@ -26,6 +26,9 @@
         transfers: [],
     });
     // They ran before, or have waited without finding room, and therefore go first.
-    present.forEach(task => ledger.stage(task)?.record.started.add(task.index));
+    present.forEach(task => {
+        ledger.recordStart(task);
+        ledger.markWaiting(task);
+    });
     return ledger;
 };
--- a/packages/workflow/src/cell/encode-progress.ts
+++ b/packages/workflow/src/cell/encode-progress.ts
@@ -1,8 +1,4 @@
-import type { IndexRanges } from "@jayfront/world";
-import { addIndex } from "@jayfront/world";
-
-import type { StepProgress, WorkflowProgress } from "../ledger/workflow-progress.js";
-import type { Step } from "../model/step.js";
+import type { WorkflowProgress } from "../ledger/workflow-progress.js";
 
 /** A progress row's value. */
 export interface EncodedProgress {
@@ -11,24 +7,6 @@
     readonly omittedCheckpoints: number;
 }
 
-/** Ranges of consecutive numbers, each with its first and last one; the numbers rise within the result. */
-const rangesOf = (numbers: readonly number[]): [number, number][] =>
-    numbers.reduce<IndexRanges>((ranges, number) => addIndex(ranges, number), [])
-        .map(([from, to]) => [from, to - 1]);
-/** Writes the tasks that are done as ranges, and leaves steps out that are done in a range of occurrences. */
-const compact = (progress: WorkflowProgress, steps: readonly Step[]): WorkflowProgress => {
-    const isFinished = ({ step, done }: StepProgress): boolean => done.length === steps[step]?.count;
-    const finished = progress.steps.filter(isFinished);
-    return {
-        ...progress,
-        steps: progress.steps.filter(step => !isFinished(step))
-            .map(step => ({ ...step, done: [], doneRanges: rangesOf(step.done) })),
-        finished: [...steps.keys()].flatMap(step =>
-            rangesOf(finished.filter(row => row.step === step).map(({ occurrence }) => occurrence))
-                .map(([first, last]): [number, number, number] => [step, first, last])
-        ),
-    };
-};
 /** Leaves out the longest checkpoints, which save at least `excess` bytes if there are enough of them. */
 const omitCheckpoints = (progress: WorkflowProgress, excess: number): readonly [WorkflowProgress, number] => {
     const checkpoints = progress.steps.flatMap((step, row) =>
@@ -56,21 +34,15 @@
 };
 
 /**
- * Encodes the progress of a workflow with these steps in at most `maxBytes` bytes, if that is possible: in a compact form
- * where the plain one is longer, and then without the longest checkpoints, whose tasks would start from their beginning
- * under the next holder.
+ * Encodes the progress of a workflow in at most `maxBytes` bytes, if that is possible: without the longest checkpoints where
+ * it is too long with them, whose tasks would start from their beginning under the next holder.
  */
-export const encodeProgress = (
-    progress: WorkflowProgress,
-    steps: readonly Step[],
-    maxBytes: number,
-): EncodedProgress => {
-    const plain = JSON.stringify(progress);
-    if (Buffer.byteLength(plain) <= maxBytes) {
-        return { value: plain, omittedCheckpoints: 0 };
+export const encodeProgress = (progress: WorkflowProgress, maxBytes: number): EncodedProgress => {
+    const value = JSON.stringify(progress);
+    const excess = Buffer.byteLength(value) - maxBytes;
+    if (excess <= 0) {
+        return { value, omittedCheckpoints: 0 };
     }
-    const compacted = compact(progress, steps);
-    const excess = Buffer.byteLength(JSON.stringify(compacted)) - maxBytes;
-    const [shortened, omittedCheckpoints] = omitCheckpoints(compacted, excess);
+    const [shortened, omittedCheckpoints] = omitCheckpoints(progress, excess);
     return { value: JSON.stringify(shortened), omittedCheckpoints };
 };
--- a/packages/workflow/src/cell/progress-writer.ts
+++ b/packages/workflow/src/cell/progress-writer.ts
@@ -101,7 +101,7 @@
     };
     /** Changes that store a workflow's progress; a workflow that has ended keeps only its settled row. */
     const changesOf = (
-        { workflow: { id, steps }, latestState, isSettled, progress }: WorkflowLedger,
+        { workflow: { id }, latestState, isSettled, progress }: WorkflowLedger,
     ): Pick<BatchEntry, "changes" | "omittedCheckpoints"> => {
         const key = rowKeys.progress(cell, id);
         const version = versions.get(id) ?? 0;
@@ -121,7 +121,7 @@
         }
         // The progress row is absent both before its first write and after the end, when a late first write must fail.
         const endChecks = version === 0 ? [{ ...rowKeys.settled(cell, id), version: 0 }] : [];
-        const { value, omittedCheckpoints } = encodeProgress(progress(), steps, store.limits.valueBytes);
+        const { value, omittedCheckpoints } = encodeProgress(progress(), store.limits.valueBytes);
         return {
             changes: { checks: [check, ...endChecks], writes: [{ ...key, value }], removals: [] },
             omittedCheckpoints,
--- a/packages/workflow/src/cell/summarize-cell.ts
+++ b/packages/workflow/src/cell/summarize-cell.ts
@@ -27,13 +27,13 @@
 
 /** Millicores that the waiting tasks of a workflow's long-running steps request, of those steps that `isCounted` accepts. */
 export const waitingLongRunningCpu = (
-    { workflow: { steps }, knownStage }: WorkflowLedger,
+    { workflow: { steps }, firstStage }: WorkflowLedger,
     isCounted: (record: StepRecord) => boolean = () => true,
 ): number => {
     let waiting = 0;
     for (const [number, step] of steps.entries()) {
         if (step.isLasting) {
-            const record = knownStage(0, number)?.record;
+            const record = firstStage(number)?.record;
             waiting += record === undefined || isCounted(record) ? (record?.waiting.size ?? step.count) * step.cpu : 0;
         }
     }
@@ -60,7 +60,7 @@
         waitingCpu += waitingLongRunningCpu(ledger);
         for (const [number, step] of steps.entries()) {
             if (!step.isLasting) {
-                const record = ledger.knownStage(0, number)?.record;
+                const record = ledger.firstStage(number)?.record;
                 work += (step.count - (record?.done.size ?? 0)) * step.cpu * runTime(id, queue, step, number);
             }
         }
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -56,6 +56,7 @@
 import { createSpeedLimits } from "./speed-limits.js";
 import { createSpeedMonitor } from "./speed-monitor.js";
 import { createSpeedObserver } from "./speed-observer.js";
+import { createStageMemory } from "./stage-memory.js";
 import { createStageScheduler } from "./stage-scheduler.js";
 import type { LocatedTask, StoredAbsences } from "./stored-starts.js";
 import type { StrandedTasks } from "./stranded-tasks.js";
@@ -219,6 +220,7 @@
     const placementLag = createPlacementLag();
     const placementReserve = createPlacementReserve(options.processors);
     const workflowMemory = createWorkflowMemory(options.workflowMemory, signal);
+    const stageMemory = createStageMemory(options.workflowMemory, signal);
     const interferenceModel = createInterferenceModel();
     const lateOrderDetector = createLateOrderDetector(() => {
         startWriter.request();
@@ -680,6 +682,7 @@
         for (const [id, at] of settledAt) {
             if (at < cutoff) {
                 settledAt.delete(id);
+                ledgers.get(id)?.release();
                 ledgers.delete(id);
                 workflowMemory.release(id);
                 writer.forget(id);
@@ -696,7 +699,7 @@
         });
     };
     const load = async (): Promise<boolean> => {
-        const loaded = await loadCell(store, cell, logger);
+        const loaded = await loadCell(store, cell, logger, stageMemory);
         if (loaded.isErr) {
             logger.warn(
                 { cell, epoch, error: loaded.error.kind, message: loaded.error.message },
@@ -781,7 +784,7 @@
         },
         stateOf: id => ledgers.get(id)?.state(),
         onStored: ({ workflow, progress, progressVersion }) => {
-            addLedger(createWorkflowLedger(workflow, progress), progressVersion);
+            addLedger(createWorkflowLedger(workflow, progress, stageMemory.createShare()), progressVersion);
             accepted.push(workflow.id);
             passWakeUp.notify();
         },
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -1,13 +1,25 @@
-import type { CellId } from "@jayfront/world";
+import type { CellId, IndexRanges } from "@jayfront/world";
+import {
+    addIndex,
+    countIndices,
+    hasIndex,
+    indicesOf,
+    intersectRanges,
+    rangesOf,
+    subtractRanges,
+    unionRanges,
+} from "@jayfront/world";
 
+import { estimateStageBytes } from "../model/estimate-stage-bytes.js";
 import type { Step } from "../model/step.js";
 import type { TaskNameParts } from "../model/task-name.js";
 import type { Workflow, WorkflowState } from "../model/workflow.js";
+import type { MemoryAllowance } from "../port/memory-allowance.js";
 import { crashLimit } from "./crash-limit.js";
 import type { StepRecord } from "./step-record.js";
 import { createStepRecord } from "./step-record.js";
 import type { TransferredTask } from "./transferred-task.js";
-import type { WorkflowProgress } from "./workflow-progress.js";
+import type { StepProgress, WorkflowProgress } from "./workflow-progress.js";
 
 /** One step in one occurrence of a workflow, with the state of its tasks. */
 export interface Stage {
@@ -36,16 +48,23 @@
     readonly isSettled: () => boolean;
     /**
      * Stages whose tasks may run now: due, not done, and with all steps that they depend on done and stored. Empty once
-     * the workflow is settled. Long-running steps are left out while any change is not stored. Further stages open once
-     * fewer than `maxOpenTasks` tasks wait. `now` in Unix ms, `monotonicNow` in ms of the monotonic clock.
+     * the workflow is settled. Long-running steps are left out while any change is not stored. Of the occurrences in which
+     * a step has not started, only the first ones are among them, as many as `maxOpenTasks`, `maxOpenStages` and the
+     * memory for stages allow. `now` in Unix ms, `monotonicNow` in ms of the monotonic clock.
      */
     readonly openStages: (now: number, monotonicNow: number) => readonly Stage[];
     /** Indices of the waiting tasks of an open stage whose failures are stored, so that they may start. */
     readonly startable: (stage: Stage) => readonly number[];
-    /** Stage of a task; undefined where the workflow has no such step or occurrence. */
+    /**
+     * Stage of a task, a copy if its tasks have not been offered or are all done and stored; undefined where the workflow
+     * has no such step or occurrence.
+     */
     readonly stage: (position: TaskPosition) => Stage | undefined;
-    /** As `stage`, but only if anything is known of its tasks; else none of them has run. Takes no memory for the stage. */
-    readonly knownStage: (occurrence: number, stepIndex: number) => Stage | undefined;
+    /**
+     * The stage of a step in the first occurrence, if it was opened or anything is known of its tasks; else none of them
+     * has run.
+     */
+    readonly firstStage: (stepIndex: number) => Stage | undefined;
     readonly isDone: (position: TaskPosition) => boolean;
     /** Records that a run of the task has started. */
     readonly recordStart: (position: TaskPosition) => void;
@@ -102,18 +121,75 @@
     readonly markStored: (revision: number) => void;
     /** Increases with each change that has to be stored: an end, a failure, a transfer or the cancellation. */
     readonly revision: () => number;
+    /** Gives back the memory of its stages; to be called once the ledger is not used any more. */
+    readonly release: () => void;
 }
 
-/** Waiting tasks of a workflow up to which further stages open: each of them takes memory and time in each pass. */
+/**
+ * Waiting tasks of a workflow up to which further stages open, divided among the steps that may start: each of them takes
+ * memory and time in each pass.
+ */
 const maxOpenTasks = 20_000;
+/** As `maxOpenTasks`, in stages. A pass starts fewer tasks, so that the next one opens what the first ones leave. */
+const maxOpenStages = 512;
 
-const stageKey = (occurrence: number, stepIndex: number): string => `${String(occurrence)}.${String(stepIndex)}`;
+/** The ranges with their last indices in place of the first ones after them. */
+const closedRanges = (ranges: IndexRanges): [number, number][] => ranges.map(([from, to]) => [from, to - 1]);
+/** Whether the next holder needs more of the stage than that it is not done. */
+const hasProgress = ({ record }: Stage): boolean =>
+    record.done.size + record.failures.size + record.crashes.size + record.checkpoints.size + record.lastRuns.size > 0;
 
-/** Creates the ledger of a workflow, from its stored progress where it has any. */
-export const createWorkflowLedger = (workflow: Workflow, stored?: WorkflowProgress): WorkflowLedger => {
+const isEmptyRow = ({ done, doneRanges, failures, crashes, checkpoints, lastRuns }: StepProgress): boolean =>
+    [done, doneRanges, failures, crashes, checkpoints, lastRuns].every(entries => (entries?.length ?? 0) === 0);
+
+/** State of a step in all occurrences. */
+interface StepState {
+    readonly step: Step;
+    readonly stepIndex: number;
+    /** The steps that depend on this one. */
+    readonly dependents: StepState[];
+    /** Occurrences in which the step is done, stored or not. */
+    finished: IndexRanges;
+    /** Due occurrences in which the step may start and none of its tasks has; they are not among `known`. */
+    ready: IndexRanges;
+    /** Stages of the first occurrences of `ready`, in their order. */
+    window: readonly Stage[];
+    /** Stages with runs, failures or ends, by occurrence; those that are done and stored are dropped but for the first. */
+    readonly known: Map<number, Stage>;
+    /** Number of stages in memory that count against the allowance. */
+    held: number;
+}
+
+/** Creates the states of the steps of a workflow, none of which may start yet. */
+const createStepStates = (steps: readonly Step[]): readonly StepState[] => {
+    const states = steps.map((step, stepIndex): StepState => ({
+        step,
+        stepIndex,
+        dependents: [],
+        finished: [],
+        ready: [],
+        window: [],
+        known: new Map(),
+        held: 0,
+    }));
+    for (const state of states) {
+        state.step.after.forEach(earlier => states[earlier]?.dependents.push(state));
+    }
+    return states;
+};
+
+/**
+ * Creates the ledger of a workflow, from its stored progress where it has any. `stageMemory`: memory of the stages of a
+ * schedule beside the first two of each step, which the workflow's own estimate contains; unbounded if undefined.
+ */
+export const createWorkflowLedger = (
+    workflow: Workflow,
+    stored?: WorkflowProgress,
+    stageMemory?: MemoryAllowance,
+): WorkflowLedger => {
     const { steps, queue, schedule } = workflow;
     const occurrences = Math.max(1, schedule?.repetitions ?? 1);
-    const stages = new Map<string, Stage>();
+    const states = createStepStates(steps);
     const transfers = new Map<CellId, TransferredTask[]>();
     let isCancelled = stored?.isCancelled ?? false;
     let isFailed = stored?.isFailed ?? false;
@@ -124,24 +200,79 @@
     let settledAtRevision: number | undefined;
     /** Number of steps that are not done, over all occurrences. */
     let remainingSteps = occurrences * steps.length;
-    /** Occurrences that have become due and are not known to be done; the next ones are due in their order. */
-    let dueOccurrences: number[] = [];
-    let nextOccurrence = 0;
+    /** Number of occurrences that have become due; they do so in their order. */
+    let dueOccurrences = 0;
+    /** Stages that are done, until that is stored. */
+    let unstoredEnds: Stage[] = [];
 
-    const stageAt = (occurrence: number, stepIndex: number): Stage | undefined => {
-        const key = stageKey(occurrence, stepIndex);
-        const known = stages.get(key);
-        const step = steps[stepIndex];
-        if (known !== undefined || step === undefined || occurrence < 0 || occurrence >= occurrences) {
+    /** Changes the number of stages of a step in memory; the workflow's own estimate contains one beside the first. */
+    const changeHeld = (state: StepState, change: number): void => {
+        const excessBefore = Math.max(0, state.held - 1);
+        state.held += change;
+        const excess = Math.max(0, state.held - 1) - excessBefore;
+        if (excess > 0) {
+            stageMemory?.hold(excess * estimateStageBytes(state.step));
+        }
+        else if (excess < 0) {
+            stageMemory?.giveBack(-excess * estimateStageBytes(state.step));
+        }
+    };
+    /** Takes memory for one more stage of the step; false if none is left. */
+    const takeStage = (state: StepState): boolean => {
+        const isTaken = state.held === 0 || stageMemory?.take(estimateStageBytes(state.step)) !== false;
+        state.held += isTaken ? 1 : 0;
+        return isTaken;
+    };
+    /** Whether the workflow's own estimate contains the stage: those of long-running steps are never dropped. */
+    const isReserved = ({ step }: StepState, occurrence: number): boolean => occurrence === 0 || step.isLasting;
+    const createStage = ({ step, stepIndex }: StepState, occurrence: number): Stage => ({
+        occurrence,
+        stepIndex,
+        step,
+        record: createStepRecord(step.count),
+    });
+    /** State of the step, if the workflow has it and the occurrence. */
+    const stateAt = (occurrence: number, stepIndex: number): StepState | undefined =>
+        occurrence >= 0 && occurrence < occurrences ? states[stepIndex] : undefined;
+    const offeredStage = ({ window }: StepState, occurrence: number): Stage | undefined =>
+        window.find(stage => stage.occurrence === occurrence);
+    const knownStage = ({ occurrence, step }: Pick<TaskPosition, "occurrence" | "step">): Stage | undefined =>
+        stateAt(occurrence, step)?.known.get(occurrence);
+    /** The stage, to record something of its tasks; undefined also if it is done and stored. */
+    const recordedStage = ({ occurrence, step }: Pick<TaskPosition, "occurrence" | "step">): Stage | undefined => {
+        const state = stateAt(occurrence, step);
+        const known = state?.known.get(occurrence);
+        if (state === undefined || known !== undefined || hasIndex(state.finished, occurrence)) {
             return known;
         }
-        const created = { occurrence, stepIndex, step, record: createStepRecord(step.count) };
-        stages.set(key, created);
-        return created;
+        const offered = offeredStage(state, occurrence);
+        const stage = offered ?? createStage(state, occurrence);
+        if (offered !== undefined) {
+            state.window = state.window.filter(other => other !== offered);
+        }
+        else if (!isReserved(state, occurrence)) {
+            changeHeld(state, 1);
+        }
+        state.ready = subtractRanges(state.ready, [[occurrence, occurrence + 1]]);
+        state.known.set(occurrence, stage);
+        return stage;
+    };
+    const stageOf = (position: TaskPosition): Stage | undefined => {
+        const { occurrence, step } = position;
+        const state = stateAt(occurrence, step);
+        const existing = state && (state.known.get(occurrence) ?? offeredStage(state, occurrence));
+        if (state === undefined || existing !== undefined) {
+            return existing;
+        }
+        const copy = createStage(state, occurrence);
+        if (hasIndex(state.finished, occurrence)) {
+            copy.record.waiting.forEach(index => copy.record.done.add(index));
+            copy.record.waiting.clear();
+        }
+        return copy;
     };
-    const stageOf = ({ occurrence, step }: TaskPosition): Stage | undefined => stageAt(occurrence, step);
     const isStepDone = (occurrence: number, stepIndex: number): boolean =>
-        stages.get(stageKey(occurrence, stepIndex))?.record.done.size === steps[stepIndex]?.count;
+        hasIndex(states[stepIndex]?.finished ?? [], occurrence);
     const isSettled = (): boolean => isCancelled || isFailed || remainingSteps === 0;
     const latestState = (): WorkflowState => {
         if (isCancelled) {
@@ -152,10 +283,15 @@
         }
         return remainingSteps === 0 ? "completed" : hasStarted ? "running" : "queued";
     };
+    const clearWindow = (state: StepState): void => {
+        changeHeld(state, -state.window.filter(({ occurrence }) => !isReserved(state, occurrence)).length);
+        state.window = [];
+    };
     const raiseRevision = (): void => {
         revision += 1;
         if (isSettled()) {
             settledAtRevision ??= revision;
+            states.forEach(clearWindow);
         }
     };
     const markDone = (stage: Stage, index: number): void => {
@@ -167,12 +303,14 @@
         record.failures.delete(index);
         record.crashes.delete(index);
         record.failedAtRevisions.delete(index);
-        if (isNew && record.done.size === step.count) {
+        const state = states[stage.stepIndex];
+        if (isNew && record.done.size === step.count && state !== undefined) {
             remainingSteps -= 1;
+            state.finished = addIndex(state.finished, stage.occurrence);
         }
     };
     const addTransfer = (task: TransferredTask, cell: CellId): void => {
-        const record = stageAt(task.occurrence, task.step)?.record;
+        const record = recordedStage(task)?.record;
         record?.waiting.delete(task.index);
         record?.transferred.add(task.index);
         transfers.set(cell, [...transfers.get(cell) ?? [], task]);
@@ -180,27 +318,88 @@
     /** Index under which failures and crashes are counted. */
     const countedIndex = ({ step }: Stage, { index }: Pick<TaskPosition, "index">): number => step.isGang ? 0 : index;
     const crashWeight = (position: TaskPosition): number => {
-        const stage = stageOf(position);
+        const stage = knownStage(position);
         const weights = stage?.record.crashes.get(countedIndex(stage, position));
         return [...weights?.values() ?? []].reduce((sum, weight) => sum + weight, 0);
     };
     const isTransferred = (position: TaskPosition): boolean =>
-        stageOf(position)?.record.transferred.has(position.index) ?? false;
-    const isDue = (occurrence: number, now: number): boolean =>
-        schedule === undefined || now >= schedule.firstDue + occurrence * schedule.interval;
+        knownStage(position)?.record.transferred.has(position.index) ?? false;
+    const countDue = (now: number): number => {
+        if (schedule === undefined) {
+            return 1;
+        }
+        const { firstDue, interval } = schedule;
+        // Without an interval, the quotient is infinite or, at the due time itself, not a number.
+        const due = now < firstDue ? 0 : interval > 0 ? Math.floor((now - firstDue) / interval) + 1 : occurrences;
+        return Math.min(occurrences, due);
+    };
     /** Whether the next holder will know that the step is done; if not, it would run the step again. */
     const isStepStored = (occurrence: number, stepIndex: number): boolean =>
         isStepDone(occurrence, stepIndex)
-        && (stages.get(stageKey(occurrence, stepIndex))?.record.doneAtRevision ?? 0) <= storedRevision;
+        && (states[stepIndex]?.known.get(occurrence)?.record.doneAtRevision ?? 0) <= storedRevision;
     const isDirty = (): boolean => storedRevision < revision;
-    const isOpen = (occurrence: number, stepIndex: number): boolean =>
-        !isStepDone(occurrence, stepIndex)
-        // Which cell runs a long-running task is among the changes to be stored.
-        && !(isDirty() && steps[stepIndex]?.isLasting === true)
-        && (steps[stepIndex]?.after ?? []).every(earlier => isStepStored(occurrence, earlier));
+    const mayStart = ({ occurrence, step }: Pick<Stage, "occurrence" | "step">): boolean =>
+        step.after.every(earlier => isStepStored(occurrence, earlier));
+    const isOpen = (stage: Stage): boolean =>
+        stage.record.waiting.size > 0 && !isStepDone(stage.occurrence, stage.stepIndex) && mayStart(stage);
+    /** Adds occurrences in which the step may start, except those that are known or done. */
+    const addReady = (state: StepState, added: IndexRanges): void => {
+        const [first] = added;
+        if (first !== undefined) {
+            const known = rangesOf([...state.known.keys()].filter(occurrence => occurrence >= first[0]));
+            const unstarted = subtractRanges(subtractRanges(added, state.finished), known);
+            state.ready = unionRanges(state.ready, unstarted);
+        }
+    };
+    const advanceDue = (now: number): void => {
+        const due = countDue(now);
+        if (due > dueOccurrences) {
+            const added: IndexRanges = [[dueOccurrences, due]];
+            states.filter(({ step }) => step.after.length === 0).forEach(state => {
+                addReady(state, added);
+            });
+            dueOccurrences = due;
+        }
+    };
+    /** Lets the steps start that depend on a stage whose end is stored. */
+    const openDependents = ({ occurrence, stepIndex }: Stage): void => {
+        for (const dependent of states[stepIndex]?.dependents ?? []) {
+            if (mayStart({ occurrence, step: dependent.step })) {
+                addReady(dependent, [[occurrence, occurrence + 1]]);
+            }
+        }
+    };
+    const dropStage = ({ occurrence, stepIndex }: Stage): void => {
+        const state = states[stepIndex];
+        if (state !== undefined && occurrence > 0 && state.known.delete(occurrence)) {
+            changeHeld(state, isReserved(state, occurrence) ? 0 : -1);
+        }
+    };
+    /**
+     * Has the window of a step show the first occurrences in which it may start. `maxStages` and `maxTasks`: its shares of
+     * the bounds; one stage is always shown if there is memory for it.
+     */
+    const moveWindow = (state: StepState, maxStages: number, maxTasks: number): void => {
+        const previous = state.window;
+        clearWindow(state);
+        const window: Stage[] = [];
+        let position = 0;
+        let tasks = 0;
+        for (const occurrence of indicesOf(state.ready)) {
+            const isFull = window.length > 0 && (window.length >= maxStages || tasks >= maxTasks);
+            if (isFull || !isReserved(state, occurrence) && !takeStage(state)) {
+                break;
+            }
+            while ((previous[position]?.occurrence ?? Infinity) < occurrence) {
+                position += 1;
+            }
+            const shown = previous[position];
+            window.push(shown?.occurrence === occurrence ? shown : createStage(state, occurrence));
+            tasks += state.step.count;
+        }
+        state.window = window;
+    };
 
-    const isOccurrenceDone = (occurrence: number): boolean =>
-        steps.every((...[, stepIndex]) => isStepDone(occurrence, stepIndex));
     const markRangeDone = (stage: Stage, first: number, last: number): void => {
         for (let index = first; index <= Math.min(last, stage.step.count - 1); index += 1) {
             markDone(stage, index);
@@ -208,15 +407,21 @@
     };
 
     for (const [step, first, last] of stored?.finished ?? []) {
-        for (let occurrence = first; occurrence <= Math.min(last, occurrences - 1); occurrence += 1) {
-            const stage = stageAt(occurrence, step);
+        const state = states[step];
+        const added = subtractRanges([[first, Math.min(last, occurrences - 1) + 1]], state?.finished ?? []);
+        if (state !== undefined) {
+            const stage = hasIndex(added, 0) ? recordedStage({ occurrence: 0, step }) : undefined;
             if (stage !== undefined) {
                 markRangeDone(stage, 0, stage.step.count - 1);
             }
+            const others = subtractRanges(added, state.finished);
+            remainingSteps -= countIndices(others);
+            state.finished = unionRanges(state.finished, others);
         }
     }
     for (const row of stored?.steps ?? []) {
-        const stage = stageAt(row.occurrence, row.step);
+        // Rows of earlier releases name all stages that were open.
+        const stage = isEmptyRow(row) ? undefined : recordedStage(row);
         if (stage !== undefined) {
             row.done.forEach(index => {
                 markDone(stage, index);
@@ -228,6 +433,9 @@
             row.crashes.forEach(([index, runs]) => stage.record.crashes.set(index, new Map(runs)));
             row.checkpoints.forEach(([index, checkpoint]) => stage.record.checkpoints.set(index, checkpoint));
             row.lastRuns.forEach(([index, lastRun]) => stage.record.lastRuns.set(index, lastRun));
+            if (isStepDone(stage.occurrence, stage.stepIndex)) {
+                dropStage(stage);
+            }
         }
     }
     for (const { cell, tasks } of stored?.transfers ?? []) {
@@ -235,10 +443,21 @@
             addTransfer(task, cell);
         });
     }
+    for (const state of states) {
+        const [first, ...others] = state.step.after.map(earlier => states[earlier]?.finished ?? []);
+        if (first !== undefined) {
+            addReady(state, others.reduce(intersectRanges, first));
+        }
+    }
+    const knownStages = (): Stage[] => states.flatMap(({ known }) => [...known.values()]);
+    const lastingStages = (): Stage[] => states.flatMap(({ step, known }) => step.isLasting ? [...known.values()] : []);
     return {
         workflow,
         stage: stageOf,
-        knownStage: (occurrence, stepIndex) => stages.get(stageKey(occurrence, stepIndex)),
+        firstStage: step => {
+            const state = states[step];
+            return state && (state.known.get(0) ?? offeredStage(state, 0));
+        },
         isSettled,
         latestState,
         state: () => {
@@ -249,29 +468,27 @@
             if (isSettled()) {
                 return [];
             }
+            advanceDue(now);
+            const isStored = !isDirty();
+            const readySteps = states.reduce((count, { ready }) => count + (ready.length > 0 ? 1 : 0), 0);
             const open: Stage[] = [];
-            let waitingTasks = 0;
-            const openOccurrence = (occurrence: number): void => {
-                for (const stepIndex of steps.keys()) {
-                    const stage = waitingTasks < maxOpenTasks && isOpen(occurrence, stepIndex)
-                        ? stageAt(occurrence, stepIndex)
-                        : undefined;
-                    if (stage !== undefined) {
-                        stage.record.readySince ??= monotonicNow;
-                        waitingTasks += stage.record.waiting.size;
-                        open.push(stage);
+            for (const state of states) {
+                // Which cell runs a long-running task is among the changes to be stored.
+                if (isStored || !state.step.isLasting) {
+                    for (const stage of state.known.values()) {
+                        if (isOpen(stage)) {
+                            open.push(stage);
+                        }
+                    }
+                    if (state.ready.length > 0 || state.window.length > 0) {
+                        moveWindow(state, maxOpenStages / readySteps, maxOpenTasks / readySteps);
+                        open.push(...state.window);
                     }
                 }
-            };
-            dueOccurrences = dueOccurrences.filter(occurrence => !isOccurrenceDone(occurrence));
-            dueOccurrences.forEach(openOccurrence);
-            while (waitingTasks < maxOpenTasks && nextOccurrence < occurrences && isDue(nextOccurrence, now)) {
-                if (!isOccurrenceDone(nextOccurrence)) {
-                    dueOccurrences.push(nextOccurrence);
-                    openOccurrence(nextOccurrence);
-                }
-                nextOccurrence += 1;
             }
+            open.forEach(({ record }) => {
+                record.readySince ??= monotonicNow;
+            });
             return open;
         },
         startable: stage => {
@@ -281,9 +498,13 @@
                 (stage.record.failedAtRevisions.get(countedIndex(stage, { index })) ?? 0) <= storedRevision
             );
         },
-        isDone: position => stageOf(position)?.record.done.has(position.index) ?? false,
+        isDone: position => {
+            const state = stateAt(position.occurrence, position.step);
+            return state?.known.get(position.occurrence)?.record.done.has(position.index)
+                ?? (position.index < (state?.step.count ?? 0) && isStepDone(position.occurrence, position.step));
+        },
         recordStart: position => {
-            const stage = stageOf(position);
+            const stage = recordedStage(position);
             if (stage !== undefined) {
                 stage.record.waiting.delete(position.index);
                 stage.record.started.add(position.index);
@@ -292,14 +513,15 @@
             hasStarted = true;
         },
         markWaiting: position => {
-            const stage = stageOf(position);
+            const stage = recordedStage(position);
             if (stage !== undefined && !stage.record.done.has(position.index) && !isTransferred(position)) {
                 stage.record.waiting.add(position.index);
                 stage.record.lastEnds.set(position.index, performance.now());
             }
         },
         recordDone: position => {
-            const stage = stageOf(position);
+            const stage = recordedStage(position);
+            const isFirstEnd = !isStepDone(position.occurrence, position.step);
             if (stage === undefined || stage.step.isLasting) {
                 return;
             }
@@ -310,9 +532,12 @@
             });
             raiseRevision();
             stage.record.doneAtRevision = revision;
+            if (isFirstEnd && isStepDone(position.occurrence, position.step)) {
+                unstoredEnds.push(stage);
+            }
         },
         recordFailure: (position, run) => {
-            const stage = stageOf(position);
+            const stage = recordedStage(position);
             if (stage === undefined || stage.step.isLasting) {
                 return;
             }
@@ -327,7 +552,7 @@
             stage.record.failedAtRevisions.set(index, revision);
         },
         recordCrash: (position, run, weight) => {
-            const stage = stageOf(position);
+            const stage = recordedStage(position);
             if (stage === undefined || stage.record.done.has(position.index)) {
                 return;
             }
@@ -340,15 +565,15 @@
         },
         crashWeight,
         clearCrashes: position => {
-            const stage = stageOf(position);
+            const stage = knownStage(position);
             stage?.record.crashes.delete(countedIndex(stage, position));
         },
         recordCheckpoint: (position, checkpoint) => {
-            stageOf(position)?.record.checkpoints.set(position.index, checkpoint);
+            recordedStage(position)?.record.checkpoints.set(position.index, checkpoint);
         },
         completeTakeover: () => {
-            for (const { step, record } of stages.values()) {
-                if (step.isLasting && record.started.size > 0) {
+            for (const { record } of lastingStages()) {
+                if (record.started.size > 0) {
                     record.waiting.forEach(index => record.started.add(index));
                 }
             }
@@ -356,10 +581,9 @@
         absentTasks: () =>
             isSettled()
                 ? []
-                : [...stages.values()].filter(({ step }) => step.isLasting).flatMap((
-                    { occurrence, stepIndex, record },
-                ) => [...record.waiting].filter(index => record.started.has(index))
-                    .map(index => ({ occurrence, step: stepIndex, index }))
+                : lastingStages().flatMap(({ occurrence, stepIndex, record }) =>
+                    [...record.waiting].filter(index => record.started.has(index))
+                        .map(index => ({ occurrence, step: stepIndex, index }))
                 ),
         recordCancellation: () => {
             isCancelled = true;
@@ -375,7 +599,7 @@
             const remaining = tasks.filter(({ occurrence, step, index }) =>
                 occurrence !== task.occurrence || step !== task.step || index !== task.index
             );
-            const record = stageOf(task)?.record;
+            const record = knownStage(task)?.record;
             if (record !== undefined && remaining.length < tasks.length) {
                 transfers.set(cell, remaining);
                 record.transferred.delete(task.index);
@@ -386,21 +610,22 @@
             }
         },
         returned: () =>
-            [...stages.values()].flatMap(({ occurrence, stepIndex, record }) =>
+            knownStages().flatMap(({ occurrence, stepIndex, record }) =>
                 [...record.lastRuns].map(([index, lastRun]) => ({ occurrence, step: stepIndex, index, lastRun }))
             ),
         recordDeparture: position => {
-            const stage = stageOf(position);
+            const stage = recordedStage(position);
             if (stage !== undefined) {
                 markDone(stage, position.index);
             }
         },
         recordArrival: position => {
-            const stage = stageOf(position);
+            const stage = recordedStage(position);
             if (stage?.record.done.has(position.index) === true) {
-                remainingSteps += stage.record.done.size === stage.step.count ? 1 : 0;
-                if (position.occurrence < nextOccurrence && !dueOccurrences.includes(position.occurrence)) {
-                    dueOccurrences.push(position.occurrence);
+                const state = states[stage.stepIndex];
+                if (state !== undefined && isStepDone(stage.occurrence, stage.stepIndex)) {
+                    remainingSteps += 1;
+                    state.finished = subtractRanges(state.finished, [[stage.occurrence, stage.occurrence + 1]]);
                 }
                 stage.record.done.delete(position.index);
                 stage.record.waiting.add(position.index);
@@ -413,22 +638,40 @@
         revision: () => revision,
         markStored: upTo => {
             storedRevision = Math.max(storedRevision, upTo);
+            const isNewlyStored = ({ record }: Stage): boolean => record.doneAtRevision <= storedRevision;
+            const newlyStored = unstoredEnds.filter(isNewlyStored);
+            unstoredEnds = unstoredEnds.filter(stage => !isNewlyStored(stage));
+            newlyStored.forEach(stage => {
+                dropStage(stage);
+                openDependents(stage);
+            });
         },
         progress: () => ({
             isCancelled,
             isFailed,
             hasStarted,
-            steps: [...stages.values()].map(({ occurrence, stepIndex, record }) => ({
-                occurrence,
-                step: stepIndex,
-                done: [...record.done],
-                failures: [...record.failures].map(([index, runs]) => [index, [...runs]]),
-                crashes: [...record.crashes].map(([index, weights]) => [index, [...weights]]),
-                checkpoints: [...record.checkpoints],
-                lastRuns: [...record.lastRuns],
-            })),
+            steps: knownStages().filter(stage => !isStepDone(stage.occurrence, stage.stepIndex) && hasProgress(stage))
+                .map(({ occurrence, stepIndex, record }) => ({
+                    occurrence,
+                    step: stepIndex,
+                    done: [],
+                    doneRanges: closedRanges(rangesOf(record.done)),
+                    failures: [...record.failures].map(([index, runs]) => [index, [...runs]]),
+                    crashes: [...record.crashes].map(([index, weights]) => [index, [...weights]]),
+                    checkpoints: [...record.checkpoints],
+                    lastRuns: [...record.lastRuns],
+                })),
+            finished: states.flatMap(({ stepIndex, finished }) =>
+                closedRanges(finished).map(([first, last]): [number, number, number] => [stepIndex, first, last])
+            ),
             transfers: [...transfers].filter(([, tasks]) => tasks.length > 0)
                 .map(([cell, tasks]) => ({ cell, tasks })),
         }),
+        release: () => {
+            states.forEach(state => {
+                state.window = [];
+                changeHeld(state, -state.held);
+            });
+        },
     };
 };
--- a/packages/workflow/src/ledger/workflow-progress.ts
+++ b/packages/workflow/src/ledger/workflow-progress.ts
@@ -13,7 +13,7 @@
     step: z.int(),
     /** Indices of the tasks that are done. */
     done: z.array(z.int()),
-    /** In the compact form: first and last of the indices of tasks that are done, in place of `done`. */
+    /** First and last of the indices of tasks that are done, beside those in `done`; absent in rows of earlier releases. */
     doneRanges: z.array(z.tuple([z.int(), z.int()])).optional(),
     /** Numbers of failed runs by task index. */
     failures: pairs(z.array(z.int())),
@@ -33,9 +33,9 @@
     isCancelled: z.boolean(),
     isFailed: z.boolean(),
     hasStarted: z.boolean(),
-    /** One entry per occurrence and step. */
+    /** The steps that are not done, by occurrence, with ends or failures; in rows of earlier releases all that were open. */
     steps: z.array(stepProgress),
-    /** In the compact form: a step, and the first and last of the occurrences in which all of its tasks are done. */
+    /** A step, and the first and last of the occurrences in which it is done; absent in rows of earlier releases. */
     finished: z.array(z.tuple([z.int(), z.int(), z.int()])).optional(),
     /** Long-running tasks that other cells run for the workflow, by cell. */
     transfers: z.array(z.object({
