--- a/packages/workflow/src/cell/load-cell.ts
+++ b/packages/workflow/src/cell/load-cell.ts
@@ -2,14 +2,13 @@
 import type { Logger } from "pino";
 import { Result } from "true-myth";
 
-import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
+import type { LedgerLimits, WorkflowLedger } from "../ledger/workflow-ledger.js";
 import { createWorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { RowKey, StateStore, StoredRow, StoreError } from "../port/state-store.js";
 import { decodeOpenWorkflow } from "./decode-open-workflow.js";
 import type { RosterEntry } from "./roster-codec.js";
 import { rosterCodec } from "./roster-codec.js";
 import { rowKeys } from "./row-keys.js";
-import type { StageMemory } from "./stage-memory.js";
 import { startsCodec } from "./starts-codec.js";
 import type { StoredAbsences } from "./stored-starts.js";
 
@@ -43,13 +42,13 @@
 /**
  * Reads a cell's roster, its unanswered starts and all of its workflows that have not ended. Fails if any of the reads
  * fails, or if the roster is not valid, since tasks may run on workers that only it names. Other rows that are not valid
- * are logged and left out. `stageMemory`: see {@link createWorkflowLedger}; unbounded if undefined.
+ * are logged and left out. `createLimits`: those of each ledger.
  */
 export const loadCell = async (
     store: StateStore,
     cell: CellId,
     logger: Logger,
-    stageMemory?: StageMemory,
+    createLimits?: () => LedgerLimits,
 ): Promise<Result<LoadedCell, StoreError>> => {
     const rosterKey = rowKeys.roster(cell);
     const startsKey = rowKeys.unansweredStarts(cell);
@@ -82,7 +81,7 @@
             return [];
         }
         const { workflow, progress: stored, progressVersion } = decoded.value;
-        return [{ ledger: createWorkflowLedger(workflow, stored, stageMemory?.createShare()), progressVersion }];
+        return [{ ledger: createWorkflowLedger(workflow, stored, createLimits?.()), progressVersion }];
     });
     const logInvalid = (row: RowKey) => (error: string): void => {
         logger.error({ cell, table: row.table, key: row.key, error }, "stored row left out");
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -116,6 +116,8 @@
     readonly excluded?: Omit<WorkerExclusions, "none"> & { readonly reserved: number; readonly keptForUrgent: number; };
     /** Step that found no worker in the same pass, named by its workflow, occurrence and index; its tasks need no more. */
     readonly blockedBy?: string;
+    /** Whether the ends of more runs might not fit into the workflow's progress row. */
+    readonly isProgressFull?: boolean;
 }
 
 /** Whether a worker lacks what a task of the step requires, by resource. */
@@ -536,6 +538,10 @@
         if (record.waiting.size < step.count) {
             return;
         }
+        if (!candidate.ledger.hasRoomForEnd(candidate.stage, 0)) {
+            logWait(candidate, () => ({ isProgressFull: true }));
+            return;
+        }
         const oneRackPlan = step.needsOneRack
             ? racks().map(rack => planGang(candidate, method, rack)).find(plan => plan !== undefined)
             : undefined;
@@ -587,7 +593,8 @@
     const startOnPlaces = (candidate: StageCandidate): readonly number[] =>
         candidate.indices.filter(index => {
             const task = taskOf(candidate, index);
-            const worker = constraintOf(task) === undefined ? releasePlace(task) : undefined;
+            const mayStart = constraintOf(task) === undefined && candidate.ledger.hasRoomForEnd(candidate.stage, index);
+            const worker = mayStart ? releasePlace(task) : undefined;
             if (worker === undefined || !mayStartOn(worker, candidate.queue.service, candidate.stage.step)) {
                 return true;
             }
@@ -614,8 +621,8 @@
     };
     /** Starts one task that is suspected to crash workers, unless another one of the workflow is being tried. */
     const startSuspect = (candidate: StageCandidate): void => {
-        const { ledger, indices: [index] } = candidate;
-        if (index === undefined || suspectPlacement.hasTrial(ledger)) {
+        const { ledger, stage, indices: [index] } = candidate;
+        if (index === undefined || suspectPlacement.hasTrial(ledger) || !ledger.hasRoomForEnd(stage, index)) {
             return;
         }
         // The worker of a place that the task got before the crash may run others that are not proven.
@@ -662,6 +669,10 @@
                 logWait(candidate, () => countExcluded(candidate, index, eligibleWorkersFor(candidate)));
                 return true;
             }
+            if (urgency.lasting === "no" && !candidate.ledger.hasRoomForEnd(candidate.stage, index)) {
+                logWait(candidate, () => ({ isProgressFull: true }));
+                continue;
+            }
             if (nearWaits.waitsUnsearched(candidate, index)) {
                 continue;
             }
@@ -737,7 +748,8 @@
             }
             const { indices } = candidate;
             const index = indices.find(each => constraintOf(taskOf(candidate, each)) === undefined) ?? indices[0] ?? 0;
-            const worker = eligibleWorkersFor(candidate).chooseAlways(taskOf(candidate, index));
+            const mayStart = candidate.ledger.hasRoomForEnd(candidate.stage, index);
+            const worker = mayStart ? eligibleWorkersFor(candidate).chooseAlways(taskOf(candidate, index)) : undefined;
             if (worker !== undefined) {
                 startOne(candidate, index, worker);
             }
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -4,7 +4,7 @@
 
 import { createEvacuationMonitor } from "../evacuation/evacuation-monitor.js";
 import type { Evacuations } from "../evacuation/evacuation-watch.js";
-import type { TaskPosition, WorkflowLedger } from "../ledger/workflow-ledger.js";
+import type { LedgerLimits, TaskPosition, WorkflowLedger } from "../ledger/workflow-ledger.js";
 import { createWorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { Configuration } from "../model/configuration.js";
 import { parseTaskName } from "../model/parse-task-name.js";
@@ -221,6 +221,10 @@
     const placementReserve = createPlacementReserve(options.processors);
     const workflowMemory = createWorkflowMemory(options.workflowMemory, signal);
     const stageMemory = createStageMemory(options.workflowMemory, signal);
+    const createLimits = (): LedgerLimits => ({
+        stageMemory: stageMemory.createShare(),
+        progressBytes: store.limits.valueBytes,
+    });
     const interferenceModel = createInterferenceModel();
     const lateOrderDetector = createLateOrderDetector(() => {
         startWriter.request();
@@ -699,7 +703,7 @@
         });
     };
     const load = async (): Promise<boolean> => {
-        const loaded = await loadCell(store, cell, logger, stageMemory);
+        const loaded = await loadCell(store, cell, logger, createLimits);
         if (loaded.isErr) {
             logger.warn(
                 { cell, epoch, error: loaded.error.kind, message: loaded.error.message },
@@ -784,7 +788,7 @@
         },
         stateOf: id => ledgers.get(id)?.state(),
         onStored: ({ workflow, progress, progressVersion }) => {
-            addLedger(createWorkflowLedger(workflow, progress, stageMemory.createShare()), progressVersion);
+            addLedger(createWorkflowLedger(workflow, progress, createLimits()), progressVersion);
             accepted.push(workflow.id);
             passWakeUp.notify();
         },
--- a/packages/workflow/src/ledger/step-record.ts
+++ b/packages/workflow/src/ledger/step-record.ts
@@ -2,6 +2,8 @@
 export interface StepRecord {
     /** Indices of the tasks that are done. */
     readonly done: Set<number>;
+    /** Number of ranges of consecutive indices in `done`. */
+    doneRanges: number;
     /** Numbers of the runs that ended `failed`, by task index; a set, so that a repeated report counts once. */
     readonly failures: Map<number, Set<number>>;
     /** Weights of the runs under which a worker crashed, by run number and task index; see `crashWeights`. */
@@ -36,6 +38,7 @@
 /** Creates the record of a step of `count` tasks, none of which has run. */
 export const createStepRecord = (count: number): StepRecord => ({
     done: new Set(),
+    doneRanges: 0,
     failures: new Map(),
     crashes: new Map(),
     checkpoints: new Map(),
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -16,6 +16,8 @@
 import type { Workflow, WorkflowState } from "../model/workflow.js";
 import type { MemoryAllowance } from "../port/memory-allowance.js";
 import { crashLimit } from "./crash-limit.js";
+import { createProgressBudget } from "./progress-budget.js";
+import { createProgressEstimate } from "./progress-estimate.js";
 import type { StepRecord } from "./step-record.js";
 import { createStepRecord } from "./step-record.js";
 import type { TransferredTask } from "./transferred-task.js";
@@ -55,6 +57,11 @@
     readonly openStages: (now: number, monotonicNow: number) => readonly Stage[];
     /** Indices of the waiting tasks of an open stage whose failures are stored, so that they may start. */
     readonly startable: (stage: Stage) => readonly number[];
+    /**
+     * Whether the end of a run of the task is sure to fit into the progress row, beside those of all runs that go on. If
+     * no more do, tasks start one at a time: those that have failed, and the first one of each step.
+     */
+    readonly hasRoomForEnd: (stage: Stage, index: number) => boolean;
     /**
      * Stage of a task, a copy if its tasks have not been offered or are all done and stored; undefined where the workflow
      * has no such step or occurrence.
@@ -178,18 +185,24 @@
     return states;
 };
 
-/**
- * Creates the ledger of a workflow, from its stored progress where it has any. `stageMemory`: memory of the stages of a
- * schedule beside the first two of each step, which the workflow's own estimate contains; unbounded if undefined.
- */
+/** Bounds on what a ledger takes; without one, it is unbounded. */
+export interface LedgerLimits {
+    /** Memory of the stages of a schedule beside the first two of each step, which the workflow's own estimate contains. */
+    readonly stageMemory?: MemoryAllowance | undefined;
+    /** Bytes of the longest progress row. */
+    readonly progressBytes?: number;
+}
+
+/** Creates the ledger of a workflow, from its stored progress where it has any. */
 export const createWorkflowLedger = (
     workflow: Workflow,
     stored?: WorkflowProgress,
-    stageMemory?: MemoryAllowance,
+    { stageMemory, progressBytes = Infinity }: LedgerLimits = {},
 ): WorkflowLedger => {
     const { steps, queue, schedule } = workflow;
     const occurrences = Math.max(1, schedule?.repetitions ?? 1);
     const states = createStepStates(steps);
+    const budget = createProgressBudget(createProgressEstimate(workflow, occurrences), progressBytes);
     const transfers = new Map<CellId, TransferredTask[]>();
     let isCancelled = stored?.isCancelled ?? false;
     let isFailed = stored?.isFailed ?? false;
@@ -294,9 +307,22 @@
             states.forEach(clearWindow);
         }
     };
+    const setFinished = (state: StepState, finished: IndexRanges): void => {
+        budget.addFinishedRanges(finished.length - state.finished.length);
+        state.finished = finished;
+    };
+    /** Number of the ranges of indices that are done which end before the index or begin after it. */
+    const countNeighbours = ({ done }: Stage["record"], index: number): number =>
+        (done.has(index - 1) ? 1 : 0) + (done.has(index + 1) ? 1 : 0);
     const markDone = (stage: Stage, index: number): void => {
+        budget.track(stage, () => {
+            addDone(stage, index);
+        });
+    };
+    const addDone = (stage: Stage, index: number): void => {
         const { record, step } = stage;
         const isNew = !record.done.has(index);
+        record.doneRanges += isNew ? 1 - countNeighbours(record, index) : 0;
         record.done.add(index);
         record.waiting.delete(index);
         record.checkpoints.delete(index);
@@ -306,13 +332,18 @@
         const state = states[stage.stepIndex];
         if (isNew && record.done.size === step.count && state !== undefined) {
             remainingSteps -= 1;
-            state.finished = addIndex(state.finished, stage.occurrence);
+            setFinished(state, addIndex(state.finished, stage.occurrence));
         }
     };
     const addTransfer = (task: TransferredTask, cell: CellId): void => {
-        const record = recordedStage(task)?.record;
-        record?.waiting.delete(task.index);
-        record?.transferred.add(task.index);
+        const stage = recordedStage(task);
+        if (stage !== undefined) {
+            budget.track(stage, () => {
+                stage.record.waiting.delete(task.index);
+                stage.record.transferred.add(task.index);
+            });
+        }
+        budget.addTransfers(1);
         transfers.set(cell, [...transfers.get(cell) ?? [], task]);
     };
     /** Index under which failures and crashes are counted. */
@@ -416,7 +447,7 @@
             }
             const others = subtractRanges(added, state.finished);
             remainingSteps -= countIndices(others);
-            state.finished = unionRanges(state.finished, others);
+            setFinished(state, unionRanges(state.finished, others));
         }
     }
     for (const row of stored?.steps ?? []) {
@@ -429,10 +460,12 @@
             row.doneRanges?.forEach(([first, last]) => {
                 markRangeDone(stage, first, last);
             });
-            row.failures.forEach(([index, runs]) => stage.record.failures.set(index, new Set(runs)));
-            row.crashes.forEach(([index, runs]) => stage.record.crashes.set(index, new Map(runs)));
-            row.checkpoints.forEach(([index, checkpoint]) => stage.record.checkpoints.set(index, checkpoint));
-            row.lastRuns.forEach(([index, lastRun]) => stage.record.lastRuns.set(index, lastRun));
+            budget.track(stage, () => {
+                row.failures.forEach(([index, runs]) => stage.record.failures.set(index, new Set(runs)));
+                row.crashes.forEach(([index, runs]) => stage.record.crashes.set(index, new Map(runs)));
+                row.checkpoints.forEach(([index, checkpoint]) => stage.record.checkpoints.set(index, checkpoint));
+                row.lastRuns.forEach(([index, lastRun]) => stage.record.lastRuns.set(index, lastRun));
+            });
             if (isStepDone(stage.occurrence, stage.stepIndex)) {
                 dropStage(stage);
             }
@@ -498,6 +531,16 @@
                 (stage.record.failedAtRevisions.get(countedIndex(stage, { index })) ?? 0) <= storedRevision
             );
         },
+        hasRoomForEnd: (stage, index) => {
+            const { step: { isLasting }, record, occurrence, stepIndex } = stage;
+            if (isLasting || budget.hasRoom(stage)) {
+                return true;
+            }
+            const [[from, to] = [0, 0]] = states[stepIndex]?.finished ?? [];
+            const [firstWaiting] = record.waiting;
+            const isFirst = occurrence === (from === 0 ? to : 0) && index === firstWaiting;
+            return budget.isIdle() && (isFirst || record.failures.has(countedIndex(stage, { index })));
+        },
         isDone: position => {
             const state = stateAt(position.occurrence, position.step);
             return state?.known.get(position.occurrence)?.record.done.has(position.index)
@@ -506,7 +549,9 @@
         recordStart: position => {
             const stage = recordedStage(position);
             if (stage !== undefined) {
-                stage.record.waiting.delete(position.index);
+                budget.track(stage, () => {
+                    stage.record.waiting.delete(position.index);
+                });
                 stage.record.started.add(position.index);
                 stage.record.lastEnds.delete(position.index);
             }
@@ -515,7 +560,9 @@
         markWaiting: position => {
             const stage = recordedStage(position);
             if (stage !== undefined && !stage.record.done.has(position.index) && !isTransferred(position)) {
-                stage.record.waiting.add(position.index);
+                budget.track(stage, () => {
+                    stage.record.waiting.add(position.index);
+                });
                 stage.record.lastEnds.set(position.index, performance.now());
             }
         },
@@ -546,7 +593,9 @@
             if (runs.has(run)) {
                 return;
             }
-            stage.record.failures.set(index, runs.add(run));
+            budget.track(stage, () => {
+                stage.record.failures.set(index, runs.add(run));
+            });
             isFailed ||= runs.size >= queue.maxAttempts;
             raiseRevision();
             stage.record.failedAtRevisions.set(index, revision);
@@ -558,7 +607,9 @@
             }
             const index = countedIndex(stage, position);
             const weights = stage.record.crashes.get(index) ?? new Map<number, number>();
-            stage.record.crashes.set(index, weights.set(run, weight));
+            budget.track(stage, () => {
+                stage.record.crashes.set(index, weights.set(run, weight));
+            });
             isFailed ||= crashWeight(position) >= crashLimit;
             raiseRevision();
             stage.record.failedAtRevisions.set(index, revision);
@@ -566,7 +617,11 @@
         crashWeight,
         clearCrashes: position => {
             const stage = knownStage(position);
-            stage?.record.crashes.delete(countedIndex(stage, position));
+            if (stage !== undefined) {
+                budget.track(stage, () => {
+                    stage.record.crashes.delete(countedIndex(stage, position));
+                });
+            }
         },
         recordCheckpoint: (position, checkpoint) => {
             recordedStage(position)?.record.checkpoints.set(position.index, checkpoint);
@@ -599,12 +654,16 @@
             const remaining = tasks.filter(({ occurrence, step, index }) =>
                 occurrence !== task.occurrence || step !== task.step || index !== task.index
             );
-            const record = knownStage(task)?.record;
-            if (record !== undefined && remaining.length < tasks.length) {
+            const stage = knownStage(task);
+            if (stage !== undefined && remaining.length < tasks.length) {
+                const { record } = stage;
                 transfers.set(cell, remaining);
-                record.transferred.delete(task.index);
-                record.lastRuns.set(task.index, task.lastRun);
-                record.waiting.add(task.index);
+                budget.addTransfers(-1);
+                budget.track(stage, () => {
+                    record.transferred.delete(task.index);
+                    record.lastRuns.set(task.index, task.lastRun);
+                    record.waiting.add(task.index);
+                });
                 record.started.add(task.index);
                 raiseRevision();
             }
@@ -625,10 +684,13 @@
                 const state = states[stage.stepIndex];
                 if (state !== undefined && isStepDone(stage.occurrence, stage.stepIndex)) {
                     remainingSteps += 1;
-                    state.finished = subtractRanges(state.finished, [[stage.occurrence, stage.occurrence + 1]]);
+                    setFinished(state, subtractRanges(state.finished, [[stage.occurrence, stage.occurrence + 1]]));
                 }
-                stage.record.done.delete(position.index);
-                stage.record.waiting.add(position.index);
+                budget.track(stage, () => {
+                    stage.record.done.delete(position.index);
+                    stage.record.doneRanges -= 1 - countNeighbours(stage.record, position.index);
+                    stage.record.waiting.add(position.index);
+                });
                 stage.record.started.add(position.index);
             }
         },
--- a/packages/workflow/tests/schedule-memory.test.ts
+++ b/packages/workflow/tests/schedule-memory.test.ts
@@ -76,7 +76,10 @@
         const stageMemory = createStageMemory(allowance, lost.signal);
         const ledgers = Array.from(
             { length: 9 },
-            () => createWorkflowLedger(workflowOf([createStep()], 21_600), undefined, stageMemory.createShare()),
+            () =>
+                createWorkflowLedger(workflowOf([createStep()], 21_600), undefined, {
+                    stageMemory: stageMemory.createShare(),
+                }),
         );
         for (let pass = 0; pass < 30; pass += 1) {
             ledgers.forEach(open);
@@ -91,7 +94,7 @@
     // Guards against a holder that ends while it loads a job with many occurrences that are done (issue 71).
     it("does not grow with the number of occurrences that are done, also under the next holder", () => {
         const steps = [createStep(), createStep({ after: [0] })];
-        const ledger = createWorkflowLedger(workflowOf(steps, 5_000), undefined, allowance);
+        const ledger = createWorkflowLedger(workflowOf(steps, 5_000), undefined, { stageMemory: allowance });
         runAll(ledger, [1]);
         expect(countByStep(open(ledger))).toEqual({ 1: 512 });
         open(ledger).slice(0, 300).forEach(stage => {
@@ -100,7 +103,7 @@
         const progress = workflowProgress.parse(JSON.parse(JSON.stringify(ledger.progress())));
         expect([progress.steps, progress.finished]).toEqual([[], [[0, 0, 4_999], [1, 0, 299]]]);
         taken = 0;
-        const next = createWorkflowLedger(ledger.workflow, progress, allowance);
+        const next = createWorkflowLedger(ledger.workflow, progress, { stageMemory: allowance });
         expect([taken, open(next)[0]?.occurrence, next.isDone({ occurrence: 299, step: 1, index: 0 })])
             .toEqual([0, 300, true]);
         runAll(next);
@@ -110,7 +113,9 @@
     // Guards against tasks that run without end and each take memory, while waiting ones alone are bounded.
     it("is bounded for tasks that run, and given back with their ends", () => {
         const stageMemory = createStageMemory(allowance, lost.signal);
-        const ledger = createWorkflowLedger(workflowOf([createStep()], 21_600), undefined, stageMemory.createShare());
+        const ledger = createWorkflowLedger(workflowOf([createStep()], 21_600), undefined, {
+            stageMemory: stageMemory.createShare(),
+        });
         const running: Stage[] = [];
         for (let stages = open(ledger); stages.length > 0; stages = open(ledger)) {
             running.push(...stages);
@@ -134,7 +139,9 @@
     it("leaves a share to each step that may start", () => {
         const stageMemory = createStageMemory(allowance, lost.signal);
         const steps = [createStep(), createStep({ after: [0] }), createStep({ after: [0] })];
-        const ledger = createWorkflowLedger(workflowOf(steps, 30_000), undefined, stageMemory.createShare());
+        const ledger = createWorkflowLedger(workflowOf(steps, 30_000), undefined, {
+            stageMemory: stageMemory.createShare(),
+        });
         runAll(ledger, [1, 2]);
         expect(countByStep(open(ledger))).toEqual({ 1: 256, 2: 256 });
         expect(ledger.isDone({ occurrence: 29_999, step: 0, index: 0 })).toBe(true);
@@ -145,7 +152,7 @@
     it("leaves each workflow a stage of each step if others have taken all", () => {
         const none: MemoryAllowance = { ...allowance, take: () => false };
         const steps = [createStep(), createStep({ after: [0] })];
-        const ledger = createWorkflowLedger(workflowOf(steps, 40), undefined, none);
+        const ledger = createWorkflowLedger(workflowOf(steps, 40), undefined, { stageMemory: none });
         expect(open(ledger).map(({ occurrence }) => occurrence)).toEqual([0, 1]);
         runAll(ledger);
         expect(ledger.state()).toBe("completed");
@@ -156,7 +163,10 @@
         const stageMemory = createStageMemory(allowance, lost.signal);
         const ledgers = Array.from(
             { length: 20 },
-            () => createWorkflowLedger(workflowOf([createStep()], 21_600), undefined, stageMemory.createShare()),
+            () =>
+                createWorkflowLedger(workflowOf([createStep()], 21_600), undefined, {
+                    stageMemory: stageMemory.createShare(),
+                }),
         );
         for (let pass = 0; pass < 5; pass += 1) {
             ledgers.forEach(open);
