--- a/packages/workflow/src/cell/load-cell.ts
+++ b/packages/workflow/src/cell/load-cell.ts
@@ -1,4 +1,5 @@
 import type { CellId, JobId } from "@jayfront/world";
+import { sleep } from "@jayfront/world";
 import type { Logger } from "pino";
 import { Result } from "true-myth";
 
@@ -28,6 +29,9 @@
     readonly unansweredStartsVersion: number;
 }
 
+/** Characters of rows that are decoded at a time, so that other cells' heartbeats are sent in between. */
+const sliceLength = 262_144;
+
 /** Calls `decode`; if it throws, logs the error and returns `fallback`. */
 const decodeOr = <Value>(decode: () => Value, fallback: Value, logError: (error: string) => void): Value => {
     try {
@@ -74,15 +78,23 @@
     const rosterRow = cellRows.value.rows.find(row => row.key === rosterKey.key);
     const startsRow = cellRows.value.rows.find(row => row.key === startsKey.key);
     const progressRows = new Map(progress.value.rows.map(row => [row.key, row]));
-    const ledgers = workflows.value.rows.flatMap(row => {
-        const decoded = decodeOpenWorkflow(row, progressRows.get(row.key));
+    const ledgers: { readonly ledger: WorkflowLedger; readonly progressVersion: number; }[] = [];
+    let slice = 0;
+    for (const row of workflows.value.rows) {
+        const progressRow = progressRows.get(row.key);
+        slice += row.value.length + (progressRow?.value.length ?? 0);
+        if (slice > sliceLength) {
+            slice = 0;
+            await sleep(0);
+        }
+        const decoded = decodeOpenWorkflow(row, progressRow);
         if (decoded.isErr) {
             logger.error({ cell, job: row.key, version: row.version, error: decoded.error }, "stored row left out");
-            return [];
+            continue;
         }
         const { workflow, progress: stored, progressVersion } = decoded.value;
-        return [{ ledger: createWorkflowLedger(workflow, stored, createLimits?.()), progressVersion }];
-    });
+        ledgers.push({ ledger: createWorkflowLedger(workflow, stored, createLimits?.()), progressVersion });
+    }
     const logInvalid = (row: RowKey) => (error: string): void => {
         logger.error({ cell, table: row.table, key: row.key, error }, "stored row left out");
     };
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -200,6 +200,8 @@
     const starvingWorkflows = createStarvingWorkflows({ freeRoom, runRegistry });
     const rounds = createPassRounds(passTime);
     const startRates = createStartRates();
+    /** Monotonic times in ms at which the reason why a step waits was last logged, for any of its occurrences. */
+    const waitsLoggedAt = new WeakMap<Step, number>();
     // The following caches are valid for one pass.
     /** Summaries of the serving tasks by worker. */
     const summaries = new Map<WorkerId, ServingSummary>();
@@ -431,10 +433,10 @@
     const logWait = (candidate: StageCandidate, details: () => WaitDetails): void => {
         const { ledger, queue, stage: { step, stepIndex, record }, urgency, indices } = candidate;
         const now = performance.now();
-        if (now - record.waitLoggedAt < waitLogInterval) {
+        if (now - (waitsLoggedAt.get(step) ?? -Infinity) < waitLogInterval) {
             return;
         }
-        record.waitLoggedAt = now;
+        waitsLoggedAt.set(step, now);
         const fitting = [...workers.values()].filter(worker => mayStartOn(worker, queue.service, step));
         logger.info({
             job: ledger.workflow.id,
--- a/packages/workflow/src/ledger/step-record.ts
+++ b/packages/workflow/src/ledger/step-record.ts
@@ -31,8 +31,6 @@
     readySince: number | undefined;
     /** Time since which the step's waiting tasks have found no room, in ms of the monotonic clock. */
     noRoomSince: number | undefined;
-    /** Time at which the reason why the step's tasks wait was last logged, in ms of the monotonic clock. */
-    waitLoggedAt: number;
 }
 
 /** Creates the record of a step of `count` tasks, none of which has run. */
@@ -51,5 +49,4 @@
     doneAtRevision: 0,
     readySince: undefined,
     noRoomSince: undefined,
-    waitLoggedAt: -Infinity,
 });
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -437,18 +437,20 @@
         }
     };
 
+    const storedRanges = states.map((): IndexRanges[] => []);
     for (const [step, first, last] of stored?.finished ?? []) {
-        const state = states[step];
-        const added = subtractRanges([[first, Math.min(last, occurrences - 1) + 1]], state?.finished ?? []);
-        if (state !== undefined) {
-            const stage = hasIndex(added, 0) ? recordedStage({ occurrence: 0, step }) : undefined;
-            if (stage !== undefined) {
-                markRangeDone(stage, 0, stage.step.count - 1);
-            }
-            const others = subtractRanges(added, state.finished);
-            remainingSteps -= countIndices(others);
-            setFinished(state, unionRanges(state.finished, others));
+        if (first >= 0 && first <= last && first < occurrences) {
+            storedRanges[step]?.push([[first, Math.min(last + 1, occurrences)]]);
+        }
+    }
+    for (const state of states) {
+        const finished = unionRanges(...storedRanges[state.stepIndex] ?? []);
+        const first = hasIndex(finished, 0) ? recordedStage({ occurrence: 0, step: state.stepIndex }) : undefined;
+        if (first !== undefined) {
+            markRangeDone(first, 0, first.step.count - 1);
         }
+        remainingSteps -= countIndices(subtractRanges(finished, state.finished));
+        setFinished(state, unionRanges(state.finished, finished));
     }
     for (const row of stored?.steps ?? []) {
         // Rows of earlier releases name all stages that were open.
--- a/packages/world/src/util/union-ranges.ts
+++ b/packages/world/src/util/union-ranges.ts
@@ -1,11 +1,12 @@
 import type { IndexRanges } from "../index-ranges.js";
 
-/** Returns the indices that are in `left`, in `right` or in both. */
-export const unionRanges = (left: IndexRanges, right: IndexRanges): IndexRanges => {
-    if (left.length === 0 || right.length === 0) {
-        return left.length === 0 ? right : left;
+/** Returns the indices that are in one of `sets` or more. */
+export const unionRanges = (...sets: readonly IndexRanges[]): IndexRanges => {
+    const [first, ...others] = sets.filter(ranges => ranges.length > 0);
+    if (first === undefined || others.length === 0) {
+        return first ?? [];
     }
-    const sorted = [...left, ...right].sort(([first], [second]) => first - second);
+    const sorted = [first, ...others].flat().sort(([left], [right]) => left - right);
     const union: [from: number, to: number][] = [];
     for (const [from, to] of sorted) {
         const last = union.at(-1);
