--- a/packages/workflow/src/cell/row-keys.ts
+++ b/packages/workflow/src/cell/row-keys.ts
@@ -21,12 +21,17 @@
     settled: (cell: CellId, id: JobId): RowKey => ({ table: "settled", partition: cell, key: id }),
     /** The long-running tasks of another cell's workflow that `cell` runs; written by the holder of that other cell. */
     transfer: (cell: CellId, id: JobId): RowKey => ({ table: "transfers", partition: cell, key: id }),
-    /** The cell that stores a workflow; makes its id unique across all cells. */
+    /**
+     * The cell that stores a workflow, or that it was cancelled before it was stored; makes its id unique across all
+     * cells.
+     */
     index: (id: JobId): RowKey => ({
         table: "workflow-index",
         partition: String(Number.parseInt(id.slice(0, 4), 16) % indexPartitions || 0),
         key: id,
     }),
+    /** A workflow id that was cancelled before it was stored, to find its index row again. */
+    cancellation: (id: JobId): RowKey => ({ table: "cancellations", partition: "", key: id }),
     /** The record of an entry host. */
     host: (id: string): RowKey => ({ table: "hosts", partition: "", key: id }),
     /** The assignment of failure domains to cells. */
--- a/packages/workflow/src/cell/store-workflows.ts
+++ b/packages/workflow/src/cell/store-workflows.ts
@@ -4,6 +4,7 @@
 import type { Workflow } from "../model/workflow.js";
 import type { RowKey, StateStore, StoredRow, StoreError, TransactionLimits } from "../port/state-store.js";
 import type { CellLease } from "./cell-lease.js";
+import { indexValue } from "./index-value.js";
 import { rowKeys } from "./row-keys.js";
 
 /** Result of one attempt to store a workflow. */
@@ -22,6 +23,8 @@
      */
     | { readonly kind: "impossible"; }
     | { readonly kind: "stored"; readonly workflow: Workflow; }
+    /** The id was cancelled before it was stored, so that no cell ever stores it. */
+    | { readonly kind: "cancelled"; }
     /** The index already names `cell` for this id, which is this cell or another one. */
     | { readonly kind: "indexed"; readonly cell: CellId; readonly id: JobId; };
 
@@ -75,7 +78,7 @@
     const written = await store.commit({
         checks: [lease.check, ...workflows.map(({ workflow: { id } }) => ({ ...rowKeys.index(id), version: 0 }))],
         writes: workflows.flatMap(({ workflow: { id }, value }) => [
-            { ...rowKeys.index(id), value: lease.cell },
+            { ...rowKeys.index(id), value: indexValue.encode({ kind: "stored", cell: lease.cell }) },
             { ...rowKeys.workflow(lease.cell, id), value },
         ]),
     });
@@ -103,15 +106,18 @@
     if (isSuperseded) {
         lease.markLost("a submission found another holder in the cell's holder row");
     }
-    const indexedCells = new Map(workflows.map(({ workflow: { id } }) => {
+    const indexed = new Map(workflows.map(({ workflow: { id } }) => {
         const indexRow = findRow(error.rows, rowKeys.index(id));
-        return [id, indexRow?.value as CellId | undefined];
+        return [id, indexRow && indexValue.decode(indexRow.value)];
     }));
-    const isExplained = isSuperseded || [...indexedCells.values()].some(cell => cell !== undefined);
+    const isExplained = isSuperseded || [...indexed.values()].some(value => value !== undefined);
     return attemptsBy(id => {
-        const indexedCell = indexedCells.get(id);
-        return indexedCell !== undefined
-            ? { kind: "indexed", cell: indexedCell, id }
+        const value = indexed.get(id);
+        if (value?.kind === "cancelled") {
+            return value;
+        }
+        return value !== undefined
+            ? { kind: "indexed", cell: value.cell, id }
             : { kind: isSuperseded ? "impossible" : isExplained ? "not-written" : "unknown" };
     });
 };
--- a/packages/workflow/src/cell/submission-reply.ts
+++ b/packages/workflow/src/cell/submission-reply.ts
@@ -6,9 +6,10 @@
      * `accepted`: stored in this cell and loaded by its holder. `unknown`: an unanswered write may have stored it; the
      * holder keeps trying until it knows. `refused`: this submission has not stored it and never will. `not-holder`:
      * the host does not hold the cell or has not loaded it yet. `behind`: as `refused`, since the holder is late with the
-     * placement of the workflows that it has accepted.
+     * placement of the workflows that it has accepted. `cancelled`: neither this nor any other submission of the id has
+     * stored the workflow or will, since it was cancelled before.
      */
-    | { readonly kind: "accepted" | "unknown" | "refused" | "not-holder" | "behind"; }
+    | { readonly kind: "accepted" | "unknown" | "refused" | "not-holder" | "behind" | "cancelled"; }
     /**
      * As `refused`, since the cell lacks free resources, or has got more work than known; other cells may have them. `roomShare`: share of the workflow's
      * tasks for which the cell has room; negative where not even what waits there fits.
--- a/packages/workflow/src/cell/workflow-intake.ts
+++ b/packages/workflow/src/cell/workflow-intake.ts
@@ -127,6 +127,9 @@
         attempt: StoreAttempt,
         { unansweredAt, awaitedUntil }: PendingSubmission,
     ): Promise<SubmissionReply | undefined> => {
+        if (attempt.kind === "cancelled") {
+            return attempt;
+        }
         if (attempt.kind === "indexed" && (attempt.cell !== cell || lease.isLost())) {
             return { kind: "elsewhere", cell: attempt.cell };
         }
@@ -153,8 +156,9 @@
         if (read.isErr) {
             return { kind: "unknown" };
         }
-        if (read.value.cell !== undefined) {
-            return { kind: "indexed", cell: read.value.cell, id: workflow.id };
+        const { value } = read.value;
+        if (value !== undefined) {
+            return value.kind === "cancelled" ? value : { kind: "indexed", cell: value.cell, id: workflow.id };
         }
         return { kind: sentAt - unansweredAt > lateWriteTime ? "impossible" : "unknown" };
     };
--- a/packages/workflow/src/entry/workflow-host.ts
+++ b/packages/workflow/src/entry/workflow-host.ts
@@ -35,6 +35,7 @@
 import { readCellPlan } from "./cell-plan.js";
 import { createConfigurationWatch } from "./configuration-watch.js";
 import { createOtherCells } from "./create-other-cells.js";
+import { createEarlyCancellations } from "./early-cancellations.js";
 import { hasProcessEnded } from "./has-process-ended.js";
 import { neverHeard } from "./holder-probe.js";
 import type { WorkflowRouter } from "./workflow-router.js";
@@ -100,6 +101,9 @@
 /** Workers that a holder can manage per processor core. */
 const workersPerProcessor = 148;
 
+/** Multiple of the retention of ended workflows for which ids stay cancelled, as that of their rows. */
+const cancellationRetentionFactor = 2;
+
 /** Milliseconds since the store's last answer within which the store counts as reachable without another call. */
 const recentStoreContact = 500;
 
@@ -173,6 +177,16 @@
         plan?.cells.find(planned => planned.cell === cell)?.failureDomains ?? [];
     const otherCellsOf = (cell: CellId): OtherCells =>
         createOtherCells({ cell, claims, network, held: id => cellManager.held(id) });
+    const earlyCancellations = createEarlyCancellations({
+        store,
+        retention: timing.retention * cancellationRetentionFactor,
+        mayRemove: () => {
+            const [first] = plan?.cells ?? [];
+            return first !== undefined && cellManager.held(first.cell)?.isActive() === true;
+        },
+        metrics,
+        logger,
+    });
     const cellManager = createCellManager({
         self,
         plan: () => plan,
@@ -303,6 +317,7 @@
             network,
             claims,
             held: cellManager.held,
+            earlyCancellations,
             origin: self.failureDomain,
             isNear: cell => domainsOf(cell).some(domain => regions[domain] === regions[self.failureDomain]),
             farRunFactor,
@@ -324,6 +339,7 @@
                 return cellManager.run(stop.signal);
             });
             void heartbeats.run(stop.signal);
+            void earlyCancellations.run(stop.signal);
             void evacuationWatch?.run(stop.signal);
         },
         drain: async () => {
--- a/packages/workflow/src/entry/workflow-offer.ts
+++ b/packages/workflow/src/entry/workflow-offer.ts
@@ -22,6 +22,8 @@
     readonly roomShareOf: (cell: CellId) => number;
     /** Whether a write may have stored the workflow; then it must not be reported as refused. */
     readonly mayBeStored: () => boolean;
+    /** Whether a cell found that the workflow was cancelled before it was stored, so that no cell ever stores it. */
+    readonly isCancelled: () => boolean;
     /** Whether a cell declined because its holder is late with the placement of accepted workflows. */
     readonly hasFoundBehind: () => boolean;
     /** Milliseconds after which the first cell that declined since the result would come too late expects its return. */
@@ -52,6 +54,7 @@
     const roomShares = new Map<CellId, number>();
     let mayBeStored = false;
     let isDeclined = false;
+    let isCancelled = false;
     let hasFoundBehind = false;
     let lateReturn: number | undefined;
     let recordAcceptance: (cell: CellId) => void = () => undefined;
@@ -68,6 +71,7 @@
             isDeclined = true;
             roomShares.set(cell, outcome.roomShare);
         }
+        isCancelled ||= outcome.kind === "cancelled";
         hasFoundBehind ||= outcome.kind === "behind";
         if (outcome.kind === "late") {
             lateReturn = Math.min(lateReturn ?? Infinity, outcome.retryAfter);
@@ -97,7 +101,7 @@
         isDeclined = false;
         for (const [index, cell] of cells.entries()) {
             const { kind } = await offerToOne(cell);
-            if (acceptedBy !== undefined || mayBeStored && performance.now() >= deadline) {
+            if (acceptedBy !== undefined || isCancelled || mayBeStored && performance.now() >= deadline) {
                 return acceptedBy;
             }
             if (kind === "full" && performance.now() >= decliningUntil) {
@@ -111,7 +115,8 @@
         offerTo: cells => Promise.race([acceptance, acceptedBy === undefined ? offerInTurn(cells) : acceptance]),
         isDeclined: () => isDeclined,
         roomShareOf: cell => roomShares.get(cell) ?? 0,
-        mayBeStored: () => mayBeStored,
+        mayBeStored: () => mayBeStored && !isCancelled,
+        isCancelled: () => isCancelled,
         hasFoundBehind: () => hasFoundBehind,
         lateReturn: () => lateReturn,
         describeAttempts: () => attempts.join(", "),
--- a/packages/workflow/src/entry/workflow-router.ts
+++ b/packages/workflow/src/entry/workflow-router.ts
@@ -13,6 +13,7 @@
 import type { StateStore } from "../port/state-store.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
 import type { CellClaim, CellClaims } from "./cell-claims.js";
+import type { EarlyCancellations } from "./early-cancellations.js";
 import { createHolderSilence } from "./holder-silence.js";
 import { lookUpCell } from "./look-up-cell.js";
 import { readState } from "./read-state.js";
@@ -50,6 +51,7 @@
     readonly claims: CellClaims;
     /** The cell, if this host holds it. */
     readonly held: (cell: CellId) => WorkflowCell | undefined;
+    readonly earlyCancellations: EarlyCancellations;
     /** Failure domain of this host, from which its submitters' workflows count as coming; undefined if it is not known. */
     readonly origin?: FailureDomainId;
     /** Whether the cell is in the region of this host. */
@@ -111,7 +113,19 @@
 
 /** Creates the router of an entry host. */
 export const createWorkflowRouter = (options: WorkflowRouterOptions): WorkflowRouter => {
-    const { cells, store, network, claims, held, origin, isNear, farRunFactor = 1, logger, metrics } = options;
+    const {
+        cells,
+        store,
+        network,
+        claims,
+        held,
+        earlyCancellations,
+        origin,
+        isNear,
+        farRunFactor = 1,
+        logger,
+        metrics,
+    } = options;
     const recentlySent: { readonly cell: CellId; readonly cpu: number; readonly at: number; }[] = [];
 
     /** Millicores requested by the widest steps of the workflows that this host has recently sent to a cell. */
@@ -236,6 +250,12 @@
     };
     /** The answer to a submission that no cell has accepted. */
     const describeFailure = ({ id }: Workflow, offer: WorkflowOffer): SubmissionAnswer => {
+        if (offer.isCancelled()) {
+            metrics.refusedSubmissions.inc({ reason: "cancelled" });
+            const reason = "the workflow was cancelled before it was stored; submit it under another id";
+            logger.info({ job: id, reason }, "workflow not accepted");
+            return { kind: "unavailable", reason, retryAfter: Math.ceil(earlyCancellations.retention / 1_000) };
+        }
         const mayBeStored = offer.mayBeStored();
         const isBehind = offer.hasFoundBehind() || activeClaims().some(({ summary }) => summary.isBehind);
         const attempts = offer.describeAttempts();
@@ -385,19 +405,12 @@
         );
         return stored;
     };
-    /** Whether the holders of all cells report that none of their pending writes can store the workflow. */
-    const isUnknownToAllCells = async (id: JobId): Promise<boolean> => {
-        const replies = await Promise.all((cells() ?? []).map(cell => askHolder("cancel", cell, id)));
-        return replies.length > 0 && replies.every(reply => reply === "not-known");
-    };
     const cancel = async (id: JobId): Promise<WorkflowAnswer<"cancelled">> => {
-        const cell = await findCell(id);
-        if (cell.kind === "absent") {
-            return await isUnknownToAllCells(id)
-                ? cell
-                : { kind: "unavailable", reason: "a write with an unknown outcome may still store the workflow" };
-        }
-        if (cell.kind === "unavailable") {
+        const indexed = await findCell(id);
+        // No host can tell that another one has not received a submission of the workflow, or will not.
+        const mayBeSubmitted = indexed.kind === "absent" && indexed.isCancelled !== true;
+        const cell = mayBeSubmitted ? await earlyCancellations.cancel(id) : indexed;
+        if (cell.kind !== "known") {
             return cell;
         }
         const holderReply = await waitFor(async () => {
--- a/packages/workflow/src/workflow-metrics.ts
+++ b/packages/workflow/src/workflow-metrics.ts
@@ -12,6 +12,8 @@
     readonly submissions: Counter<"outcome">;
     /** Submissions that this host answered as not accepted, by reason: `behind`, `no-holder` or `other`. */
     readonly refusedSubmissions: Counter<"reason">;
+    /** Cancellations of workflows that no cell had stored, by outcome; `limited`: answered as unavailable. */
+    readonly earlyCancellations: Counter<"outcome">;
     /** Seconds for which accepted or refused workflows were expected to wait for room, by queue. */
     readonly forecastWait: Histogram<"queue">;
     /** Runs of tasks that ended or were not started, by queue and outcome. */
@@ -93,6 +95,12 @@
             labelNames: ["reason"],
             registers,
         }),
+        earlyCancellations: new Counter({
+            name: "jayfront_early_cancellations_total",
+            help: "Cancellations of workflows that no cell had stored",
+            labelNames: ["outcome"],
+            registers,
+        }),
         forecastWait: new Histogram({
             name: "jayfront_forecast_wait_seconds",
             help: "Seconds for which submitted short-lived workflows were expected to wait for room",
--- a/packages/workflow/tests/submission-time.test.ts
+++ b/packages/workflow/tests/submission-time.test.ts
@@ -99,6 +99,11 @@
             },
             claims,
             held: () => undefined,
+            earlyCancellations: {
+                retention: 0,
+                cancel: () => Promise.reject(new Error("not used")),
+                run: () => Promise.resolve(),
+            },
             isNear: () => true,
             logger: pino({ level: "silent" }),
             metrics: createWorkflowMetrics(new Registry()),
--- a/packages/workflow/tests/workflow-router.test.ts
+++ b/packages/workflow/tests/workflow-router.test.ts
@@ -77,6 +77,11 @@
             },
             claims,
             held: () => undefined,
+            earlyCancellations: {
+                retention: 0,
+                cancel: () => Promise.reject(new Error("not used")),
+                run: () => Promise.resolve(),
+            },
             isNear: () => true,
             logger: pino({ level: "silent" }),
             metrics: createWorkflowMetrics(new Registry()),
