--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -17,6 +17,8 @@
     readonly isPoison: (job: JobId) => boolean;
     /** Removes the records of a worker. */
     readonly removeWorker: (worker: WorkerId) => void;
+    /** Removes the record of a job that has ended. */
+    readonly removeJob: (job: JobId) => void;
 }
 
 /** Options of {@link createWorkerHealth}. */
@@ -183,5 +185,8 @@
         removeWorker: worker => {
             workers.delete(worker);
         },
+        removeJob: job => {
+            jobs.delete(job);
+        },
     };
 };
--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -43,6 +43,8 @@
     readonly nextNumber: (task: TaskName) => number;
     /** See `RunNumbers.reserve`. */
     readonly reserveNumbers: RunNumbers["reserve"];
+    /** Forgets a workflow that has ended; reports of its runs are answered with a stop from then on. */
+    readonly forgetWorkflow: (job: JobId) => void;
     /** Orders the stop of a run, unless it is being stopped already; `reason` is logged. */
     readonly stop: (run: Run, reason: string) => void;
     /** Orders the stop of all runs of a workflow. */
@@ -146,6 +148,12 @@
         endQueues.set(id, { bornAt, queue });
         return queue;
     };
+    /** A task that is done and has no run never runs again here; as such its numbers would stay for as long as the cell. */
+    const forgetNumbersIfDone = (ledger: WorkflowLedger, position: Run["position"], task: TaskName): void => {
+        if (ledger.isDone(position) && runRegistry.ofTask(task).length === 0) {
+            runNumbers.forget(task);
+        }
+    };
     /** Removes a run; its task waits again unless it is done or has another run. */
     const removeRun = (end: RunEnd): void => {
         const { run } = end;
@@ -153,6 +161,7 @@
         unsentRuns.delete(run);
         runRegistry.remove(run);
         runNumbers.close(run.task, run.number);
+        forgetNumbersIfDone(run.ledger, run.position, run.task);
         if (runRegistry.ofTask(run.task).length === 0) {
             run.ledger.markWaiting(run.position);
         }
@@ -379,6 +388,7 @@
             runRegistry.ofTask(row.task).forEach(other => {
                 stop(other, "another copy is done");
             });
+            forgetNumbersIfDone(ledger, position, row.task);
         }
         if (ledger.isSettled() && !wasSettled) {
             stopWorkflow(position.job, `the workflow is ${ledger.latestState()}`);
@@ -550,6 +560,7 @@
         start,
         nextNumber: runNumbers.next,
         reserveNumbers: runNumbers.reserve,
+        forgetWorkflow: runNumbers.forgetWorkflow,
         stop,
         stopWorkflow,
         applyReport,
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -287,7 +287,7 @@
     const queueOf = (ledger: WorkflowLedger): Queue => findQueue(ledger.workflow.queue.name) ?? ledger.workflow.queue;
     const speeds = createWorkerSpeeds();
     const domainRamp = createDomainRamp();
-    const { recordEnd, runTime, expectationOf, health, hasFailedOn } = createRunStatistics({
+    const { recordEnd, runTime, expectationOf, health, hasFailedOn, forgetWorkflow } = createRunStatistics({
         metrics,
         queueOf,
         factorOf: run => nearWaits.factorOf(run),
@@ -687,6 +687,8 @@
             if (at < cutoff) {
                 settledAt.delete(id);
                 ledgers.get(id)?.release();
+                runController.forgetWorkflow(id);
+                forgetWorkflow(id);
                 ledgers.delete(id);
                 workflowMemory.release(id);
                 writer.forget(id);
--- a/packages/workflow/tests/run-controller.test.ts
+++ b/packages/workflow/tests/run-controller.test.ts
@@ -56,3 +56,50 @@
         expect(told.at(-1)).toEqual([5, 7]);
     });
 });
+
+describe("the run numbers of tasks that never run again", () => {
+    const createSession = (): WorkerSession =>
+        ({ id: "w-0" as WorkerId, recordEnds: () => undefined } as Partial<WorkerSession>) as WorkerSession;
+    const steps = [createStep({ count: 2 })];
+    const workflow = { id: job, queue: testQueue, payload: "", steps, acceptedAt: 0 };
+    const nameOf = (index: number) => taskName({ job, occurrence: 0, step: 0, index });
+
+    // Guards against a holder that ends for lack of memory after days, since it keeps numbers of each task that ever ran.
+    it("are forgotten with the end of a task, or with its workflow", () => {
+        const ledger = createWorkflowLedger(workflow);
+        const controller = createRunController(runControllerOptions({ epoch: 1, ledgerOf: () => ledger }));
+        const endOf = (number: number, index: number, outcome: "done" | "failed") => ({
+            number,
+            task: nameOf(index),
+            run: 5,
+            outcome,
+            checkpoint: "",
+        });
+        const ended = [endOf(1, 0, "done"), endOf(2, 1, "failed")];
+        controller.applyReport(createSession(), { clock: 0, bornAt: 0, running: [], ended, hasAllEnds: true }, 0, true);
+        // Numbers that are kept are those above which the next run of the task gets its own.
+        expect([0, 1].map(index => controller.nextNumber(nameOf(index)))).toEqual([1, 6]);
+        controller.forgetWorkflow(job);
+        expect(controller.nextNumber(nameOf(1))).toBe(1);
+    });
+
+    // Guards against a run of a task that is done and goes on, since its number is forgotten.
+    it("don't let a worker go on with a run that it reports later", () => {
+        const ledger = createWorkflowLedger(workflow);
+        const controller = createRunController(runControllerOptions({ epoch: 1, ledgerOf: () => ledger }));
+        const stopped: unknown[] = [];
+        const session = {
+            ...createSession(),
+            stop: (...run: unknown[]) => {
+                stopped.push(run);
+                return Promise.resolve(true);
+            },
+        } as WorkerSession;
+        const end = { number: 1, task: nameOf(0), run: 5, outcome: "done" as const, checkpoint: "" };
+        const report = { clock: 0, bornAt: 0, running: [], ended: [end], hasAllEnds: true };
+        controller.applyReport(session, report, 0, true);
+        const run = { task: nameOf(0), run: 5, checkpoint: "", percent: 0, measure: 0 };
+        controller.applyReport(session, { ...report, ended: [], running: [run] }, 0, false);
+        expect(stopped).toEqual([[nameOf(0), 5]]);
+    });
+});
--- a/packages/workflow/tests/run-statistics.test.ts
+++ b/packages/workflow/tests/run-statistics.test.ts
@@ -67,4 +67,18 @@
             expect(statistics.health.allowance(worker)).toBeGreaterThan(0);
         }
     });
+
+    // Guards against a holder that ends for lack of memory after days, since it keeps a record of each job that ever ran.
+    it("forget a workflow that has ended", () => {
+        const statistics = create();
+        const job = "00000000000000b1" as JobId;
+        for (const on of ["w-1", "w-2", "w-3"]) {
+            statistics.health.recordEnd(on as WorkerId, job, true);
+        }
+        recordEnd(statistics, job, "failed");
+        const task = taskName({ job, occurrence: 0, step: 0, index: 0 });
+        expect([statistics.health.isPoison(job), statistics.hasFailedOn(task, worker)]).toEqual([true, true]);
+        statistics.forgetWorkflow(job);
+        expect([statistics.health.isPoison(job), statistics.hasFailedOn(task, worker)]).toEqual([false, false]);
+    });
 });
