Split the stages of a workflow's occurrences from its ledger

What is done, may start or is at work in which occurrence, and the memory of the stages, are in stage-table.ts now; the ledger keeps runs, failures, ends and transfers. No change of behaviour; types have files of their own.

--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -3,7 +3,8 @@
 import type { Logger } from "pino";
 import { match } from "ts-pattern";
 
-import type { Stage, WorkflowLedger } from "../ledger/workflow-ledger.js";
+import type { Stage } from "../ledger/stage.js";
+import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
 import { parseTaskName } from "../model/parse-task-name.js";
 import type { TaskName } from "../model/task-name.js";
 import { taskName } from "../model/task-name.js";
--- a/packages/workflow/src/cell/stage-candidate.ts
+++ b/packages/workflow/src/cell/stage-candidate.ts
@@ -1,4 +1,5 @@
-import type { Stage, WorkflowLedger } from "../ledger/workflow-ledger.js";
+import type { Stage } from "../ledger/stage.js";
+import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { Queue } from "../model/queue.js";
 import type { Urgency } from "../policy/urgency.js";
 
--- a/packages/workflow/src/cell/stage-scheduler.ts
+++ b/packages/workflow/src/cell/stage-scheduler.ts
@@ -2,7 +2,8 @@
 import type { FailureDomainId, ServiceId, WorkerId } from "@jayfront/world";
 import type { Logger } from "pino";
 
-import type { Stage, WorkflowLedger } from "../ledger/workflow-ledger.js";
+import type { Stage } from "../ledger/stage.js";
+import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { Queue } from "../model/queue.js";
 import type { Step } from "../model/step.js";
 import type { TaskName, TaskNameParts } from "../model/task-name.js";
--- a/packages/workflow/src/cell/stranded-tasks.ts
+++ b/packages/workflow/src/cell/stranded-tasks.ts
@@ -1,4 +1,5 @@
-import type { Stage, WorkflowLedger } from "../ledger/workflow-ledger.js";
+import type { Stage } from "../ledger/stage.js";
+import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { TaskName } from "../model/task-name.js";
 import { taskName } from "../model/task-name.js";
 import type { RunRegistry } from "./run-registry.js";
--- a/packages/workflow/src/cell/workflow-cell.ts
+++ b/packages/workflow/src/cell/workflow-cell.ts
@@ -4,7 +4,8 @@
 
 import { createEvacuationMonitor } from "../evacuation/evacuation-monitor.js";
 import type { Evacuations } from "../evacuation/evacuation-watch.js";
-import type { LedgerLimits, TaskPosition, WorkflowLedger } from "../ledger/workflow-ledger.js";
+import type { TaskPosition } from "../ledger/task-position.js";
+import type { LedgerLimits, WorkflowLedger } from "../ledger/workflow-ledger.js";
 import { createWorkflowLedger } from "../ledger/workflow-ledger.js";
 import type { Configuration } from "../model/configuration.js";
 import { parseTaskName } from "../model/parse-task-name.js";
--- a/packages/workflow/src/ledger/progress-budget.ts
+++ b/packages/workflow/src/ledger/progress-budget.ts
@@ -1,6 +1,6 @@
 import type { ProgressEstimate } from "./progress-estimate.js";
 import { countRuns } from "./progress-estimate.js";
-import type { Stage } from "./workflow-ledger.js";
+import type { Stage } from "./stage.js";
 
 /**
  * Keeps the progress of a workflow short enough for a row of the store. Ends that don't fit could not be acknowledged, and
--- a/packages/workflow/src/ledger/progress-estimate.ts
+++ b/packages/workflow/src/ledger/progress-estimate.ts
@@ -1,6 +1,6 @@
 import type { Workflow } from "../model/workflow.js";
 import { crashWeights } from "./crash-weights.js";
-import type { Stage } from "./workflow-ledger.js";
+import type { Stage } from "./stage.js";
 import type { WorkflowProgress } from "./workflow-progress.js";
 
 /** Upper bounds of the bytes that parts of a workflow's progress row take, but for checkpoints, which may be left out. */
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -1,41 +1,17 @@
 import type { CellId, IndexRanges } from "@jayfront/world";
-import {
-    addIndex,
-    countIndices,
-    hasIndex,
-    indicesOf,
-    intersectRanges,
-    rangesOf,
-    subtractRanges,
-    unionRanges,
-} from "@jayfront/world";
+import { hasIndex, rangesOf, unionRanges } from "@jayfront/world";
 
-import { estimateStageBytes } from "../model/estimate-stage-bytes.js";
-import type { Step } from "../model/step.js";
-import type { TaskNameParts } from "../model/task-name.js";
 import type { Workflow, WorkflowState } from "../model/workflow.js";
 import type { MemoryAllowance } from "../port/memory-allowance.js";
 import { crashLimit } from "./crash-limit.js";
 import { createProgressBudget } from "./progress-budget.js";
 import { createProgressEstimate } from "./progress-estimate.js";
-import type { StepRecord } from "./step-record.js";
-import { createStepRecord } from "./step-record.js";
+import { createStageTable } from "./stage-table.js";
+import type { Stage } from "./stage.js";
+import type { TaskPosition } from "./task-position.js";
 import type { TransferredTask } from "./transferred-task.js";
 import type { StepProgress, WorkflowProgress } from "./workflow-progress.js";
 
-/** One step in one occurrence of a workflow, with the state of its tasks. */
-export interface Stage {
-    /** Index of the occurrence in the schedule, from 0. */
-    readonly occurrence: number;
-    /** Index of the step in the workflow, from 0. */
-    readonly stepIndex: number;
-    readonly step: Step;
-    readonly record: StepRecord;
-}
-
-/** Position of a task in its workflow. */
-export type TaskPosition = Omit<TaskNameParts, "job">;
-
 /**
  * Progress of one workflow: which tasks wait, have run and are done. A change counts as stored once its revision, or a
  * later one, was passed to `markStored`.
@@ -51,7 +27,7 @@
     /**
      * Stages whose tasks may run now: due, not done, and with all steps that they depend on done and stored. Empty once
      * the workflow is settled. Long-running steps are left out while any change is not stored. Of the occurrences in which
-     * a step has not started, only the first ones are among them, as many as `maxOpenTasks`, `maxOpenStages` and the
+     * a step has not started, only the first ones are among them, as many as the bounds of a pass and the
      * memory for stages allow. `now` in Unix ms, `monotonicNow` in ms of the monotonic clock.
      */
     readonly openStages: (now: number, monotonicNow: number) => readonly Stage[];
@@ -132,14 +108,6 @@
     readonly release: () => void;
 }
 
-/**
- * Waiting tasks of a workflow up to which further stages open, divided among the steps that may start: each of them takes
- * memory and time in each pass.
- */
-const maxOpenTasks = 20_000;
-/** As `maxOpenTasks`, in stages. A pass starts fewer tasks, so that the next one opens what the first ones leave. */
-const maxOpenStages = 512;
-
 /** The ranges with their last indices in place of the first ones after them. */
 const closedRanges = (ranges: IndexRanges): [number, number][] => ranges.map(([from, to]) => [from, to - 1]);
 /** Whether the next holder needs more of the stage than that it is not done. */
@@ -149,40 +117,20 @@
 const isEmptyRow = ({ done, doneRanges, failures, crashes, checkpoints, lastRuns }: StepProgress): boolean =>
     [done, doneRanges, failures, crashes, checkpoints, lastRuns].every(entries => (entries?.length ?? 0) === 0);
 
-/** State of a step in all occurrences. */
-interface StepState {
-    readonly step: Step;
-    readonly stepIndex: number;
-    /** The steps that depend on this one. */
-    readonly dependents: StepState[];
-    /** Occurrences in which the step is done, stored or not. */
-    finished: IndexRanges;
-    /** Due occurrences in which the step may start and none of its tasks has; they are not among `known`. */
-    ready: IndexRanges;
-    /** Stages of the first occurrences of `ready`, in their order. */
-    window: readonly Stage[];
-    /** Stages with runs, failures or ends, by occurrence; those that are done and stored are dropped but for the first. */
-    readonly known: Map<number, Stage>;
-    /** Number of stages in memory that count against the allowance. */
-    held: number;
-}
-
-/** Creates the states of the steps of a workflow, none of which may start yet. */
-const createStepStates = (steps: readonly Step[]): readonly StepState[] => {
-    const states = steps.map((step, stepIndex): StepState => ({
-        step,
-        stepIndex,
-        dependents: [],
-        finished: [],
-        ready: [],
-        window: [],
-        known: new Map(),
-        held: 0,
-    }));
-    for (const state of states) {
-        state.step.after.forEach(earlier => states[earlier]?.dependents.push(state));
+/** Occurrences in which steps are done by the ranges of a progress row, by index of the step. */
+const storedOccurrences = (
+    finished: WorkflowProgress["finished"],
+    occurrences: number,
+): ReadonlyMap<number, IndexRanges> => {
+    const ranges = new Map<number, IndexRanges[]>();
+    for (const [step, first, last] of finished ?? []) {
+        if (first >= 0 && first <= last && first < occurrences) {
+            const ofStep = ranges.get(step) ?? [];
+            ofStep.push([[first, Math.min(last + 1, occurrences)]]);
+            ranges.set(step, ofStep);
+        }
     }
-    return states;
+    return new Map([...ranges].map(([step, ofStep]) => [step, unionRanges(...ofStep)]));
 };
 
 /** Bounds on what a ledger takes; without one, it is unbounded. */
@@ -201,7 +149,6 @@
 ): WorkflowLedger => {
     const { steps, queue, schedule } = workflow;
     const occurrences = Math.max(1, schedule?.repetitions ?? 1);
-    const states = createStepStates(steps);
     const budget = createProgressBudget(createProgressEstimate(workflow, occurrences), progressBytes);
     const transfers = new Map<CellId, TransferredTask[]>();
     let isCancelled = stored?.isCancelled ?? false;
@@ -213,79 +160,17 @@
     let settledAtRevision: number | undefined;
     /** Number of steps that are not done, over all occurrences. */
     let remainingSteps = occurrences * steps.length;
-    /** Number of occurrences that have become due; they do so in their order. */
-    let dueOccurrences = 0;
     /** Stages that are done, until that is stored. */
     let unstoredEnds: Stage[] = [];
 
-    /** Changes the number of stages of a step in memory; the workflow's own estimate contains one beside the first. */
-    const changeHeld = (state: StepState, change: number): void => {
-        const excessBefore = Math.max(0, state.held - 1);
-        state.held += change;
-        const excess = Math.max(0, state.held - 1) - excessBefore;
-        if (excess > 0) {
-            stageMemory?.hold(excess * estimateStageBytes(state.step));
-        }
-        else if (excess < 0) {
-            stageMemory?.giveBack(-excess * estimateStageBytes(state.step));
-        }
-    };
-    /** Takes memory for one more stage of the step; false if none is left. */
-    const takeStage = (state: StepState): boolean => {
-        const isTaken = state.held === 0 || stageMemory?.take(estimateStageBytes(state.step)) !== false;
-        state.held += isTaken ? 1 : 0;
-        return isTaken;
-    };
-    /** Whether the workflow's own estimate contains the stage: those of long-running steps are never dropped. */
-    const isReserved = ({ step }: StepState, occurrence: number): boolean => occurrence === 0 || step.isLasting;
-    const createStage = ({ step, stepIndex }: StepState, occurrence: number): Stage => ({
-        occurrence,
-        stepIndex,
-        step,
-        record: createStepRecord(step.count),
+    const stages = createStageTable({
+        workflow,
+        occurrences,
+        stageMemory,
+        storedRevision: () => storedRevision,
+        onFinishedRanges: budget.addFinishedRanges,
     });
-    /** State of the step, if the workflow has it and the occurrence. */
-    const stateAt = (occurrence: number, stepIndex: number): StepState | undefined =>
-        occurrence >= 0 && occurrence < occurrences ? states[stepIndex] : undefined;
-    const offeredStage = ({ window }: StepState, occurrence: number): Stage | undefined =>
-        window.find(stage => stage.occurrence === occurrence);
-    const knownStage = ({ occurrence, step }: Pick<TaskPosition, "occurrence" | "step">): Stage | undefined =>
-        stateAt(occurrence, step)?.known.get(occurrence);
-    /** The stage, to record something of its tasks; undefined also if it is done and stored. */
-    const recordedStage = ({ occurrence, step }: Pick<TaskPosition, "occurrence" | "step">): Stage | undefined => {
-        const state = stateAt(occurrence, step);
-        const known = state?.known.get(occurrence);
-        if (state === undefined || known !== undefined || hasIndex(state.finished, occurrence)) {
-            return known;
-        }
-        const offered = offeredStage(state, occurrence);
-        const stage = offered ?? createStage(state, occurrence);
-        if (offered !== undefined) {
-            state.window = state.window.filter(other => other !== offered);
-        }
-        else if (!isReserved(state, occurrence)) {
-            changeHeld(state, 1);
-        }
-        state.ready = subtractRanges(state.ready, [[occurrence, occurrence + 1]]);
-        state.known.set(occurrence, stage);
-        return stage;
-    };
-    const stageOf = (position: TaskPosition): Stage | undefined => {
-        const { occurrence, step } = position;
-        const state = stateAt(occurrence, step);
-        const existing = state && (state.known.get(occurrence) ?? offeredStage(state, occurrence));
-        if (state === undefined || existing !== undefined) {
-            return existing;
-        }
-        const copy = createStage(state, occurrence);
-        if (hasIndex(state.finished, occurrence)) {
-            copy.record.waiting.forEach(index => copy.record.done.add(index));
-            copy.record.waiting.clear();
-        }
-        return copy;
-    };
-    const isStepDone = (occurrence: number, stepIndex: number): boolean =>
-        hasIndex(states[stepIndex]?.finished ?? [], occurrence);
+    const { at: stageOf, known: knownStage, recorded: recordedStage, isDone: isStepDone } = stages;
     const isSettled = (): boolean => isCancelled || isFailed || remainingSteps === 0;
     const latestState = (): WorkflowState => {
         if (isCancelled) {
@@ -296,21 +181,13 @@
         }
         return remainingSteps === 0 ? "completed" : hasStarted ? "running" : "queued";
     };
-    const clearWindow = (state: StepState): void => {
-        changeHeld(state, -state.window.filter(({ occurrence }) => !isReserved(state, occurrence)).length);
-        state.window = [];
-    };
     const raiseRevision = (): void => {
         revision += 1;
         if (isSettled()) {
             settledAtRevision ??= revision;
-            states.forEach(clearWindow);
+            stages.close();
         }
     };
-    const setFinished = (state: StepState, finished: IndexRanges): void => {
-        budget.addFinishedRanges(finished.length - state.finished.length);
-        state.finished = finished;
-    };
     /** Number of the ranges of indices that are done which end before the index or begin after it. */
     const countNeighbours = ({ done }: Stage["record"], index: number): number =>
         (done.has(index - 1) ? 1 : 0) + (done.has(index + 1) ? 1 : 0);
@@ -329,10 +206,9 @@
         record.failures.delete(index);
         record.crashes.delete(index);
         record.failedAtRevisions.delete(index);
-        const state = states[stage.stepIndex];
-        if (isNew && record.done.size === step.count && state !== undefined) {
+        if (isNew && record.done.size === step.count) {
             remainingSteps -= 1;
-            setFinished(state, addIndex(state.finished, stage.occurrence));
+            stages.markDone(stage);
         }
     };
     const addTransfer = (task: TransferredTask, cell: CellId): void => {
@@ -355,102 +231,19 @@
     };
     const isTransferred = (position: TaskPosition): boolean =>
         knownStage(position)?.record.transferred.has(position.index) ?? false;
-    const countDue = (now: number): number => {
-        if (schedule === undefined) {
-            return 1;
-        }
-        const { firstDue, interval } = schedule;
-        // Without an interval, the quotient is infinite or, at the due time itself, not a number.
-        const due = now < firstDue ? 0 : interval > 0 ? Math.floor((now - firstDue) / interval) + 1 : occurrences;
-        return Math.min(occurrences, due);
-    };
-    /** Whether the next holder will know that the step is done; if not, it would run the step again. */
-    const isStepStored = (occurrence: number, stepIndex: number): boolean =>
-        isStepDone(occurrence, stepIndex)
-        && (states[stepIndex]?.known.get(occurrence)?.record.doneAtRevision ?? 0) <= storedRevision;
     const isDirty = (): boolean => storedRevision < revision;
-    const mayStart = ({ occurrence, step }: Pick<Stage, "occurrence" | "step">): boolean =>
-        step.after.every(earlier => isStepStored(occurrence, earlier));
-    const isOpen = (stage: Stage): boolean =>
-        stage.record.waiting.size > 0 && !isStepDone(stage.occurrence, stage.stepIndex) && mayStart(stage);
-    /** Adds occurrences in which the step may start, except those that are known or done. */
-    const addReady = (state: StepState, added: IndexRanges): void => {
-        const [first] = added;
-        if (first !== undefined) {
-            const known = rangesOf([...state.known.keys()].filter(occurrence => occurrence >= first[0]));
-            const unstarted = subtractRanges(subtractRanges(added, state.finished), known);
-            state.ready = unionRanges(state.ready, unstarted);
-        }
-    };
-    const advanceDue = (now: number): void => {
-        const due = countDue(now);
-        if (due > dueOccurrences) {
-            const added: IndexRanges = [[dueOccurrences, due]];
-            states.filter(({ step }) => step.after.length === 0).forEach(state => {
-                addReady(state, added);
-            });
-            dueOccurrences = due;
-        }
-    };
-    /** Lets the steps start that depend on a stage whose end is stored. */
-    const openDependents = ({ occurrence, stepIndex }: Stage): void => {
-        for (const dependent of states[stepIndex]?.dependents ?? []) {
-            if (mayStart({ occurrence, step: dependent.step })) {
-                addReady(dependent, [[occurrence, occurrence + 1]]);
-            }
-        }
-    };
-    const dropStage = ({ occurrence, stepIndex }: Stage): void => {
-        const state = states[stepIndex];
-        if (state !== undefined && occurrence > 0 && state.known.delete(occurrence)) {
-            changeHeld(state, isReserved(state, occurrence) ? 0 : -1);
-        }
-    };
-    /**
-     * Has the window of a step show the first occurrences in which it may start. `maxStages` and `maxTasks`: its shares of
-     * the bounds; one stage is always shown if there is memory for it.
-     */
-    const moveWindow = (state: StepState, maxStages: number, maxTasks: number): void => {
-        const previous = state.window;
-        clearWindow(state);
-        const window: Stage[] = [];
-        let position = 0;
-        let tasks = 0;
-        for (const occurrence of indicesOf(state.ready)) {
-            const isFull = window.length > 0 && (window.length >= maxStages || tasks >= maxTasks);
-            if (isFull || !isReserved(state, occurrence) && !takeStage(state)) {
-                break;
-            }
-            while ((previous[position]?.occurrence ?? Infinity) < occurrence) {
-                position += 1;
-            }
-            const shown = previous[position];
-            window.push(shown?.occurrence === occurrence ? shown : createStage(state, occurrence));
-            tasks += state.step.count;
-        }
-        state.window = window;
-    };
-
     const markRangeDone = (stage: Stage, first: number, last: number): void => {
         for (let index = first; index <= Math.min(last, stage.step.count - 1); index += 1) {
             markDone(stage, index);
         }
     };
 
-    const storedRanges = states.map((): IndexRanges[] => []);
-    for (const [step, first, last] of stored?.finished ?? []) {
-        if (first >= 0 && first <= last && first < occurrences) {
-            storedRanges[step]?.push([[first, Math.min(last + 1, occurrences)]]);
-        }
-    }
-    for (const state of states) {
-        const finished = unionRanges(...storedRanges[state.stepIndex] ?? []);
-        const first = hasIndex(finished, 0) ? recordedStage({ occurrence: 0, step: state.stepIndex }) : undefined;
+    for (const [step, finished] of storedOccurrences(stored?.finished, occurrences)) {
+        const first = hasIndex(finished, 0) ? recordedStage({ occurrence: 0, step }) : undefined;
         if (first !== undefined) {
             markRangeDone(first, 0, first.step.count - 1);
         }
-        remainingSteps -= countIndices(subtractRanges(finished, state.finished));
-        setFinished(state, unionRanges(state.finished, finished));
+        remainingSteps -= stages.addDone(step, finished);
     }
     for (const row of stored?.steps ?? []) {
         // Rows of earlier releases name all stages that were open.
@@ -469,7 +262,7 @@
                 row.lastRuns.forEach(([index, lastRun]) => stage.record.lastRuns.set(index, lastRun));
             });
             if (isStepDone(stage.occurrence, stage.stepIndex)) {
-                dropStage(stage);
+                stages.drop(stage);
             }
         }
     }
@@ -478,21 +271,11 @@
             addTransfer(task, cell);
         });
     }
-    for (const state of states) {
-        const [first, ...others] = state.step.after.map(earlier => states[earlier]?.finished ?? []);
-        if (first !== undefined) {
-            addReady(state, others.reduce(intersectRanges, first));
-        }
-    }
-    const knownStages = (): Stage[] => states.flatMap(({ known }) => [...known.values()]);
-    const lastingStages = (): Stage[] => states.flatMap(({ step, known }) => step.isLasting ? [...known.values()] : []);
+    stages.openLoaded();
     return {
         workflow,
         stage: stageOf,
-        firstStage: step => {
-            const state = states[step];
-            return state && (state.known.get(0) ?? offeredStage(state, 0));
-        },
+        firstStage: stages.first,
         isSettled,
         latestState,
         state: () => {
@@ -503,24 +286,8 @@
             if (isSettled()) {
                 return [];
             }
-            advanceDue(now);
-            const isStored = !isDirty();
-            const readySteps = states.reduce((count, { ready }) => count + (ready.length > 0 ? 1 : 0), 0);
-            const open: Stage[] = [];
-            for (const state of states) {
-                // Which cell runs a long-running task is among the changes to be stored.
-                if (isStored || !state.step.isLasting) {
-                    for (const stage of state.known.values()) {
-                        if (isOpen(stage)) {
-                            open.push(stage);
-                        }
-                    }
-                    if (state.ready.length > 0 || state.window.length > 0) {
-                        moveWindow(state, maxOpenStages / readySteps, maxOpenTasks / readySteps);
-                        open.push(...state.window);
-                    }
-                }
-            }
+            // Which cell runs a long-running task is among the changes to be stored.
+            const open = stages.open(now, !isDirty());
             open.forEach(({ record }) => {
                 record.readySince ??= monotonicNow;
             });
@@ -538,15 +305,15 @@
             if (isLasting || budget.hasRoom(stage)) {
                 return true;
             }
-            const [[from, to] = [0, 0]] = states[stepIndex]?.finished ?? [];
             const [firstWaiting] = record.waiting;
-            const isFirst = occurrence === (from === 0 ? to : 0) && index === firstWaiting;
+            const isFirst = occurrence === stages.firstOpen(stepIndex) && index === firstWaiting;
             return budget.isIdle() && (isFirst || record.failures.has(countedIndex(stage, { index })));
         },
         isDone: position => {
-            const state = stateAt(position.occurrence, position.step);
-            return state?.known.get(position.occurrence)?.record.done.has(position.index)
-                ?? (position.index < (state?.step.count ?? 0) && isStepDone(position.occurrence, position.step));
+            const known = knownStage(position);
+            return known === undefined
+                ? position.index < (steps[position.step]?.count ?? 0) && isStepDone(position.occurrence, position.step)
+                : known.record.done.has(position.index);
         },
         recordStart: position => {
             const stage = recordedStage(position);
@@ -629,7 +396,7 @@
             recordedStage(position)?.record.checkpoints.set(position.index, checkpoint);
         },
         completeTakeover: () => {
-            for (const { record } of lastingStages()) {
+            for (const { record } of stages.lasting()) {
                 if (record.started.size > 0) {
                     record.waiting.forEach(index => record.started.add(index));
                 }
@@ -638,7 +405,7 @@
         absentTasks: () =>
             isSettled()
                 ? []
-                : lastingStages().flatMap(({ occurrence, stepIndex, record }) =>
+                : stages.lasting().flatMap(({ occurrence, stepIndex, record }) =>
                     [...record.waiting].filter(index => record.started.has(index))
                         .map(index => ({ occurrence, step: stepIndex, index }))
                 ),
@@ -671,7 +438,7 @@
             }
         },
         returned: () =>
-            knownStages().flatMap(({ occurrence, stepIndex, record }) =>
+            stages.allKnown().flatMap(({ occurrence, stepIndex, record }) =>
                 [...record.lastRuns].map(([index, lastRun]) => ({ occurrence, step: stepIndex, index, lastRun }))
             ),
         recordDeparture: position => {
@@ -683,10 +450,9 @@
         recordArrival: position => {
             const stage = recordedStage(position);
             if (stage?.record.done.has(position.index) === true) {
-                const state = states[stage.stepIndex];
-                if (state !== undefined && isStepDone(stage.occurrence, stage.stepIndex)) {
+                if (isStepDone(stage.occurrence, stage.stepIndex)) {
                     remainingSteps += 1;
-                    setFinished(state, subtractRanges(state.finished, [[stage.occurrence, stage.occurrence + 1]]));
+                    stages.markUndone(stage);
                 }
                 budget.track(stage, () => {
                     stage.record.done.delete(position.index);
@@ -706,15 +472,17 @@
             const newlyStored = unstoredEnds.filter(isNewlyStored);
             unstoredEnds = unstoredEnds.filter(stage => !isNewlyStored(stage));
             newlyStored.forEach(stage => {
-                dropStage(stage);
-                openDependents(stage);
+                stages.drop(stage);
+                stages.openDependents(stage);
             });
         },
         progress: () => ({
             isCancelled,
             isFailed,
             hasStarted,
-            steps: knownStages().filter(stage => !isStepDone(stage.occurrence, stage.stepIndex) && hasProgress(stage))
+            steps: stages.allKnown().filter(stage =>
+                !isStepDone(stage.occurrence, stage.stepIndex) && hasProgress(stage)
+            )
                 .map(({ occurrence, stepIndex, record }) => ({
                     occurrence,
                     step: stepIndex,
@@ -725,17 +493,16 @@
                     checkpoints: [...record.checkpoints],
                     lastRuns: [...record.lastRuns],
                 })),
-            finished: states.flatMap(({ stepIndex, finished }) =>
-                closedRanges(finished).map(([first, last]): [number, number, number] => [stepIndex, first, last])
+            finished: [...steps.keys()].flatMap(step =>
+                closedRanges(stages.doneOccurrences(step)).map(([first, last]): [number, number, number] => [
+                    step,
+                    first,
+                    last,
+                ])
             ),
             transfers: [...transfers].filter(([, tasks]) => tasks.length > 0)
                 .map(([cell, tasks]) => ({ cell, tasks })),
         }),
-        release: () => {
-            states.forEach(state => {
-                state.window = [];
-                changeHeld(state, -state.held);
-            });
-        },
+        release: stages.release,
     };
 };
--- a/packages/workflow/tests/incomplete-report.test.ts
+++ b/packages/workflow/tests/incomplete-report.test.ts
@@ -8,7 +8,7 @@
 import type { UnansweredStarts } from "../src/cell/unanswered-starts.js";
 import { createWorkerCrashes } from "../src/cell/worker-crashes.js";
 import type { WorkerSession } from "../src/cell/worker-session.js";
-import type { Stage } from "../src/ledger/workflow-ledger.js";
+import type { Stage } from "../src/ledger/stage.js";
 import { createWorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { createStep } from "../src/model/create-step.js";
 import type { WorkerReport } from "../src/port/worker-gateway.js";
--- a/packages/workflow/tests/progress-budget.test.ts
+++ b/packages/workflow/tests/progress-budget.test.ts
@@ -2,7 +2,8 @@
 import { describe, expect, it } from "@jest/globals";
 
 import { encodeProgress } from "../src/cell/encode-progress.js";
-import type { Stage, WorkflowLedger } from "../src/ledger/workflow-ledger.js";
+import type { Stage } from "../src/ledger/stage.js";
+import type { WorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { createWorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { workflowProgress } from "../src/ledger/workflow-progress.js";
 import { createStep } from "../src/model/create-step.js";
--- a/packages/workflow/tests/start-without-answer.test.ts
+++ b/packages/workflow/tests/start-without-answer.test.ts
@@ -8,7 +8,7 @@
 import type { UnansweredStarts } from "../src/cell/unanswered-starts.js";
 import { createUnansweredStarts } from "../src/cell/unanswered-starts.js";
 import type { WorkerSession } from "../src/cell/worker-session.js";
-import type { Stage } from "../src/ledger/workflow-ledger.js";
+import type { Stage } from "../src/ledger/stage.js";
 import { createWorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { createStep } from "../src/model/create-step.js";
 import { taskName } from "../src/model/task-name.js";
--- a/packages/workflow/tests/workflow-ledger.test.ts
+++ b/packages/workflow/tests/workflow-ledger.test.ts
@@ -3,8 +3,9 @@
 
 import { hasWaitingTasks } from "../src/cell/has-waiting-tasks.js";
 import { waitingShortLivedCpu } from "../src/cell/waiting-short-lived-cpu.js";
+import type { TaskPosition } from "../src/ledger/task-position.js";
 import type { TransferredTask } from "../src/ledger/transferred-task.js";
-import type { TaskPosition, WorkflowLedger } from "../src/ledger/workflow-ledger.js";
+import type { WorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { createWorkflowLedger } from "../src/ledger/workflow-ledger.js";
 import { workflowProgress } from "../src/ledger/workflow-progress.js";
 import { createStep } from "../src/model/create-step.js";
