--- a/packages/workflow/src/ledger/progress-estimate.ts
+++ b/packages/workflow/src/ledger/progress-estimate.ts
@@ -23,41 +23,40 @@
     return step.isGang ? Math.min(1, running) : running;
 };
 
-/** Largest number that has as many digits as `count`. */
-const longest = (count: number): number => 10 ** String(count).length - 1;
 /** Bytes of a value in a list, with the comma after it. */
 const bytesOf = (value: unknown): number => JSON.stringify(value).length + 1;
+const countDigits = (number: number): number => String(number).length;
+
+const emptyProgress: WorkflowProgress = {
+    isCancelled: false,
+    isFailed: false,
+    hasStarted: false,
+    steps: [],
+    finished: [],
+    transfers: [],
+};
+const emptyBytes = bytesOf(emptyProgress);
+const runBytes = bytesOf(Number.MAX_SAFE_INTEGER);
+const crashBytes = Math.max(...Object.values(crashWeights).map(weight => bytesOf([Number.MAX_SAFE_INTEGER, weight])));
+const emptyStage = { done: [], doneRanges: [], failures: [], crashes: [], checkpoints: [], lastRuns: [] };
+/** Bytes of entries without the digits of the numbers in them, which are 0 here. */
+const stageFrameBytes = bytesOf({ occurrence: 0, step: 0, ...emptyStage }) - 2;
+const finishedFrameBytes = bytesOf([0, 0, 0]) - 3;
+const rangeFrameBytes = bytesOf([0, 0]) - 2;
+const taskFrameBytes = bytesOf([0, []]) - 1;
+const transferFrameBytes = bytesOf({ cell: "", tasks: [] })
+    + bytesOf({ occurrence: 0, step: 0, index: 0, lastRun: Number.MAX_SAFE_INTEGER }) - 3;
 
 /** Creates the estimate for a workflow with so many occurrences. */
 export const createProgressEstimate = ({ steps }: Workflow, occurrences: number): ProgressEstimate => {
-    const occurrence = longest(occurrences);
-    const step = longest(steps.length);
-    const index = longest(steps.reduce((most, { count }) => Math.max(most, count), 0));
-    const run = Number.MAX_SAFE_INTEGER;
-    const empty: WorkflowProgress = {
-        isCancelled: false,
-        isFailed: false,
-        hasStarted: false,
-        steps: [],
-        finished: [],
-        transfers: [],
-    };
-    const stageEntryBytes = bytesOf({
-        occurrence,
-        step,
-        done: [],
-        doneRanges: [],
-        failures: [],
-        crashes: [],
-        checkpoints: [],
-        lastRuns: [],
-    });
-    const doneRangeBytes = bytesOf([index, index]);
-    const failedTaskBytes = bytesOf([index, []]);
-    const failedRunBytes = bytesOf(run);
-    const crashBytes = Math.max(...Object.values(crashWeights).map(weight => bytesOf([run, weight])));
-    const lastRunBytes = bytesOf([index, run]);
-    const endOfRunBytes = Math.max(doneRangeBytes, failedTaskBytes + failedRunBytes);
+    const occurrenceDigits = countDigits(occurrences);
+    const stepDigits = countDigits(steps.length);
+    const indexDigits = countDigits(steps.reduce((most, { count }) => Math.max(most, count), 0));
+    const stageEntryBytes = stageFrameBytes + occurrenceDigits + stepDigits;
+    const doneRangeBytes = rangeFrameBytes + 2 * indexDigits;
+    const failedTaskBytes = taskFrameBytes + indexDigits;
+    const lastRunBytes = rangeFrameBytes + indexDigits + runBytes;
+    const endOfRunBytes = Math.max(doneRangeBytes, failedTaskBytes + runBytes);
     const countEntries = (entries: ReadonlyMap<number, { readonly size: number; }>): number => {
         let count = 0;
         for (const { size } of entries.values()) {
@@ -69,10 +68,9 @@
         runs > 0 && !isLasting
         || record.done.size + record.failures.size + record.crashes.size + record.lastRuns.size > 0;
     return {
-        emptyBytes: bytesOf(empty),
-        finishedRangeBytes: bytesOf([step, occurrence, occurrence]),
-        transferBytes: bytesOf({ cell: "", tasks: [] })
-            + bytesOf({ occurrence, step, index, lastRun: run }),
+        emptyBytes,
+        finishedRangeBytes: finishedFrameBytes + stepDigits + 2 * occurrenceDigits,
+        transferBytes: transferFrameBytes + occurrenceDigits + stepDigits + indexDigits,
         stageBytes: stage => {
             const { record, step: { isLasting } } = stage;
             const runs = countRuns(stage);
@@ -80,7 +78,7 @@
                 ? stageEntryBytes
                     + record.doneRanges * doneRangeBytes
                     + (record.failures.size + record.crashes.size) * failedTaskBytes
-                    + countEntries(record.failures) * failedRunBytes
+                    + countEntries(record.failures) * runBytes
                     + countEntries(record.crashes) * crashBytes
                     + record.lastRuns.size * lastRunBytes
                     + (isLasting ? 0 : runs * endOfRunBytes)
