--- a/packages/workflow/src/ledger/progress-budget.ts
+++ b/packages/workflow/src/ledger/progress-budget.ts
@@ -12,18 +12,19 @@
     /** Counts further ranges of occurrences in which a step is done, or fewer if negative. */
     readonly addFinishedRanges: (count: number) => void;
     readonly addTransfers: (count: number) => void;
-    /** Whether the end of one more run in the stage is sure to fit. */
-    readonly hasRoom: (stage: Stage) => boolean;
+    /** Whether the end of one more run in the stage is sure to fit; `isRetry`: whether its task has failed before. */
+    readonly hasRoom: (stage: Stage, isRetry: boolean) => boolean;
     /** Whether no short-lived task has a run. */
     readonly isIdle: () => boolean;
 }
 
-/** Share of a row for the runs that go on one at a time once no others fit. */
-const reservedShare = 0.1;
+/** Share of a row up to which tasks start that have not failed; the rest is left for others to run again. */
+const firstRunShare = 0.7;
+/** As `firstRunShare`, for tasks that have failed; the rest is left for runs that go on one at a time. */
+const retryShare = 0.9;
 
 /** Creates the budget of a workflow without progress. `limitBytes`: the longest value of a row. */
 export const createProgressBudget = (estimate: ProgressEstimate, limitBytes: number): ProgressBudget => {
-    const availableBytes = limitBytes * (1 - reservedShare);
     let bytes = estimate.emptyBytes;
     let runs = 0;
     const countShortRuns = (stage: Stage): number => stage.step.isLasting ? 0 : countRuns(stage);
@@ -41,7 +42,8 @@
         addTransfers: count => {
             bytes += count * estimate.transferBytes;
         },
-        hasRoom: stage => bytes + estimate.endBytes(stage) <= availableBytes,
+        hasRoom: (stage, isRetry) =>
+            bytes + estimate.endBytes(stage, isRetry) <= limitBytes * (isRetry ? retryShare : firstRunShare),
         isIdle: () => runs === 0,
     };
 };
--- a/packages/workflow/src/ledger/progress-estimate.ts
+++ b/packages/workflow/src/ledger/progress-estimate.ts
@@ -1,5 +1,4 @@
 import type { Workflow } from "../model/workflow.js";
-import { crashWeights } from "./crash-weights.js";
 import type { Stage } from "./stage.js";
 import type { WorkflowProgress } from "./workflow-progress.js";
 
@@ -13,8 +12,10 @@
     readonly transferBytes: number;
     /** What is known of a stage that is not done, and what the ends of its present runs may add. */
     readonly stageBytes: (stage: Stage) => number;
-    /** What a further run in the stage may add. */
-    readonly endBytes: (stage: Stage) => number;
+    /** What a further run in the stage may add; `isRetry`: whether its task has failed before. */
+    readonly endBytes: (stage: Stage, isRetry: boolean) => number;
+    /** The failures or crashes of one task, with what these runs have been recorded with beside their numbers. */
+    readonly failedTaskBytes: (runs: Iterable<number | readonly [run: number, weight: number]>) => number;
 }
 
 /** Number of a stage's tasks that have a run, or a gang counted as one. */
@@ -36,8 +37,8 @@
     transfers: [],
 };
 const emptyBytes = bytesOf(emptyProgress);
-const runBytes = bytesOf(Number.MAX_SAFE_INTEGER);
-const crashBytes = Math.max(...Object.values(crashWeights).map(weight => bytesOf([Number.MAX_SAFE_INTEGER, weight])));
+/** A number of a run, which rises by 4,096 with each holder of the cell: enough for 240 million of them. */
+const runBytes = bytesOf(999_999_999_999);
 const emptyStage = { done: [], doneRanges: [], failures: [], crashes: [], checkpoints: [], lastRuns: [] };
 /** Bytes of entries without the digits of the numbers in them, which are 0 here. */
 const stageFrameBytes = bytesOf({ occurrence: 0, step: 0, ...emptyStage }) - 2;
@@ -45,7 +46,7 @@
 const rangeFrameBytes = bytesOf([0, 0]) - 2;
 const taskFrameBytes = bytesOf([0, []]) - 1;
 const transferFrameBytes = bytesOf({ cell: "", tasks: [] })
-    + bytesOf({ occurrence: 0, step: 0, index: 0, lastRun: Number.MAX_SAFE_INTEGER }) - 3;
+    + bytesOf({ occurrence: 0, step: 0, index: 0, lastRun: 999_999_999_999 }) - 3;
 
 /** Creates the estimate for a workflow with so many occurrences. */
 export const createProgressEstimate = ({ steps }: Workflow, occurrences: number): ProgressEstimate => {
@@ -54,16 +55,9 @@
     const indexDigits = countDigits(steps.reduce((most, { count }) => Math.max(most, count), 0));
     const stageEntryBytes = stageFrameBytes + occurrenceDigits + stepDigits;
     const doneRangeBytes = rangeFrameBytes + 2 * indexDigits;
-    const failedTaskBytes = taskFrameBytes + indexDigits;
+    const failedTaskFrameBytes = taskFrameBytes + indexDigits;
     const lastRunBytes = rangeFrameBytes + indexDigits + runBytes;
-    const endOfRunBytes = Math.max(doneRangeBytes, failedTaskBytes + runBytes);
-    const countEntries = (entries: ReadonlyMap<number, { readonly size: number; }>): number => {
-        let count = 0;
-        for (const { size } of entries.values()) {
-            count += size;
-        }
-        return count;
-    };
+    const endOfRunBytes = Math.max(doneRangeBytes, failedTaskFrameBytes + runBytes);
     const hasEntry = ({ step: { isLasting }, record }: Stage, runs: number): boolean =>
         runs > 0 && !isLasting
         || record.done.size + record.failures.size + record.crashes.size + record.lastRuns.size > 0;
@@ -77,13 +71,13 @@
             return record.done.size < stage.step.count && hasEntry(stage, runs)
                 ? stageEntryBytes
                     + record.doneRanges * doneRangeBytes
-                    + (record.failures.size + record.crashes.size) * failedTaskBytes
-                    + countEntries(record.failures) * runBytes
-                    + countEntries(record.crashes) * crashBytes
+                    + record.failureBytes
                     + record.lastRuns.size * lastRunBytes
                     + (isLasting ? 0 : runs * endOfRunBytes)
                 : 0;
         },
-        endBytes: stage => endOfRunBytes + (hasEntry(stage, countRuns(stage)) ? 0 : stageEntryBytes),
+        endBytes: (stage, isRetry) =>
+            isRetry ? runBytes : endOfRunBytes + (hasEntry(stage, countRuns(stage)) ? 0 : stageEntryBytes),
+        failedTaskBytes: runs => [...runs].reduce<number>((bytes, run) => bytes + bytesOf(run), failedTaskFrameBytes),
     };
 };
--- a/packages/workflow/src/ledger/step-record.ts
+++ b/packages/workflow/src/ledger/step-record.ts
@@ -6,6 +6,8 @@
     doneRanges: number;
     /** Numbers of the runs that ended `failed`, by task index; a set, so that a repeated report counts once. */
     readonly failures: Map<number, Set<number>>;
+    /** Bytes that `failures` and `crashes` take in a progress row. */
+    failureBytes: number;
     /** Weights of the runs under which a worker crashed, by run number and task index; see `crashWeights`. */
     readonly crashes: Map<number, Map<number, number>>;
     /** Newest checkpoint by task index. */
@@ -38,6 +40,7 @@
     done: new Set(),
     doneRanges: 0,
     failures: new Map(),
+    failureBytes: 0,
     crashes: new Map(),
     checkpoints: new Map(),
     waiting: new Set(Array(count).keys()),
--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -8,6 +8,7 @@
 import { createProgressEstimate } from "./progress-estimate.js";
 import { createStageTable } from "./stage-table.js";
 import type { Stage } from "./stage.js";
+import type { StepRecord } from "./step-record.js";
 import type { TaskPosition } from "./task-position.js";
 import type { TransferredTask } from "./transferred-task.js";
 import type { StepProgress, WorkflowProgress } from "./workflow-progress.js";
@@ -149,7 +150,8 @@
 ): WorkflowLedger => {
     const { steps, queue, schedule } = workflow;
     const occurrences = Math.max(1, schedule?.repetitions ?? 1);
-    const budget = createProgressBudget(createProgressEstimate(workflow, occurrences), progressBytes);
+    const estimate = createProgressEstimate(workflow, occurrences);
+    const budget = createProgressBudget(estimate, progressBytes);
     const transfers = new Map<CellId, TransferredTask[]>();
     let isCancelled = stored?.isCancelled ?? false;
     let isFailed = stored?.isFailed ?? false;
@@ -191,6 +193,28 @@
     /** Number of the ranges of indices that are done which end before the index or begin after it. */
     const countNeighbours = ({ done }: Stage["record"], index: number): number =>
         (done.has(index - 1) ? 1 : 0) + (done.has(index + 1) ? 1 : 0);
+    const setFailures = (record: StepRecord, index: number, runs: Set<number> | undefined): void => {
+        const earlier = record.failures.get(index);
+        record.failureBytes -= earlier === undefined ? 0 : estimate.failedTaskBytes(earlier);
+        if (runs === undefined) {
+            record.failures.delete(index);
+        }
+        else {
+            record.failureBytes += estimate.failedTaskBytes(runs);
+            record.failures.set(index, runs);
+        }
+    };
+    const setCrashes = (record: StepRecord, index: number, weights: Map<number, number> | undefined): void => {
+        const earlier = record.crashes.get(index);
+        record.failureBytes -= earlier === undefined ? 0 : estimate.failedTaskBytes(earlier);
+        if (weights === undefined) {
+            record.crashes.delete(index);
+        }
+        else {
+            record.failureBytes += estimate.failedTaskBytes(weights);
+            record.crashes.set(index, weights);
+        }
+    };
     const markDone = (stage: Stage, index: number): void => {
         budget.track(stage, () => {
             addDone(stage, index);
@@ -203,8 +227,8 @@
         record.done.add(index);
         record.waiting.delete(index);
         record.checkpoints.delete(index);
-        record.failures.delete(index);
-        record.crashes.delete(index);
+        setFailures(record, index, undefined);
+        setCrashes(record, index, undefined);
         record.failedAtRevisions.delete(index);
         if (isNew && record.done.size === step.count) {
             remainingSteps -= 1;
@@ -256,8 +280,12 @@
                 markRangeDone(stage, first, last);
             });
             budget.track(stage, () => {
-                row.failures.forEach(([index, runs]) => stage.record.failures.set(index, new Set(runs)));
-                row.crashes.forEach(([index, runs]) => stage.record.crashes.set(index, new Map(runs)));
+                row.failures.forEach(([index, runs]) => {
+                    setFailures(stage.record, index, new Set(runs));
+                });
+                row.crashes.forEach(([index, runs]) => {
+                    setCrashes(stage.record, index, new Map(runs));
+                });
                 row.checkpoints.forEach(([index, checkpoint]) => stage.record.checkpoints.set(index, checkpoint));
                 row.lastRuns.forEach(([index, lastRun]) => stage.record.lastRuns.set(index, lastRun));
             });
@@ -302,12 +330,13 @@
         },
         hasRoomForEnd: (stage, index) => {
             const { step: { isLasting }, record, occurrence, stepIndex } = stage;
-            if (isLasting || budget.hasRoom(stage)) {
+            const isRetry = record.failures.has(countedIndex(stage, { index }));
+            if (isLasting || budget.hasRoom(stage, isRetry)) {
                 return true;
             }
             const [firstWaiting] = record.waiting;
             const isFirst = occurrence === stages.firstOpen(stepIndex) && index === firstWaiting;
-            return budget.isIdle() && (isFirst || record.failures.has(countedIndex(stage, { index })));
+            return budget.isIdle() && (isFirst || isRetry);
         },
         isDone: position => {
             const known = knownStage(position);
@@ -358,12 +387,13 @@
                 return;
             }
             const index = countedIndex(stage, position);
-            const runs = stage.record.failures.get(index) ?? new Set();
-            if (runs.has(run)) {
+            const earlier = stage.record.failures.get(index);
+            if (earlier?.has(run) === true) {
                 return;
             }
+            const runs = new Set([...earlier ?? [], run]);
             budget.track(stage, () => {
-                stage.record.failures.set(index, runs.add(run));
+                setFailures(stage.record, index, runs);
             });
             isFailed ||= runs.size >= queue.maxAttempts;
             raiseRevision();
@@ -377,7 +407,7 @@
             const index = countedIndex(stage, position);
             const weights = stage.record.crashes.get(index) ?? new Map<number, number>();
             budget.track(stage, () => {
-                stage.record.crashes.set(index, weights.set(run, weight));
+                setCrashes(stage.record, index, new Map([...weights, [run, weight]]));
             });
             isFailed ||= crashWeight(position) >= crashLimit;
             raiseRevision();
@@ -388,7 +418,7 @@
             const stage = knownStage(position);
             if (stage !== undefined) {
                 budget.track(stage, () => {
-                    stage.record.crashes.delete(countedIndex(stage, position));
+                    setCrashes(stage.record, countedIndex(stage, position), undefined);
                 });
             }
         },
