--- a/packages/workflow/src/cell/run-statistics.ts
+++ b/packages/workflow/src/cell/run-statistics.ts
@@ -3,7 +3,6 @@
 import type { JobId, WorkerId } from "@jayfront/world";
 
 import type { WorkflowLedger } from "../ledger/workflow-ledger.js";
-import { jobOfTask } from "../model/job-of-task.js";
 import type { Queue } from "../model/queue.js";
 import type { Step } from "../model/step.js";
 import type { TaskName } from "../model/task-name.js";
@@ -100,19 +99,23 @@
         longestQuarantine: quarantineLimit,
         initialStartLimit: startLimit,
     });
-    const failedOn = new Map<JobId, Map<TaskName, Set<WorkerId>>>();
+    // By task, since each search for a worker asks of many workers.
+    const failedOn = new Map<TaskName, Set<WorkerId>>();
+    const failedTasks = new Map<JobId, Set<TaskName>>();
     const recordEnd = ({ run, outcome, error }: RunEnd): void => {
         const { step, position, worker, ledger } = run;
         metrics.runEnds.inc({ queue: ledger.workflow.queue.name, outcome: error ?? outcome });
         // Long-running tasks run until they are stopped or fail, so only an early failure points to a faulty worker.
         const isEarly = performance.now() - run.startedAt < earlyFailureLimit;
         if (outcome === "failed" && (!step.isLasting || isEarly)) {
-            const tasks = failedOn.get(position.job) ?? new Map<TaskName, Set<WorkerId>>();
-            failedOn.set(position.job, tasks.set(run.task, (tasks.get(run.task) ?? new Set()).add(worker)));
+            const workers = failedOn.get(run.task) ?? new Set();
+            failedOn.set(run.task, workers.add(worker));
+            failedTasks.set(position.job, (failedTasks.get(position.job) ?? new Set()).add(run.task));
             health.recordEnd(worker, position.job, true);
         }
         if (outcome === "done") {
-            failedOn.get(position.job)?.delete(run.task);
+            failedOn.delete(run.task);
+            failedTasks.get(position.job)?.delete(run.task);
             health.recordEnd(worker, position.job, false);
             const queue = queueOf(ledger);
             if (run.hasFullRunTime) {
@@ -130,9 +133,10 @@
             return spread === undefined ? undefined : { time: runTimes.predict(subject), spread };
         },
         health,
-        hasFailedOn: (task, worker) => failedOn.get(jobOfTask(task))?.get(task)?.has(worker) === true,
+        hasFailedOn: (task, worker) => failedOn.get(task)?.has(worker) === true,
         forgetWorkflow: job => {
-            failedOn.delete(job);
+            failedTasks.get(job)?.forEach(task => failedOn.delete(task));
+            failedTasks.delete(job);
             health.removeJob(job);
         },
     };
