--- a/packages/workflow/src/ledger/progress-estimate.ts
+++ b/packages/workflow/src/ledger/progress-estimate.ts
@@ -14,7 +14,7 @@
     readonly stageBytes: (stage: Stage) => number;
     /** What a further run in the stage may add; `isRetry`: whether its task has failed before. */
     readonly endBytes: (stage: Stage, isRetry: boolean) => number;
-    /** The failures or crashes of one task, with what these runs have been recorded with beside their numbers. */
+    /** The entry of a task with the numbers of its failed runs, or with its crashes and their weights. */
     readonly failedTaskBytes: (runs: Iterable<number | readonly [run: number, weight: number]>) => number;
 }
 
@@ -37,7 +37,7 @@
     transfers: [],
 };
 const emptyBytes = bytesOf(emptyProgress);
-/** A number of a run, which rises by 4,096 with each holder of the cell: enough for 240 million of them. */
+/** The number of a run; numbers rise by 4,096 with each holder of a cell, so that twelve digits last for 240 million. */
 const runBytes = bytesOf(999_999_999_999);
 const emptyStage = { done: [], doneRanges: [], failures: [], crashes: [], checkpoints: [], lastRuns: [] };
 /** Bytes of entries without the digits of the numbers in them, which are 0 here. */
