--- a/packages/workflow/tests/encode-progress.test.ts
+++ b/packages/workflow/tests/encode-progress.test.ts
@@ -52,7 +52,7 @@
             .toEqual(["running", true, false]);
     });
 
-    it("keeps the plain form of progress that fits", () => {
+    it("leaves nothing out of progress that fits", () => {
         const ledger = createLedger();
         ledger.recordDone({ occurrence: 0, step: 0, index: 3 });
         const progress = ledger.progress();
