Limit early cancellations and reserved starts by one piece of code

Both call createRateLimit now, which has the reserve's form. No change of behaviour: a cancellation is stored if at least one is left, as before.

--- a/packages/workflow/src/entry/early-cancellations.ts
+++ b/packages/workflow/src/entry/early-cancellations.ts
@@ -4,9 +4,9 @@
 
 import { indexValue } from "../cell/index-value.js";
 import { rowKeys } from "../cell/row-keys.js";
+import { createRateLimit } from "../policy/rate-limit.js";
 import type { StateStore, StoredRow } from "../port/state-store.js";
 import type { WorkflowMetrics } from "../workflow-metrics.js";
-import { createRateLimit } from "./rate-limit.js";
 import type { WorkflowAnswer } from "./workflow-answer.js";
 
 /**
@@ -74,7 +74,8 @@
         return value.kind === "cancelled" ? cancelled : { kind: "known", value: value.cell };
     };
     const cancel: EarlyCancellations["cancel"] = async id => {
-        if (!limit.take()) {
+        const now = performance.now();
+        if (limit.left(now) < 1) {
             metrics.earlyCancellations.inc({ outcome: "limited" });
             return {
                 kind: "unavailable",
@@ -83,6 +84,7 @@
                 } cancellations a second of ids that were never submitted; try again`,
             };
         }
+        limit.take(1, now);
         const indexKey = rowKeys.index(id);
         const written = await store.commit({
             checks: [{ ...indexKey, version: 0 }],
--- a/packages/workflow/src/policy/placement-reserve.ts
+++ b/packages/workflow/src/policy/placement-reserve.ts
@@ -1,4 +1,5 @@
 import type { Workflow } from "../model/workflow.js";
+import { createRateLimit } from "./rate-limit.js";
 import { urgentPriority } from "./urgency.js";
 
 /**
@@ -16,7 +17,6 @@
 const startsPerSecond = 75;
 /** Starts that can be taken at once, at least; those of a workflow of usual size. */
 const leastCapacity = 16;
-const msPerSecond = 1_000;
 
 /** Starts of the reserve that a workflow takes; infinite for one whose tasks don't go before all that waits. */
 export const reservedStarts = ({ queue, steps, schedule }: Pick<Workflow, "queue" | "steps" | "schedule">): number =>
@@ -27,21 +27,5 @@
 /** Creates a reserve of which all is left. `processors`: cores of the host; may be a fraction. */
 export const createPlacementReserve = (processors: number): PlacementReserve => {
     const rate = processors * startsPerSecond;
-    const capacity = Math.max(leastCapacity, rate);
-    let taken = 0;
-    let updatedAt = 0;
-    const update = (now: number): void => {
-        taken = Math.max(0, taken - rate * (now - updatedAt) / msPerSecond);
-        updatedAt = now;
-    };
-    return {
-        left: now => {
-            update(now);
-            return Math.floor(capacity - taken);
-        },
-        take: (starts, now) => {
-            update(now);
-            taken += starts;
-        },
-    };
+    return createRateLimit(rate, Math.max(leastCapacity, rate));
 };
