--- a/packages/workflow/src/ledger/workflow-ledger.ts
+++ b/packages/workflow/src/ledger/workflow-ledger.ts
@@ -193,26 +193,21 @@
     /** Number of the ranges of indices that are done which end before the index or begin after it. */
     const countNeighbours = ({ done }: Stage["record"], index: number): number =>
         (done.has(index - 1) ? 1 : 0) + (done.has(index + 1) ? 1 : 0);
-    const setFailures = (record: StepRecord, index: number, runs: Set<number> | undefined): void => {
-        const earlier = record.failures.get(index);
+    /** Sets or deletes the failed runs of a task, or its crashes; `entries` are those of `record`. */
+    const setFailed = <Runs extends Iterable<number | readonly [run: number, weight: number]>>(
+        record: StepRecord,
+        entries: Map<number, Runs>,
+        index: number,
+        runs?: Runs,
+    ): void => {
+        const earlier = entries.get(index);
         record.failureBytes -= earlier === undefined ? 0 : estimate.failedTaskBytes(earlier);
         if (runs === undefined) {
-            record.failures.delete(index);
+            entries.delete(index);
         }
         else {
             record.failureBytes += estimate.failedTaskBytes(runs);
-            record.failures.set(index, runs);
-        }
-    };
-    const setCrashes = (record: StepRecord, index: number, weights: Map<number, number> | undefined): void => {
-        const earlier = record.crashes.get(index);
-        record.failureBytes -= earlier === undefined ? 0 : estimate.failedTaskBytes(earlier);
-        if (weights === undefined) {
-            record.crashes.delete(index);
-        }
-        else {
-            record.failureBytes += estimate.failedTaskBytes(weights);
-            record.crashes.set(index, weights);
+            entries.set(index, runs);
         }
     };
     const markDone = (stage: Stage, index: number): void => {
@@ -227,8 +222,8 @@
         record.done.add(index);
         record.waiting.delete(index);
         record.checkpoints.delete(index);
-        setFailures(record, index, undefined);
-        setCrashes(record, index, undefined);
+        setFailed(record, record.failures, index);
+        setFailed(record, record.crashes, index);
         record.failedAtRevisions.delete(index);
         if (isNew && record.done.size === step.count) {
             remainingSteps -= 1;
@@ -281,10 +276,10 @@
             });
             budget.track(stage, () => {
                 row.failures.forEach(([index, runs]) => {
-                    setFailures(stage.record, index, new Set(runs));
+                    setFailed(stage.record, stage.record.failures, index, new Set(runs));
                 });
                 row.crashes.forEach(([index, runs]) => {
-                    setCrashes(stage.record, index, new Map(runs));
+                    setFailed(stage.record, stage.record.crashes, index, new Map(runs));
                 });
                 row.checkpoints.forEach(([index, checkpoint]) => stage.record.checkpoints.set(index, checkpoint));
                 row.lastRuns.forEach(([index, lastRun]) => stage.record.lastRuns.set(index, lastRun));
@@ -393,7 +388,7 @@
             }
             const runs = new Set([...earlier ?? [], run]);
             budget.track(stage, () => {
-                setFailures(stage.record, index, runs);
+                setFailed(stage.record, stage.record.failures, index, runs);
             });
             isFailed ||= runs.size >= queue.maxAttempts;
             raiseRevision();
@@ -407,7 +402,7 @@
             const index = countedIndex(stage, position);
             const weights = stage.record.crashes.get(index) ?? new Map<number, number>();
             budget.track(stage, () => {
-                setCrashes(stage.record, index, new Map([...weights, [run, weight]]));
+                setFailed(stage.record, stage.record.crashes, index, new Map([...weights, [run, weight]]));
             });
             isFailed ||= crashWeight(position) >= crashLimit;
             raiseRevision();
@@ -418,7 +413,7 @@
             const stage = knownStage(position);
             if (stage !== undefined) {
                 budget.track(stage, () => {
-                    setCrashes(stage.record, countedIndex(stage, position), undefined);
+                    setFailed(stage.record, stage.record.crashes, countedIndex(stage, position));
                 });
             }
         },
