Look once an end whether the numbers of its task can be forgotten

An end of a known run looked twice: when the run was removed and after it. Only the end of an unknown run needs a look of its own; other copies look when they are removed.

--- a/packages/workflow/src/cell/run-controller.ts
+++ b/packages/workflow/src/cell/run-controller.ts
@@ -149,7 +149,7 @@
         endQueues.set(id, { bornAt, queue });
         return queue;
     };
-    /** A task that is done and has no run never runs again here; as such its numbers would stay for as long as the cell. */
+    /** Numbers would stay for as long as the cell; a task that is done and has no run never runs again here. */
     const forgetNumbersIfDone = (ledger: WorkflowLedger, position: Run["position"], task: TaskName): void => {
         if (ledger.isDone(position) && runRegistry.ofTask(task).length === 0) {
             runNumbers.forget(task);
@@ -385,11 +385,13 @@
             run.reportedAt = performance.now();
             removeRun({ run, outcome: row.outcome });
         }
+        else {
+            forgetNumbersIfDone(ledger, position, row.task);
+        }
         if (ledger.isDone(position)) {
             runRegistry.ofTask(row.task).forEach(other => {
                 stop(other, "another copy is done");
             });
-            forgetNumbersIfDone(ledger, position, row.task);
         }
         if (ledger.isSettled() && !wasSettled) {
             stopWorkflow(position.job, `the workflow is ${ledger.latestState()}`);
